Lay the build, the model and the wire interfaces

Cause: empty repository. Change: Maven modules, formatter and linter in the build, the immutable model of configuration, log records and work, the Thrift messages between entry hosts with their generated classes, and docs/API.md as the contract of every process. Conclusion: parts can now be built side by side.

--- /dev/null
+++ b/cactusspring-benchmarks/src/main/java/io/cactusspring/benchmarks/package-info.java
@@ -0,0 +1,2 @@
+/** Placeholder. */
+package io.cactusspring.benchmarks;
--- /dev/null
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/model/Resources.java
@@ -0,0 +1,74 @@
+package io.cactusspring.core.model;
+
+import static io.cactusspring.core.model.Arguments.checkRange;
+
+/**
+ * An amount of a worker's processors, memory and accelerators.
+ *
+ * <pre>{@code
+ * Resources task = new Resources(2_000, 4_096, 0); // two processors, 4 GiB
+ * boolean fits = task.fitsIn(free);
+ * }</pre>
+ *
+ * @param milliProcessors thousandths of a processor
+ * @param memoryMib memory in MiB
+ * @param accelerators whole accelerators
+ * @since 0.1
+ */
+public record Resources(long milliProcessors, long memoryMib, int accelerators) {
+  public static final Resources NONE = new Resources(0, 0, 0);
+  private static final long MAX_AMOUNT = 1L << 40;
+
+  /**
+   * @throws IllegalArgumentException if an amount is negative or beyond any host
+   */
+  public Resources {
+    checkRange("milliProcessors", milliProcessors, 0, MAX_AMOUNT);
+    checkRange("memoryMib", memoryMib, 0, MAX_AMOUNT);
+    checkRange("accelerators", accelerators, 0, 1 << 20);
+  }
+
+  public Resources plus(Resources other) {
+    return new Resources(
+        milliProcessors + other.milliProcessors,
+        memoryMib + other.memoryMib,
+        accelerators + other.accelerators);
+  }
+
+  /**
+   * Subtracts an amount that is part of this one.
+   *
+   * @throws IllegalArgumentException if a result would be negative
+   */
+  public Resources minus(Resources other) {
+    return new Resources(
+        milliProcessors - other.milliProcessors,
+        memoryMib - other.memoryMib,
+        accelerators - other.accelerators);
+  }
+
+  public Resources times(int factor) {
+    return new Resources(milliProcessors * factor, memoryMib * factor, accelerators * factor);
+  }
+
+  public boolean fitsIn(Resources free) {
+    return milliProcessors <= free.milliProcessors
+        && memoryMib <= free.memoryMib
+        && accelerators <= free.accelerators;
+  }
+
+  /** Returns the largest fraction that this amount takes of any resource of {@code total}. */
+  public double dominantShareOf(Resources total) {
+    double processors = fraction(milliProcessors, total.milliProcessors);
+    double memory = fraction(memoryMib, total.memoryMib);
+    double devices = fraction(accelerators, total.accelerators);
+    return Math.max(processors, Math.max(memory, devices));
+  }
+
+  private static double fraction(long part, long whole) {
+    if (part == 0) {
+      return 0;
+    }
+    return whole == 0 ? Double.POSITIVE_INFINITY : (double) part / whole;
+  }
+}
--- /dev/null
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/model/package-info.java
@@ -0,0 +1,2 @@
+/** Immutable values of the cell: configuration items, log records, workers, runs and tasks. */
+package io.cactusspring.core.model;
