Add the configuration in force

Cause: every part reads teams, keys, services and zones. Change: Configuration, immutable, keyed by path, with revisions of items.

--- /dev/null
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/config/Configuration.java
@@ -0,0 +1,114 @@
+package io.cactusspring.core.config;
+
+import io.cactusspring.core.model.AvailabilityZone;
+import io.cactusspring.core.model.BudgetAccount;
+import io.cactusspring.core.model.ConfigItem;
+import io.cactusspring.core.model.ShardId;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+/**
+ * The items in force at one revision.
+ *
+ * <pre>{@code
+ * int limit = configuration.team("counter").map(ConfigItem.Team::maxRunning).orElse(0);
+ * }</pre>
+ *
+ * @since 0.1
+ */
+public final class Configuration {
+  public static final Configuration EMPTY = new Configuration(0, new TreeMap<>());
+
+  private final long revision;
+  private final SortedMap<String, Revisioned> items;
+
+  private Configuration(long revision, SortedMap<String, Revisioned> items) {
+    this.revision = revision;
+    this.items = Collections.unmodifiableSortedMap(items);
+  }
+
+  /** Returns a configuration of the given items, keyed by their path. */
+  public static Configuration of(long revision, Map<String, Revisioned> items) {
+    return new Configuration(revision, new TreeMap<>(items));
+  }
+
+  /** Offset of the last accepted note; 0 before the first. */
+  public long revision() {
+    return revision;
+  }
+
+  /** All items by path, in order of their paths. */
+  public SortedMap<String, Revisioned> items() {
+    return items;
+  }
+
+  /** Revision of the item at a path, or 0 if there is none. */
+  public long revisionOf(String path) {
+    Revisioned r = items.get(path);
+    return r == null ? 0 : r.revision();
+  }
+
+  public Optional<ConfigItem.Team> team(String name) {
+    return find("team/" + name, ConfigItem.Team.class);
+  }
+
+  public Optional<ConfigItem.Key> key(String name) {
+    return find("key/" + name, ConfigItem.Key.class);
+  }
+
+  public Optional<ConfigItem.Service> service(String name) {
+    return find("service/" + name, ConfigItem.Service.class);
+  }
+
+  public List<ConfigItem.Team> teams() {
+    return all(ConfigItem.Team.class).toList();
+  }
+
+  public List<ConfigItem.Key> keys() {
+    return all(ConfigItem.Key.class).toList();
+  }
+
+  public List<ConfigItem.Service> services() {
+    return all(ConfigItem.Service.class).toList();
+  }
+
+  public List<ConfigItem.Zone> zones() {
+    return all(ConfigItem.Zone.class).toList();
+  }
+
+  /** All shards of all zones, in order. */
+  public List<ShardId> shards() {
+    return zones().stream().flatMap(Configuration::shardsOf).sorted().toList();
+  }
+
+  /** Every account among which the teams' limits are split, in order. */
+  public List<BudgetAccount> accounts() {
+    Stream<BudgetAccount> shards = shards().stream().map(BudgetAccount::of);
+    Stream<BudgetAccount> hosts =
+        zones().stream()
+            .map(ConfigItem.Zone::entryHosts)
+            .flatMap(Collection::stream)
+            .map(BudgetAccount::ofHost);
+    return Stream.concat(shards, hosts).sorted().distinct().toList();
+  }
+
+  private static Stream<ShardId> shardsOf(ConfigItem.Zone zone) {
+    AvailabilityZone z = new AvailabilityZone(zone.name());
+    return IntStream.range(0, zone.shards()).mapToObj(i -> new ShardId(z, i));
+  }
+
+  private <T extends ConfigItem> Optional<T> find(String path, Class<T> kind) {
+    return Optional.ofNullable(items.get(path)).map(Revisioned::item).map(kind::cast);
+  }
+
+  private <T extends ConfigItem> Stream<T> all(Class<T> kind) {
+    return items.values().stream().map(Revisioned::item).filter(kind::isInstance).map(kind::cast);
+  }
+}
--- /dev/null
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/config/package-info.java
@@ -0,0 +1,2 @@
+/** Configuration in force and the resolution of release notes against it. */
+package io.cactusspring.core.config;
