Add replay of the log: configuration, claims, budgets and runs

Cause: every entry host needs the same state from the same records. Not yet tested beyond compiling; tests follow.

--- /dev/null
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/codec/CodecException.java
@@ -0,0 +1,14 @@
+package io.cactusspring.core.codec;
+
+/**
+ * A text that is no record or snapshot of a known form.
+ *
+ * @since 0.1
+ */
+public final class CodecException extends Exception {
+  private static final long serialVersionUID = 1L;
+
+  public CodecException(String message, Throwable cause) {
+    super(message, cause);
+  }
+}
--- /dev/null
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/codec/package-info.java
@@ -0,0 +1,2 @@
+/** Encoding of log records as text. */
+package io.cactusspring.core.codec;
--- a/cactusspring-core/src/main/java/io/cactusspring/core/config/Configuration.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/config/Configuration.java
@@ -88,6 +88,11 @@
     return zones().stream().flatMap(Configuration::shardsOf).sorted().toList();
   }
 
+  /** Number of shards of a zone; 0 if there is no such zone. */
+  public int shardsOf(String zone) {
+    return find("zone/" + zone, ConfigItem.Zone.class).map(ConfigItem.Zone::shards).orElse(0);
+  }
+
   /** Every account among which the teams' limits are split, in order. */
   public List<BudgetAccount> accounts() {
     Stream<BudgetAccount> shards = shards().stream().map(BudgetAccount::of);
--- /dev/null
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/state/ClusterState.java
@@ -0,0 +1,325 @@
+package io.cactusspring.core.state;
+
+import io.cactusspring.core.codec.CodecException;
+import io.cactusspring.core.config.Configuration;
+import io.cactusspring.core.config.NoteResolver;
+import io.cactusspring.core.config.Resolution;
+import io.cactusspring.core.model.Arguments;
+import io.cactusspring.core.model.BudgetAccount;
+import io.cactusspring.core.model.LogRecord;
+import io.cactusspring.core.model.LogRecord.End;
+import io.cactusspring.core.model.LogRecord.Placement;
+import io.cactusspring.core.model.ReleaseNote;
+import io.cactusspring.core.model.RunId;
+import io.cactusspring.core.model.ShardId;
+import io.cactusspring.core.model.Submission;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Function;
+import java.util.stream.IntStream;
+
+/**
+ * State of the cell after the records replayed so far. It depends on the records and their order
+ * alone, so all entry hosts agree on it. Not safe for use by several threads at once.
+ *
+ * <pre>{@code
+ * ClusterState state = new ClusterState();
+ * List<StateChange> changes = state.apply(offset, codec.decode(text));
+ * }</pre>
+ *
+ * @since 0.1
+ */
+public final class ClusterState {
+  static final int REMEMBERED_NOTES = 4_096;
+  static final long FIRST_OFFSET = 1;
+
+  private final TreeMap<ShardId, Claim> claims = new TreeMap<>();
+  private final BoundedHistory<NoteStatus> notes = new BoundedHistory<>(REMEMBERED_NOTES);
+  private final Budgets budgets = new Budgets();
+  private final Works works = new Works();
+  private final RunRules rules;
+  private final Replicas replicas;
+  private Configuration configuration = Configuration.EMPTY;
+  private long nextOffset = FIRST_OFFSET;
+
+  public ClusterState() {
+    this(RunRules::new);
+  }
+
+  /** Makes a state with other rules, to show that the tests notice. */
+  ClusterState(Function<Works, RunRules> rules) {
+    this.rules = rules.apply(works);
+    replicas = new Replicas(works, this.rules);
+  }
+
+  /**
+   * Replays one record.
+   *
+   * @return what it changed; empty for a record that is void or repeated
+   * @throws IllegalArgumentException if the offset lies before {@link #nextOffset}
+   */
+  public List<StateChange> apply(long offset, LogRecord record) {
+    skip(offset);
+    return switch (record) {
+      case LogRecord.NoteApplied r -> applyNote(offset, r.note());
+      case LogRecord.ShardClaimed r -> claim(offset, r);
+      case LogRecord.WorkSubmitted r -> submit(offset, r);
+      case LogRecord.SubmissionVoided r -> voidSubmission(offset, r.submission());
+      case LogRecord.WorkCancelled r -> cancel(r.submission());
+      case LogRecord.AttemptsStarted r -> start(r);
+      case LogRecord.RunsEnded r -> end(r);
+      case LogRecord.WorkMoved r -> move(r);
+      case LogRecord.BudgetMoved r -> moveBudget(r);
+      case LogRecord.SnapshotPart r -> List.of();
+    };
+  }
+
+  /**
+   * Passes over a record that cannot be decoded.
+   *
+   * @throws IllegalArgumentException if the offset lies before {@link #nextOffset}
+   */
+  public void skip(long offset) {
+    Arguments.checkRange("offset", offset, nextOffset, Long.MAX_VALUE - 1);
+    nextOffset = offset + 1;
+  }
+
+  /** The least offset that the next record may have. */
+  public long nextOffset() {
+    return nextOffset;
+  }
+
+  public Configuration configuration() {
+    return configuration;
+  }
+
+  /** Says what a note would come to if its record were the next one. */
+  public Resolution resolve(ReleaseNote note) {
+    return resolve(nextOffset, note);
+  }
+
+  /** What became of a note; empty if it was not read, or is forgotten. */
+  public Optional<NoteStatus> note(String id) {
+    return notes.get(id);
+  }
+
+  public Optional<Claim> claim(ShardId shard) {
+    return Optional.ofNullable(claims.get(shard));
+  }
+
+  /** What is known of a submission id; empty if it was not read. */
+  public Optional<SubmissionView> submission(String id) {
+    return works.submission(id);
+  }
+
+  public Optional<RunView> run(RunId run) {
+    Workload w = works.find(run.workload());
+    boolean isThere = w != null && run.index() < w.size();
+    return isThere ? Optional.of(w.view(run.index())) : Optional.empty();
+  }
+
+  /** All runs of a submission, or of {@code service:NAME}, in order; empty if it is unknown. */
+  public List<RunView> runs(String workload) {
+    Workload w = works.find(workload);
+    return w == null ? List.of() : IntStream.range(0, w.size()).mapToObj(w::view).toList();
+  }
+
+  /** Runs of a home shard that have not ended, in order. */
+  public List<RunView> liveRuns(ShardId home) {
+    return works.liveRuns(home);
+  }
+
+  /** Part of a team's upper limit that an account holds. */
+  public int budget(String team, BudgetAccount account) {
+    return budgets.of(team, account);
+  }
+
+  /** Encodes the state; equal states give equal text. */
+  public String snapshot() {
+    return StateImage.of(this).encode();
+  }
+
+  /**
+   * Puts back an encoded state.
+   *
+   * @throws CodecException if the text is no snapshot
+   */
+  public static ClusterState restore(String snapshot) throws CodecException {
+    return StateImage.decode(snapshot).restoreInto(new ClusterState());
+  }
+
+  Map<ShardId, Claim> claims() {
+    return claims;
+  }
+
+  BoundedHistory<NoteStatus> notes() {
+    return notes;
+  }
+
+  Budgets budgets() {
+    return budgets;
+  }
+
+  Works works() {
+    return works;
+  }
+
+  void restorePosition(Configuration restored, long offset) {
+    configuration = restored;
+    nextOffset = offset;
+  }
+
+  private Resolution resolve(long offset, ReleaseNote note) {
+    Resolution r = NoteResolver.resolve(configuration, offset, note);
+    if (!(r instanceof Resolution.Accepted a)) {
+      return r;
+    }
+    List<String> problems = shardsStillUsed(a.configuration());
+    return problems.isEmpty() ? r : new Resolution.Invalid(problems);
+  }
+
+  /** Shards cannot go, and workers cannot change shards, while runs have their home there. */
+  private List<String> shardsStillUsed(Configuration next) {
+    return configuration.zones().stream()
+        .filter(z -> next.shardsOf(z.name()) != z.shards())
+        .flatMap(z -> configuration.shards().stream().filter(s -> s.zone().name().equals(z.name())))
+        .filter(works::hasLiveRuns)
+        .map(s -> "zone/" + s.zone() + " changes its shards while " + s + " holds live runs")
+        .toList();
+  }
+
+  private List<StateChange> applyNote(long offset, ReleaseNote note) {
+    if (notes.contains(note.id())) {
+      return List.of();
+    }
+    Resolution r = resolve(offset, note);
+    List<StateChange> changes = new ArrayList<>();
+    changes.add(new StateChange.NoteResolved(note.id(), r));
+    if (r instanceof Resolution.Accepted a) {
+      notes.put(note.id(), new NoteStatus.Accepted(offset));
+      changes.addAll(adopt(a.configuration(), offset));
+    } else {
+      notes.put(note.id(), new NoteStatus.Refused(offset, r));
+    }
+    return changes;
+  }
+
+  private List<StateChange> adopt(Configuration next, long offset) {
+    Configuration before = configuration;
+    configuration = next;
+    List<StateChange> changes = new ArrayList<>();
+    changes.add(new StateChange.ConfigurationChanged(offset));
+    changes.addAll(dropClaimsOfResizedZones(before));
+    budgets.reconcile(next).forEach(t -> changes.add(new StateChange.BudgetChanged(t)));
+    before.teams().stream()
+        .filter(t -> next.team(t.name()).isEmpty())
+        .flatMap(t -> works.liveOf(t.name()).stream())
+        .filter(w -> !w.service())
+        .forEach(w -> changes.addAll(cancel(w)));
+    changes.addAll(replicas.reconcile(before, next, offset));
+    return changes;
+  }
+
+  private List<StateChange> dropClaimsOfResizedZones(Configuration before) {
+    List<ShardId> dropped =
+        claims.keySet().stream()
+            .filter(
+                s -> before.shardsOf(s.zone().name()) != configuration.shardsOf(s.zone().name()))
+            .toList();
+    dropped.forEach(claims::remove);
+    return dropped.stream().<StateChange>map(s -> new StateChange.ClaimChanged(s, null)).toList();
+  }
+
+  private List<StateChange> claim(long offset, LogRecord.ShardClaimed r) {
+    boolean isCurrent = epochOf(r.shard()) == r.supersedes();
+    if (!isCurrent || !configuration.shards().contains(r.shard())) {
+      return List.of();
+    }
+    Claim claim = new Claim(r.owner(), r.incarnation(), offset);
+    claims.put(r.shard(), claim);
+    return List.of(new StateChange.ClaimChanged(r.shard(), claim));
+  }
+
+  private List<StateChange> submit(long offset, LogRecord.WorkSubmitted r) {
+    Submission s = r.submission();
+    if (works.isTaken(s.id())) {
+      return List.of();
+    }
+    Optional<String> refusal = Works.refusal(s, r.home(), configuration);
+    if (refusal.isPresent()) {
+      works.close(s.id(), refusal.get(), offset);
+      return List.of(new StateChange.SubmissionVoided(s.id()));
+    }
+    works.submit(s, r.home(), offset);
+    return List.of(new StateChange.WorkAccepted(s.id(), r.home()));
+  }
+
+  private List<StateChange> voidSubmission(long offset, String id) {
+    if (works.isTaken(id)) {
+      return List.of();
+    }
+    works.close(id, "voided before it was read", offset);
+    return List.of(new StateChange.SubmissionVoided(id));
+  }
+
+  private List<StateChange> cancel(String id) {
+    Workload w = Workload.isService(id) ? null : works.find(id);
+    return w == null || w.cancelled() || w.live() == 0 ? List.of() : cancel(w);
+  }
+
+  private List<StateChange> cancel(Workload w) {
+    if (w.cancelled()) {
+      return List.of();
+    }
+    List<StateChange> changes = new ArrayList<>();
+    changes.add(new StateChange.WorkCancelled(w.id, w.home()));
+    Map<ShardId, List<End>> ended = rules.cancel(w);
+    ended.forEach((shard, ends) -> changes.add(new StateChange.RunsEnded(shard, ends)));
+    return changes;
+  }
+
+  private List<StateChange> start(LogRecord.AttemptsStarted r) {
+    if (!isCurrentEpoch(r.shard(), r.epoch())) {
+      return List.of();
+    }
+    List<Placement> valid = rules.start(r.shard(), r.placements());
+    return valid.isEmpty() ? List.of() : List.of(new StateChange.RunsStarted(r.shard(), valid));
+  }
+
+  private List<StateChange> end(LogRecord.RunsEnded r) {
+    if (!isCurrentEpoch(r.shard(), r.epoch())) {
+      return List.of();
+    }
+    List<End> applied = rules.end(r.shard(), r.ends());
+    return applied.isEmpty() ? List.of() : List.of(new StateChange.RunsEnded(r.shard(), applied));
+  }
+
+  private List<StateChange> move(LogRecord.WorkMoved r) {
+    boolean hasTarget = configuration.shards().contains(r.to()) && !r.to().equals(r.from());
+    if (!hasTarget || !isCurrentEpoch(r.from(), r.epoch())) {
+      return List.of();
+    }
+    List<RunId> moved = rules.move(r.from(), r.to(), r.runs());
+    return moved.isEmpty()
+        ? List.of()
+        : List.of(new StateChange.WorkMoved(r.from(), r.to(), moved));
+  }
+
+  private List<StateChange> moveBudget(LogRecord.BudgetMoved r) {
+    return budgets.move(r, configuration)
+        ? List.of(new StateChange.BudgetChanged(r.team()))
+        : List.of();
+  }
+
+  private long epochOf(ShardId shard) {
+    return claim(shard).map(Claim::epoch).orElse(0L);
+  }
+
+  /** Late records of a replaced owner carry an earlier epoch. */
+  private boolean isCurrentEpoch(ShardId shard, long epoch) {
+    return claims.containsKey(shard) && epochOf(shard) == epoch;
+  }
+}
--- /dev/null
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/state/Works.java
@@ -0,0 +1,157 @@
+package io.cactusspring.core.state;
+
+import io.cactusspring.core.config.Configuration;
+import io.cactusspring.core.model.ShardId;
+import io.cactusspring.core.model.Submission;
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.stream.IntStream;
+
+/** All workloads: those with live runs, and the last ones that ended. */
+final class Works {
+  /** Ended runs whose workload is remembered, counted over whole workloads. */
+  static final int REMEMBERED_RUNS = 20_000;
+
+  /** Ids of void or forgotten submissions that stay taken. */
+  static final int REMEMBERED_IDS = 50_000;
+
+  private final Map<String, Workload> workloads = new HashMap<>();
+  private final TreeMap<String, Workload> live = new TreeMap<>();
+  private final Deque<String> ended = new ArrayDeque<>();
+  private final BoundedHistory<ClosedId> closed = new BoundedHistory<>(REMEMBERED_IDS);
+  private int endedRuns;
+
+  /**
+   * A submission id that can never be accepted again.
+   *
+   * @param reason why it was not accepted; null if it was, and is forgotten
+   */
+  record ClosedId(String reason, boolean cancelled, long offset) {}
+
+  Workload find(String id) {
+    return workloads.get(id);
+  }
+
+  Collection<Workload> live() {
+    return live.values();
+  }
+
+  Deque<String> ended() {
+    return ended;
+  }
+
+  BoundedHistory<ClosedId> closed() {
+    return closed;
+  }
+
+  boolean isTaken(String submission) {
+    return workloads.containsKey(submission) || closed.contains(submission);
+  }
+
+  void close(String submission, String reason, long offset) {
+    closed.put(submission, new ClosedId(reason, false, offset));
+  }
+
+  Workload submit(Submission s, ShardId home, long offset) {
+    Workload w = new Workload(s.id(), s.team(), s.task(), s.gang(), s.tasks(), home, offset);
+    add(w);
+    return w;
+  }
+
+  void add(Workload w) {
+    workloads.put(w.id, w);
+    refresh(w);
+  }
+
+  Optional<SubmissionView> submission(String id) {
+    Workload w = Workload.isService(id) ? null : workloads.get(id);
+    if (w != null) {
+      return Optional.of(
+          new SubmissionView(id, submissionOf(w), w.home(), true, null, w.cancelled(), w.offset));
+    }
+    return closed.get(id).map(c -> view(id, c));
+  }
+
+  List<RunView> liveRuns(ShardId home) {
+    return live.values().stream()
+        .flatMap(
+            w ->
+                IntStream.range(0, w.size())
+                    .filter(i -> w.isLive(i) && w.home(i).equals(home))
+                    .mapToObj(w::view))
+        .sorted(Comparator.comparing(RunView::run))
+        .toList();
+  }
+
+  boolean hasLiveRuns(ShardId home) {
+    return live.values().stream()
+        .anyMatch(
+            w -> IntStream.range(0, w.size()).anyMatch(i -> w.isLive(i) && w.home(i).equals(home)));
+  }
+
+  List<Workload> liveOf(String team) {
+    return live.values().stream().filter(w -> w.team().equals(team)).toList();
+  }
+
+  /** Notes that runs of a workload became live or ended; forgets the oldest that ended. */
+  void refresh(Workload w) {
+    boolean wasLive = live.containsKey(w.id);
+    boolean isLive = w.live() > 0;
+    if (isLive) {
+      live.put(w.id, w);
+    } else {
+      live.remove(w.id);
+    }
+    if (wasLive && !isLive && !w.service()) {
+      retire(w);
+    }
+  }
+
+  /** Puts back the order in which workloads had ended when a snapshot was taken. */
+  void restoreEnded(List<String> ids) {
+    ids.forEach(id -> retire(workloads.get(id)));
+  }
+
+  /** All workloads in order of their ids. */
+  Collection<Workload> all() {
+    return new TreeMap<>(workloads).values();
+  }
+
+  private void retire(Workload w) {
+    w.shortenPayload();
+    ended.addLast(w.id);
+    endedRuns += w.size();
+    while (endedRuns > REMEMBERED_RUNS) {
+      Workload oldest = workloads.remove(ended.removeFirst());
+      endedRuns -= oldest.size();
+      closed.put(oldest.id, new ClosedId(null, oldest.cancelled(), oldest.offset));
+    }
+  }
+
+  static Submission submissionOf(Workload w) {
+    return new Submission(w.id, w.team(), w.gang, w.size(), w.spec());
+  }
+
+  private static SubmissionView view(String id, ClosedId c) {
+    boolean accepted = c.reason() == null;
+    return new SubmissionView(id, null, null, accepted, c.reason(), c.cancelled(), c.offset());
+  }
+
+  /** Whether the home of a submission can hold it. */
+  static Optional<String> refusal(Submission s, ShardId home, Configuration configuration) {
+    if (configuration.team(s.team()).isEmpty()) {
+      return Optional.of("team " + s.team() + " does not exist");
+    }
+    if (!configuration.shards().contains(home)) {
+      return Optional.of("home shard " + home + " does not exist");
+    }
+    return Optional.empty();
+  }
+}
