--- a/cactusspring-core/src/main/java/io/cactusspring/core/config/Configuration.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/config/Configuration.java
@@ -104,6 +104,21 @@
     return Stream.concat(shards, hosts).sorted().distinct().toList();
   }
 
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof Configuration c && revision == c.revision && items.equals(c.items);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * Long.hashCode(revision) + items.hashCode();
+  }
+
+  @Override
+  public String toString() {
+    return "revision " + revision + " " + items.keySet();
+  }
+
   private static Stream<ShardId> shardsOf(ConfigItem.Zone zone) {
     AvailabilityZone z = new AvailabilityZone(zone.name());
     return IntStream.range(0, zone.shards()).mapToObj(i -> new ShardId(z, i));
--- a/cactusspring-core/src/main/java/io/cactusspring/core/state/Budgets.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/state/Budgets.java
@@ -10,7 +10,7 @@
 import java.util.TreeMap;
 
 /** The split of every team's upper limit; the parts of a team always sum to its limit. */
-final class Budgets {
+class Budgets {
   static final int REMEMBERED_MOVES = 8_192;
 
   private final TreeMap<String, TreeMap<BudgetAccount, Integer>> splits = new TreeMap<>();
@@ -47,20 +47,28 @@
 
   /** Moves a part unless the record is void; returns whether it moved. */
   boolean move(BudgetMoved m, Configuration configuration) {
-    if (moves.contains(m.id())) {
+    if (!isNew(m)) {
       return false;
     }
     moves.put(m.id(), true);
     TreeMap<BudgetAccount, Integer> split = splits.get(m.team());
     boolean isCurrent = configuration.revisionOf("team/" + m.team()) == m.limitRevision();
-    if (split == null || !isCurrent || m.from().equals(m.to())) {
+    if (split == null || !isCurrent || !split.containsKey(m.from()) || !split.containsKey(m.to())) {
       return false;
     }
-    if (!split.containsKey(m.to()) || split.getOrDefault(m.from(), 0) < m.amount()) {
+    if (m.from().equals(m.to()) || !holdsEnough(split.get(m.from()), m)) {
       return false;
     }
     split.merge(m.from(), -m.amount(), Integer::sum);
     split.merge(m.to(), m.amount(), Integer::sum);
     return true;
   }
+
+  boolean isNew(BudgetMoved m) {
+    return !moves.contains(m.id());
+  }
+
+  boolean holdsEnough(int held, BudgetMoved m) {
+    return held >= m.amount();
+  }
 }
--- a/cactusspring-core/src/main/java/io/cactusspring/core/state/ClusterState.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/state/ClusterState.java
@@ -17,7 +17,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
 import java.util.function.Function;
 import java.util.stream.IntStream;
 
@@ -36,9 +35,9 @@
   static final int REMEMBERED_NOTES = 4_096;
   static final long FIRST_OFFSET = 1;
 
-  private final TreeMap<ShardId, Claim> claims = new TreeMap<>();
+  private final Claims claims;
   private final BoundedHistory<NoteStatus> notes = new BoundedHistory<>(REMEMBERED_NOTES);
-  private final Budgets budgets = new Budgets();
+  private final Budgets budgets;
   private final Works works = new Works();
   private final RunRules rules;
   private final Replicas replicas;
@@ -46,11 +45,13 @@
   private long nextOffset = FIRST_OFFSET;
 
   public ClusterState() {
-    this(RunRules::new);
+    this(new Claims(), new Budgets(), RunRules::new);
   }
 
   /** Makes a state with other rules, to show that the tests notice. */
-  ClusterState(Function<Works, RunRules> rules) {
+  ClusterState(Claims claims, Budgets budgets, Function<Works, RunRules> rules) {
+    this.claims = claims;
+    this.budgets = budgets;
     this.rules = rules.apply(works);
     replicas = new Replicas(works, this.rules);
   }
@@ -107,7 +108,7 @@
   }
 
   public Optional<Claim> claim(ShardId shard) {
-    return Optional.ofNullable(claims.get(shard));
+    return claims.of(shard);
   }
 
   /** What is known of a submission id; empty if it was not read. */
@@ -152,7 +153,7 @@
   }
 
   Map<ShardId, Claim> claims() {
-    return claims;
+    return claims.all();
   }
 
   BoundedHistory<NoteStatus> notes() {
@@ -212,7 +213,9 @@
     configuration = next;
     List<StateChange> changes = new ArrayList<>();
     changes.add(new StateChange.ConfigurationChanged(offset));
-    changes.addAll(dropClaimsOfResizedZones(before));
+    claims
+        .dropResized(before, next)
+        .forEach(c -> changes.add(new StateChange.ClaimChanged(c, null)));
     budgets.reconcile(next).forEach(t -> changes.add(new StateChange.BudgetChanged(t)));
     before.teams().stream()
         .filter(t -> next.team(t.name()).isEmpty())
@@ -223,24 +226,10 @@
     return changes;
   }
 
-  private List<StateChange> dropClaimsOfResizedZones(Configuration before) {
-    List<ShardId> dropped =
-        claims.keySet().stream()
-            .filter(
-                s -> before.shardsOf(s.zone().name()) != configuration.shardsOf(s.zone().name()))
-            .toList();
-    dropped.forEach(claims::remove);
-    return dropped.stream().<StateChange>map(s -> new StateChange.ClaimChanged(s, null)).toList();
-  }
-
   private List<StateChange> claim(long offset, LogRecord.ShardClaimed r) {
-    boolean isCurrent = epochOf(r.shard()) == r.supersedes();
-    if (!isCurrent || !configuration.shards().contains(r.shard())) {
-      return List.of();
-    }
-    Claim claim = new Claim(r.owner(), r.incarnation(), offset);
-    claims.put(r.shard(), claim);
-    return List.of(new StateChange.ClaimChanged(r.shard(), claim));
+    return claims.take(offset, r, configuration).stream()
+        .<StateChange>map(c -> new StateChange.ClaimChanged(r.shard(), c))
+        .toList();
   }
 
   private List<StateChange> submit(long offset, LogRecord.WorkSubmitted r) {
@@ -282,7 +271,7 @@
   }
 
   private List<StateChange> start(LogRecord.AttemptsStarted r) {
-    if (!isCurrentEpoch(r.shard(), r.epoch())) {
+    if (!claims.isCurrentEpoch(r.shard(), r.epoch())) {
       return List.of();
     }
     List<Placement> valid = rules.start(r.shard(), r.placements());
@@ -290,7 +279,7 @@
   }
 
   private List<StateChange> end(LogRecord.RunsEnded r) {
-    if (!isCurrentEpoch(r.shard(), r.epoch())) {
+    if (!claims.isCurrentEpoch(r.shard(), r.epoch())) {
       return List.of();
     }
     List<End> applied = rules.end(r.shard(), r.ends());
@@ -299,7 +288,7 @@
 
   private List<StateChange> move(LogRecord.WorkMoved r) {
     boolean hasTarget = configuration.shards().contains(r.to()) && !r.to().equals(r.from());
-    if (!hasTarget || !isCurrentEpoch(r.from(), r.epoch())) {
+    if (!hasTarget || !claims.isCurrentEpoch(r.from(), r.epoch())) {
       return List.of();
     }
     List<RunId> moved = rules.move(r.from(), r.to(), r.runs());
@@ -313,13 +302,4 @@
         ? List.of(new StateChange.BudgetChanged(r.team()))
         : List.of();
   }
-
-  private long epochOf(ShardId shard) {
-    return claim(shard).map(Claim::epoch).orElse(0L);
-  }
-
-  /** Late records of a replaced owner carry an earlier epoch. */
-  private boolean isCurrentEpoch(ShardId shard, long epoch) {
-    return claims.containsKey(shard) && epochOf(shard) == epoch;
-  }
 }
--- a/cactusspring-core/src/main/java/io/cactusspring/core/state/RunRules.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/state/RunRules.java
@@ -113,7 +113,7 @@
   }
 
   /** A gang starts and moves whole: every member that is live has to be pending and named. */
-  private static boolean namesWholeGang(Workload w, Set<RunId> named) {
+  boolean namesWholeGang(Workload w, Set<RunId> named) {
     return !w.gang
         || IntStream.range(0, w.size())
             .filter(w::isLive)
