--- /dev/null
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/membership/ClaimPolicy.java
@@ -0,0 +1,145 @@
+package io.cactusspring.core.membership;
+
+import io.cactusspring.core.model.AvailabilityZone;
+import io.cactusspring.core.model.LogRecord;
+import io.cactusspring.core.model.ShardId;
+import io.cactusspring.core.state.Claim;
+import io.cactusspring.core.state.ClusterState;
+import java.nio.charset.StandardCharsets;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
+import java.util.zip.CRC32;
+
+/**
+ * Decides which shards of its zone this entry host claims, and which promises it can give.
+ *
+ * <p>A shard is claimed if it has no owner, or its owner has been silent for the takeover time, or
+ * drains; among the live entry hosts of the zone the one with the highest rendezvous score claims.
+ * Not thread-safe.
+ *
+ * @since 0.1
+ */
+public final class ClaimPolicy {
+  private final String self;
+  private final String incarnation;
+  private final AvailabilityZone zone;
+  private final MembershipSettings settings;
+  private final Map<ShardId, Outstanding> outstanding = new HashMap<>();
+  private long lastClaimOffset;
+
+  /** A claim that was sent and has not been read back. */
+  private record Outstanding(long supersedes, long sentAtMillis) {}
+
+  /** Creates the policy of one entry host. */
+  public ClaimPolicy(
+      String self, String incarnation, AvailabilityZone zone, MembershipSettings settings) {
+    this.self = self;
+    this.incarnation = incarnation;
+    this.zone = zone;
+    this.settings = settings;
+  }
+
+  /** Returns the claims to append now. */
+  public List<LogRecord.ShardClaimed> claims(ClusterState state, PeerTable peers, long nowMillis) {
+    return state.configuration().shards().stream()
+        .filter(s -> s.zone().equals(zone))
+        .filter(s -> wanted(s, state, peers, nowMillis))
+        .map(s -> claim(s, state, nowMillis))
+        .toList();
+  }
+
+  /** Notes a claim that replay found valid. */
+  public void claimRead(ShardId shard, Claim claim) {
+    outstanding.remove(shard);
+    if (isMine(claim)) {
+      lastClaimOffset = Math.max(lastClaimOffset, claim.epoch());
+    }
+  }
+
+  /**
+   * Drops outstanding claims that can no longer take effect because the epoch they name has been
+   * superseded.
+   */
+  public void settle(ClusterState state) {
+    outstanding
+        .entrySet()
+        .removeIf(e -> epoch(state, e.getKey()) != e.getValue().supersedes());
+  }
+
+  /**
+   * Returns whether this host promises a peer, whose heartbeat has just been received, not to claim
+   * that peer's shards until the takeover time has passed.
+   *
+   * @param peerNextOffset first offset that the peer has not applied
+   */
+  public boolean promises(long peerNextOffset) {
+    return outstanding.isEmpty() && peerNextOffset > lastClaimOffset;
+  }
+
+  /** Returns whether a claim is this process's own. */
+  public boolean isMine(Claim claim) {
+    return claim.owner().equals(self) && claim.incarnation().equals(incarnation);
+  }
+
+  private boolean wanted(ShardId shard, ClusterState state, PeerTable peers, long nowMillis) {
+    Outstanding sent = outstanding.get(shard);
+    if (sent != null && nowMillis - sent.sentAtMillis() < settings.takeoverMillis()) {
+      return false;
+    }
+    Optional<Claim> claim = state.claim(shard);
+    boolean free = claim.map(c -> isAbandoned(c, peers, nowMillis)).orElse(true);
+    return free && isFirstChoice(shard, peers, nowMillis);
+  }
+
+  private boolean isAbandoned(Claim claim, PeerTable peers, long nowMillis) {
+    if (isMine(claim)) {
+      return false;
+    }
+    if (claim.owner().equals(self)) {
+      return true;
+    }
+    Optional<PeerTable.Peer> owner = peers.peer(claim.owner());
+    if (owner.isEmpty()) {
+      return true;
+    }
+    boolean replaced =
+        owner.get().incarnation().map(i -> !i.equals(claim.incarnation())).orElse(false);
+    return replaced || owner.get().draining() || !isLive(owner.get(), nowMillis);
+  }
+
+  private boolean isLive(PeerTable.Peer peer, long nowMillis) {
+    return nowMillis - peer.heardAtMillis() <= settings.takeoverMillis();
+  }
+
+  private boolean isFirstChoice(ShardId shard, PeerTable peers, long nowMillis) {
+    Stream<String> live =
+        peers.peers().stream()
+            .filter(p -> p.zone().equals(zone))
+            .filter(p -> isLive(p, nowMillis) && !p.draining())
+            .map(PeerTable.Peer::name);
+    return Stream.concat(live, Stream.of(self))
+        .max(Comparator.comparingLong((String h) -> score(shard, h)).thenComparing(h -> h))
+        .filter(self::equals)
+        .isPresent();
+  }
+
+  private LogRecord.ShardClaimed claim(ShardId shard, ClusterState state, long nowMillis) {
+    long supersedes = epoch(state, shard);
+    outstanding.put(shard, new Outstanding(supersedes, nowMillis));
+    return new LogRecord.ShardClaimed(shard, self, incarnation, supersedes);
+  }
+
+  private static long epoch(ClusterState state, ShardId shard) {
+    return state.claim(shard).map(Claim::epoch).orElse(0L);
+  }
+
+  private static long score(ShardId shard, String host) {
+    CRC32 crc = new CRC32();
+    crc.update((shard + " " + host).getBytes(StandardCharsets.UTF_8));
+    return crc.getValue();
+  }
+}
--- /dev/null
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/shard/EndLedger.java
@@ -0,0 +1,114 @@
+package io.cactusspring.core.shard;
+
+import io.cactusspring.core.model.LogRecord;
+import io.cactusspring.core.model.ShardId;
+import io.cactusspring.core.model.TaskId;
+import io.cactusspring.core.state.ClusterState;
+import io.cactusspring.core.state.RunState;
+import io.cactusspring.core.state.RunView;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+
+/** Ends and starts that have to reach the log, appended again until they are read back. */
+final class EndLedger {
+  private static final long RESEND_MILLIS = 2_000;
+  private static final int MAX_BATCH = 500;
+
+  private final ShardId shard;
+  private final long epoch;
+  private final Map<TaskId, Pending<LogRecord.End>> ends = new LinkedHashMap<>();
+  private final Map<TaskId, Pending<LogRecord.Placement>> starts = new LinkedHashMap<>();
+
+  private static final class Pending<T> {
+    private final T value;
+    private long sentAtMillis = Long.MIN_VALUE / 2;
+
+    Pending(T value) {
+      this.value = value;
+    }
+
+    boolean due(long nowMillis) {
+      return nowMillis - sentAtMillis >= RESEND_MILLIS;
+    }
+
+    T send(long nowMillis) {
+      sentAtMillis = nowMillis;
+      return value;
+    }
+  }
+
+  EndLedger(ShardId shard, long epoch) {
+    this.shard = shard;
+    this.epoch = epoch;
+  }
+
+  void start(LogRecord.Placement placement) {
+    starts.put(placement.task(), new Pending<>(placement));
+  }
+
+  void end(LogRecord.End end) {
+    ends.put(end.task(), new Pending<>(end));
+  }
+
+  void startRead(TaskId task) {
+    starts.remove(task);
+  }
+
+  void endRead(TaskId task) {
+    ends.remove(task);
+    starts.remove(task);
+  }
+
+  /** Returns whether the end that waits for the log leaves the run pending. */
+  boolean pendsAgain(TaskId task) {
+    Pending<LogRecord.End> end = ends.get(task);
+    return end != null && end.value.outcome() == null;
+  }
+
+  /** Drops what can no longer take effect, because replay is past it. */
+  void prune(ClusterState state) {
+    starts.keySet().removeIf(t -> state.run(t.run()).map(v -> startIsPast(v, t)).orElse(true));
+    ends.keySet().removeIf(t -> state.run(t.run()).map(v -> endIsPast(v, t)).orElse(true));
+  }
+
+  private static boolean startIsPast(RunView view, TaskId task) {
+    return view.state() == RunState.ENDED || view.attempt() >= task.attempt();
+  }
+
+  private static boolean endIsPast(RunView view, TaskId task) {
+    return view.state() == RunState.ENDED || view.attempt() > task.attempt();
+  }
+
+  /**
+   * Returns the records to append now: ends of attempts whose start is in the log, then starts,
+   * then ends of attempts whose start was waiting too.
+   */
+  List<LogRecord> due(long nowMillis) {
+    List<LogRecord.End> recorded = takeDue(ends, t -> !starts.containsKey(t), nowMillis);
+    List<LogRecord.End> unrecorded = takeDue(ends, starts::containsKey, nowMillis);
+    List<LogRecord.Placement> placed = takeDue(starts, t -> true, nowMillis);
+    List<LogRecord> records = new ArrayList<>();
+    if (!recorded.isEmpty()) {
+      records.add(new LogRecord.RunsEnded(shard, epoch, recorded));
+    }
+    if (!placed.isEmpty()) {
+      records.add(new LogRecord.AttemptsStarted(shard, epoch, placed));
+    }
+    if (!unrecorded.isEmpty()) {
+      records.add(new LogRecord.RunsEnded(shard, epoch, unrecorded));
+    }
+    return records;
+  }
+
+  private static <T> List<T> takeDue(
+      Map<TaskId, Pending<T>> from, Predicate<TaskId> which, long nowMillis) {
+    return from.entrySet().stream()
+        .filter(e -> which.test(e.getKey()) && e.getValue().due(nowMillis))
+        .limit(MAX_BATCH)
+        .map(e -> e.getValue().send(nowMillis))
+        .toList();
+  }
+}
--- /dev/null
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/cell/Cell.java
@@ -0,0 +1,160 @@
+package io.cactusspring.daemon.cell;
+
+import io.cactusspring.core.codec.CodecException;
+import io.cactusspring.core.codec.RecordCodec;
+import io.cactusspring.core.config.Configuration;
+import io.cactusspring.core.model.LogRecord;
+import io.cactusspring.core.state.ClusterState;
+import io.cactusspring.core.state.StateChange;
+import io.cactusspring.daemon.log.Event;
+import io.cactusspring.daemon.log.EventLog;
+import io.cactusspring.daemon.platform.LogRead;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Function;
+import java.util.function.Supplier;
+
+/**
+ * The replayed state of the cell, guarded by one lock, with the records last applied kept for peers
+ * that cannot reach the log.
+ *
+ * @since 0.1
+ */
+public final class Cell {
+  private static final EventLog LOG = EventLog.of(Cell.class);
+
+  private final ReentrantLock lock = new ReentrantLock();
+  private final RecordCodec codec = new RecordCodec();
+  private final List<CellListener> listeners = new ArrayList<>();
+  private final Deque<LogRead.Entry> recent = new ArrayDeque<>();
+  private final int keepRecords;
+  private ClusterState state = new ClusterState();
+  private volatile Configuration configuration = Configuration.EMPTY;
+
+  /** Creates an empty cell that keeps the given number of records for peers. */
+  public Cell(int keepRecords) {
+    this.keepRecords = keepRecords;
+  }
+
+  /** Adds a listener; before any record is applied. */
+  public void listen(CellListener listener) {
+    listeners.add(listener);
+  }
+
+  /** Configuration in force here; read without the lock. */
+  public Configuration configuration() {
+    return configuration;
+  }
+
+  /** Reads the state under the lock. The function must not block or keep the state. */
+  public <T> T read(Function<ClusterState, T> reader) {
+    return locked(() -> reader.apply(state));
+  }
+
+  /** Runs an action under the lock. */
+  public <T> T locked(Supplier<T> action) {
+    lock.lock();
+    try {
+      return action.get();
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /** First offset not applied, at least 1. */
+  public long nextOffset() {
+    return read(s -> Math.max(1, s.nextOffset()));
+  }
+
+  /** Applies the records that follow the state; earlier ones are skipped. */
+  public void apply(List<LogRead.Entry> entries) {
+    locked(
+        () -> {
+          entries.forEach(this::apply);
+          return null;
+        });
+  }
+
+  /** Returns kept records from an offset on, or empty if they are no longer kept. */
+  public Optional<List<LogRead.Entry>> recordsFrom(long offset, int limit) {
+    return locked(() -> keptFrom(offset, limit));
+  }
+
+  /** Returns the state encoded as a snapshot, with the first offset that it does not cover. */
+  public Snapshot snapshot() {
+    return locked(() -> new Snapshot(state.snapshot(), Math.max(1, state.nextOffset())));
+  }
+
+  /**
+   * Replaces the state by a snapshot, if that is ahead of it.
+   *
+   * @throws CodecException if the snapshot cannot be decoded
+   */
+  public boolean restore(Snapshot snapshot) throws CodecException {
+    ClusterState restored = ClusterState.restore(snapshot.data());
+    lock.lock();
+    try {
+      if (restored.nextOffset() <= state.nextOffset()) {
+        return false;
+      }
+      state = restored;
+      recent.clear();
+      configuration = state.configuration();
+      listeners.forEach(CellListener::restored);
+      return true;
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /** Encodes a record for the log. */
+  public String encode(LogRecord entry) {
+    return codec.encode(entry);
+  }
+
+  /** An encoded state. */
+  public record Snapshot(String data, long nextOffset) {}
+
+  private Optional<List<LogRead.Entry>> keptFrom(long offset, int limit) {
+    long next = Math.max(1, state.nextOffset());
+    if (offset >= next) {
+      return Optional.of(List.of());
+    }
+    if (recent.isEmpty() || recent.peekFirst().offset() > offset) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        recent.stream().filter(e -> e.offset() >= offset).limit(limit).toList());
+  }
+
+  private void apply(LogRead.Entry entry) {
+    if (entry.offset() < state.nextOffset()) {
+      return;
+    }
+    recent.addLast(entry);
+    if (recent.size() > keepRecords) {
+      recent.removeFirst();
+    }
+    LogRecord decoded = decode(entry);
+    if (decoded == null) {
+      state.skip(entry.offset());
+      return;
+    }
+    List<StateChange> changes = state.apply(entry.offset(), decoded);
+    configuration = state.configuration();
+    listeners.forEach(l -> l.applied(entry.offset(), decoded, changes));
+  }
+
+  private LogRecord decode(LogRead.Entry entry) {
+    try {
+      return codec.decode(entry.data());
+    } catch (CodecException e) {
+      LOG.failure(Event.RECORD_UNDECODABLE, e, entry.offset(), e.getMessage());
+      return null;
+    }
+  }
+}
--- /dev/null
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/peers/PeerLink.java
@@ -0,0 +1,135 @@
+package io.cactusspring.daemon.peers;
+
+import io.cactusspring.daemon.cell.MonotonicClock;
+import io.cactusspring.daemon.settings.PeerSettings;
+import io.cactusspring.protocol.gen.Heartbeat;
+import io.cactusspring.protocol.gen.PeerMessage;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetSocket;
+import java.util.TreeMap;
+
+/**
+ * This host's outgoing connection to one peer, and what was last heard from that peer.
+ *
+ * <p>A connection on which heartbeats are not acknowledged any more is closed and opened anew, so
+ * that one that has gone silent does not last. Used on the control context alone.
+ */
+final class PeerLink {
+  private static final long SILENT_MILLIS = 1_500;
+  private static final int MAX_UNACKNOWLEDGED = 4_096;
+  private static final int MAX_QUEUED_BYTES = 4 << 20;
+
+  final PeerSettings peer;
+  private final NetClient client;
+  private final MonotonicClock clock;
+  private final Buffer hello;
+  private final TreeMap<Long, Long> sentAtMillis = new TreeMap<>();
+  private NetSocket socket;
+  private boolean connecting;
+  private long sequence;
+  private long progressAtMillis;
+  private String heardIncarnation = "";
+  private long heardSequence;
+  private boolean promise;
+
+  PeerLink(PeerSettings peer, NetClient client, MonotonicClock clock, PeerMessage hello) {
+    this.peer = peer;
+    this.client = client;
+    this.clock = clock;
+    this.hello = FrameParser.frame(hello);
+  }
+
+  /** Sends a heartbeat, connecting first where there is no connection. */
+  void heartbeat(Heartbeat shared) {
+    long now = clock.millis();
+    if (socket != null && now - progressAtMillis > SILENT_MILLIS) {
+      socket.close();
+      socket = null;
+    }
+    if (socket == null) {
+      connect();
+      return;
+    }
+    sequence++;
+    sentAtMillis.put(sequence, now);
+    if (sentAtMillis.size() > MAX_UNACKNOWLEDGED) {
+      sentAtMillis.pollFirstEntry();
+    }
+    Heartbeat own = new Heartbeat(shared);
+    own.setSequence(sequence);
+    own.setAcknowledges(heardSequence);
+    own.setPromise(promise);
+    send(PeerMessage.heartbeat(own));
+  }
+
+  /** Sends a message if there is a connection that takes it. */
+  boolean send(PeerMessage message) {
+    if (socket == null) {
+      return false;
+    }
+    if (socket.writeQueueFull()) {
+      return false;
+    }
+    socket.write(FrameParser.frame(message));
+    return true;
+  }
+
+  /** Notes a received heartbeat; returns when the one that it acknowledges was sent, or -1. */
+  long heard(String incarnation, Heartbeat heartbeat) {
+    if (!incarnation.equals(heardIncarnation)) {
+      heardIncarnation = incarnation;
+      heardSequence = 0;
+    }
+    heardSequence = Math.max(heardSequence, heartbeat.getSequence());
+    Long sentAt = sentAtMillis.get(heartbeat.getAcknowledges());
+    if (sentAt == null) {
+      return -1;
+    }
+    progressAtMillis = clock.millis();
+    sentAtMillis.headMap(heartbeat.getAcknowledges()).clear();
+    return sentAt;
+  }
+
+  /** Sets the promise that goes with the acknowledgement of the last heartbeat heard. */
+  void promise(boolean given) {
+    promise = given;
+  }
+
+  void close() {
+    if (socket != null) {
+      socket.close();
+      socket = null;
+    }
+  }
+
+  private void connect() {
+    if (connecting) {
+      return;
+    }
+    connecting = true;
+    client
+        .connect(peer.address().port(), peer.address().host())
+        .onComplete(
+            r -> {
+              connecting = false;
+              if (r.succeeded()) {
+                connected(r.result());
+              }
+            });
+  }
+
+  private void connected(NetSocket connected) {
+    socket = connected;
+    progressAtMillis = clock.millis();
+    connected.setWriteQueueMaxSize(MAX_QUEUED_BYTES);
+    connected.exceptionHandler(e -> {});
+    connected.closeHandler(
+        x -> {
+          if (socket == connected) {
+            socket = null;
+          }
+        });
+    connected.write(hello);
+  }
+}
--- /dev/null
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/peers/package-info.java
@@ -0,0 +1,2 @@
+/** Connections between entry hosts: heartbeats, hints and relayed records of the log. */
+package io.cactusspring.daemon.peers;
--- /dev/null
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/platform/HttpHostList.java
@@ -0,0 +1,40 @@
+package io.cactusspring.daemon.platform;
+
+import io.vertx.core.Future;
+
+/**
+ * The platform's host list over HTTP.
+ *
+ * @since 0.1
+ */
+public final class HttpHostList implements HostList {
+  private static final int OK = 200;
+
+  private final JsonClient client;
+  private final String address;
+  private final long timeoutMillis;
+
+  /** Creates the adapter; a call without an answer fails after the timeout. */
+  public HttpHostList(JsonClient client, String address, long timeoutMillis) {
+    this.client = client;
+    this.address = address;
+    this.timeoutMillis = timeoutMillis;
+  }
+
+  @Override
+  public Future<Hosts> read() {
+    return client.get(address, "/hosts", timeoutMillis).compose(this::decode);
+  }
+
+  private Future<Hosts> decode(JsonClient.Answer answer) {
+    if (answer.status() != OK) {
+      return Future.failedFuture(
+          new PlatformException("host list answered " + answer.status() + "; expected 200"));
+    }
+    try {
+      return Future.succeededFuture(client.decode(answer.body(), Hosts.class));
+    } catch (PlatformException e) {
+      return Future.failedFuture(e);
+    }
+  }
+}
--- /dev/null
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/platform/HttpPlatformLog.java
@@ -0,0 +1,64 @@
+package io.cactusspring.daemon.platform;
+
+import io.vertx.core.Future;
+import java.util.List;
+
+/**
+ * The platform's log over HTTP.
+ *
+ * @since 0.1
+ */
+public final class HttpPlatformLog implements PlatformLog {
+  private static final int READ_LIMIT = 2_000;
+  private static final int OK = 200;
+  private static final int GONE = 410;
+
+  private final JsonClient client;
+  private final String address;
+  private final long timeoutMillis;
+
+  private record AppendBody(List<String> records) {}
+
+  private record ReadBody(List<LogRead.Entry> records, long earliest, long next) {}
+
+  /** Creates the adapter; a call without an answer fails after the timeout. */
+  public HttpPlatformLog(JsonClient client, String address, long timeoutMillis) {
+    this.client = client;
+    this.address = address;
+    this.timeoutMillis = timeoutMillis;
+  }
+
+  @Override
+  public Future<Void> append(List<String> records) {
+    return client
+        .post(address, "/log/records", new AppendBody(records), timeoutMillis)
+        .compose(a -> a.status() == OK ? Future.succeededFuture() : refused(a));
+  }
+
+  @Override
+  public Future<LogRead> read(long from, long waitMillis) {
+    String path =
+        "/log/records?from=" + from + "&limit=" + READ_LIMIT + "&waitMillis=" + waitMillis;
+    return client.get(address, path, waitMillis + timeoutMillis).compose(this::read);
+  }
+
+  private Future<LogRead> read(JsonClient.Answer answer) {
+    if (answer.status() != OK && answer.status() != GONE) {
+      return refused(answer);
+    }
+    try {
+      ReadBody body = client.decode(answer.body(), ReadBody.class);
+      return Future.succeededFuture(
+          answer.status() == GONE
+              ? new LogRead.Expired(body.earliest(), body.next())
+              : new LogRead.Records(body.records(), body.next()));
+    } catch (PlatformException e) {
+      return Future.failedFuture(e);
+    }
+  }
+
+  private static <T> Future<T> refused(JsonClient.Answer answer) {
+    return Future.failedFuture(
+        new PlatformException("platform log answered " + answer.status() + "; expected 200"));
+  }
+}
--- /dev/null
+++ b/cactusspring-protocol/src/main/java/io/cactusspring/protocol/PeerCodec.java
@@ -0,0 +1,55 @@
+package io.cactusspring.protocol;
+
+import io.cactusspring.protocol.gen.PeerMessage;
+import org.apache.thrift.TDeserializer;
+import org.apache.thrift.TException;
+import org.apache.thrift.TSerializer;
+import org.apache.thrift.protocol.TCompactProtocol;
+
+/**
+ * Writes and reads {@link PeerMessage} in Thrift's compact protocol.
+ *
+ * <pre>{@code
+ * byte[] frame = PeerCodec.encode(PeerMessage.hello(hello));
+ * PeerMessage message = PeerCodec.decode(frame);
+ * }</pre>
+ *
+ * @since 0.1
+ */
+public final class PeerCodec {
+  /** Longest frame in bytes, without its four bytes of length. */
+  public static final int MAX_FRAME_BYTES = 32 << 20;
+
+  private PeerCodec() {}
+
+  /**
+   * Encodes a message without its length.
+   *
+   * @throws IllegalArgumentException if a required field is not set
+   */
+  public static byte[] encode(PeerMessage message) {
+    try {
+      return new TSerializer(new TCompactProtocol.Factory()).serialize(message);
+    } catch (TException e) {
+      throw new IllegalArgumentException("message cannot be encoded: " + message, e);
+    }
+  }
+
+  /**
+   * Decodes a message.
+   *
+   * @throws ProtocolException if the bytes are not a message
+   */
+  public static PeerMessage decode(byte[] frame) throws ProtocolException {
+    PeerMessage message = new PeerMessage();
+    try {
+      new TDeserializer(new TCompactProtocol.Factory()).deserialize(message, frame);
+    } catch (TException e) {
+      throw new ProtocolException("frame of " + frame.length + " bytes is not a message", e);
+    }
+    if (!message.isSet()) {
+      throw new ProtocolException("frame holds no known message", null);
+    }
+    return message;
+  }
+}
--- a/cactusspring-protocol/src/main/java/io/cactusspring/protocol/package-info.java
+++ b/cactusspring-protocol/src/main/java/io/cactusspring/protocol/package-info.java
@@ -1,2 +1,2 @@
-/** Placeholder. */
+/** Encoding of the Thrift messages that entry hosts exchange. */
 package io.cactusspring.protocol;
