--- a/cactusspring-daemon/src/test/java/io/cactusspring/daemon/log/LogFormatTest.java
+++ b/cactusspring-daemon/src/test/java/io/cactusspring/daemon/log/LogFormatTest.java
@@ -37,9 +37,22 @@
     assertThat(json.get("event").textValue()).isEmpty();
   }
 
+  @Test
+  void stackTraceStandsInItsOwnFieldOnly() throws Exception {
+    String text = Event.INTERNAL_ERROR.format(List.of("a part", "a problem"));
+    JsonNode json = new ObjectMapper().readTree(line(text, new IllegalStateException("why")));
+    assertThat(json.get("event").textValue()).isEqualTo("CS1010");
+    assertThat(json.get("exception").textValue()).contains("IllegalStateException: why");
+  }
+
   private String line(String message) {
+    return line(message, null);
+  }
+
+  private String line(String message, Throwable cause) {
     return layout.toSerializable(
         Log4jLogEvent.newBuilder()
+            .setThrown(cause)
             .setLoggerName("io.cactusspring.daemon")
             .setLevel(Level.WARN)
             .setMessage(new SimpleMessage(message))
