--- a/cactusspring-core/src/main/java/io/cactusspring/core/shard/EndLedger.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/shard/EndLedger.java
@@ -15,7 +15,6 @@
 /** Ends and starts that have to reach the log, appended again until they are read back. */
 final class EndLedger {
   private static final long RESEND_MILLIS = 2_000;
-  private static final int MAX_BATCH = 500;
 
   private final ShardId shard;
   private final long epoch;
@@ -107,7 +106,6 @@
       Map<TaskId, Pending<T>> from, Predicate<TaskId> which, long nowMillis) {
     return from.entrySet().stream()
         .filter(e -> which.test(e.getKey()) && e.getValue().due(nowMillis))
-        .limit(MAX_BATCH)
         .map(e -> e.getValue().send(nowMillis))
         .toList();
   }
--- a/cactusspring-core/src/main/java/io/cactusspring/core/shard/ShardOwner.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/shard/ShardOwner.java
@@ -55,6 +55,7 @@
   private final Map<RunId, RunEntry> runs = new LinkedHashMap<>();
   private final Map<String, WorkerLink> links = new LinkedHashMap<>();
   private final Map<String, Integer> uncounted = new HashMap<>();
+  private final Map<String, Integer> givenAway = new HashMap<>();
   private final RestartBackoff backoff = new RestartBackoff();
   private final EndLedger ledger;
   private boolean holding = true;
@@ -360,7 +361,8 @@
             entry.view.team(),
             entry.view.spec(),
             link.worker,
-            entry.view.service()));
+            entry.view.service(),
+            entry.view.gangSize() > 1));
     entry.committed = true;
     link.tasks.put(entry.task(), entry);
   }
@@ -380,8 +382,17 @@
 
   /** Units of a team's limit that the placer may use in this shard. */
   protected int budget(String team) {
-    int budget = state.budget(team, BudgetAccount.of(shard));
-    return Math.max(0, budget - uncounted.getOrDefault(team, 0));
+    return Math.max(0, usableBudget(team) - uncounted.getOrDefault(team, 0));
+  }
+
+  /** Units of a team's limit that this shard holds and is not giving away. */
+  private int usableBudget(String team) {
+    return state.budget(team, account()) - givenAway.getOrDefault(team, 0);
+  }
+
+  /** Takes units of a team's budget out of use, because they are being moved to another account. */
+  public void giveAway(String team, int units) {
+    givenAway.merge(team, units, Integer::sum);
   }
 
   private void decided(Decision decision) {
@@ -468,7 +479,7 @@
   }
 
   private void stopOverLimit(String team) {
-    int excess = running(team) - state.budget(team, accountOfShard());
+    int excess = running(team) - usableBudget(team);
     if (excess <= 0) {
       return;
     }
@@ -490,7 +501,8 @@
     return spec.idempotent() ? 1 : 2;
   }
 
-  private BudgetAccount accountOfShard() {
+  /** The account of this shard's part of the teams' limits. */
+  public BudgetAccount account() {
     return BudgetAccount.of(shard);
   }
 
--- /dev/null
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/Gauges.java
@@ -0,0 +1,64 @@
+package io.cactusspring.daemon;
+
+import io.cactusspring.core.membership.Authority;
+import io.cactusspring.core.shard.ShardOwner;
+import io.cactusspring.daemon.cell.Cell;
+import io.cactusspring.daemon.cell.MonotonicClock;
+import io.cactusspring.daemon.control.LogController;
+import io.cactusspring.daemon.control.PeerLogs;
+import io.cactusspring.daemon.control.ShardController;
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.function.ToDoubleFunction;
+
+/** Gauges of the state of this entry host. */
+final class Gauges {
+  private static final double MILLIS_PER_SECOND = 1_000;
+
+  private final MeterRegistry registry;
+  private final Cell cell;
+  private final LogController log;
+  private final ShardController shards;
+  private final PeerLogs peers;
+  private final MonotonicClock clock;
+  private final Authority authority;
+
+  Gauges(
+      MeterRegistry registry,
+      Cell cell,
+      LogController log,
+      ShardController shards,
+      PeerLogs peers,
+      MonotonicClock clock,
+      Authority authority) {
+    this.registry = registry;
+    this.cell = cell;
+    this.log = log;
+    this.shards = shards;
+    this.peers = peers;
+    this.clock = clock;
+    this.authority = authority;
+  }
+
+  void register() {
+    gauge("cactusspring.config.revision", g -> cell.configuration().revision());
+    gauge("cactusspring.log.next.offset", g -> cell.nextOffset());
+    gauge("cactusspring.log.reachable", g -> log.directlyReachable() ? 1 : 0);
+    gauge("cactusspring.log.age.seconds", g -> logAgeMillis() / MILLIS_PER_SECOND);
+    gauge("cactusspring.shards.owned", g -> shards.owners().size());
+    gauge("cactusspring.runs.waiting", g -> waitingRuns());
+    gauge("cactusspring.peers.heard", g -> peers.views().size());
+  }
+
+  private void gauge(String name, ToDoubleFunction<Gauges> value) {
+    registry.gauge(name, this, value);
+  }
+
+  private double logAgeMillis() {
+    return cell.locked(() -> authority.logAgeMillis(clock.millis()));
+  }
+
+  private double waitingRuns() {
+    return cell.locked(
+        () -> shards.owners().stream().mapToInt((ShardOwner o) -> o.placer().waitingRuns()).sum());
+  }
+}
--- /dev/null
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/control/BudgetController.java
@@ -0,0 +1,238 @@
+package io.cactusspring.daemon.control;
+
+import io.cactusspring.core.model.BudgetAccount;
+import io.cactusspring.core.model.ConfigItem;
+import io.cactusspring.core.model.LogRecord;
+import io.cactusspring.core.shard.ShardOwner;
+import io.cactusspring.core.state.StateChange;
+import io.cactusspring.daemon.cell.Cell;
+import io.cactusspring.daemon.cell.CellListener;
+import io.cactusspring.daemon.cell.MonotonicClock;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.UUID;
+import java.util.function.ToIntFunction;
+import java.util.stream.Stream;
+
+/**
+ * Moves unused parts of teams' upper limits from this host's accounts to accounts where work of the
+ * team waits. The giver stops using what it gives before the record is sent, and until the record
+ * has been read back. Guarded by the lock of the cell.
+ *
+ * @since 0.1
+ */
+public final class BudgetController implements CellListener {
+  private static final long RESEND_MILLIS = 3_000;
+
+  private final Cell cell;
+  private final ShardController shards;
+  private final LogController log;
+  private final Hints hints;
+  private final MonotonicClock clock;
+  private final BudgetAccount hostAccount;
+  private final RequestLoad requests;
+  private final Map<String, Move> moves = new LinkedHashMap<>();
+  private final Map<String, Integer> givenByHost = new HashMap<>();
+
+  /** Requests of teams at this entry host. */
+  public interface RequestLoad {
+    int inFlight(String team);
+
+    int waiting(String team);
+  }
+
+  /**
+   * Load of one account.
+   *
+   * @param lacking units that wait for budget
+   */
+  public record AccountLoad(BudgetAccount account, int running, int lacking) {}
+
+  private static final class Move {
+    private final LogRecord.BudgetMoved entry;
+    private long sentAtMillis;
+
+    Move(LogRecord.BudgetMoved entry, long sentAtMillis) {
+      this.entry = entry;
+      this.sentAtMillis = sentAtMillis;
+    }
+  }
+
+  /** An account of this host with the units of a team that it holds, uses and lacks. */
+  private record Holding(
+      BudgetAccount account, int budget, int running, int waiting) {
+    int spare() {
+      return Math.max(0, budget - running - waiting);
+    }
+
+    int lacking() {
+      return Math.max(0, running + waiting - budget);
+    }
+  }
+
+  public BudgetController(
+      Cell cell,
+      ShardController shards,
+      LogController log,
+      Hints hints,
+      MonotonicClock clock,
+      String host,
+      RequestLoad requests) {
+    this.cell = cell;
+    this.shards = shards;
+    this.log = log;
+    this.hints = hints;
+    this.clock = clock;
+    this.hostAccount = BudgetAccount.ofHost(host);
+    this.requests = requests;
+  }
+
+  /** Units of a team that this entry host may have in flight as requests. */
+  public int requestBudget(String team) {
+    return cell.read(
+        s -> Math.max(0, s.budget(team, hostAccount) - givenByHost.getOrDefault(team, 0)));
+  }
+
+  /** Units of a team that run or wait for budget, at each of this host's accounts. */
+  public List<AccountLoad> loads(String team) {
+    return cell.locked(
+        () ->
+            holdings(team, shards.owners().stream())
+                .map(h -> new AccountLoad(h.account(), h.running(), h.lacking()))
+                .toList());
+  }
+
+  /** Gives what is spare to where it lacks, and sends again what was not read back. */
+  public void tick() {
+    if (!log.available()) {
+      return;
+    }
+    List<LogRecord> records = new ArrayList<>();
+    long now = clock.millis();
+    cell.locked(
+        () -> {
+          resend(now, records);
+          List<ShardOwner> own = shards.owners();
+          cell.configuration().teams().forEach(t -> give(t, own, now, records));
+          return null;
+        });
+    if (!records.isEmpty()) {
+      log.append(records);
+    }
+  }
+
+  @Override
+  public void applied(long offset, LogRecord entry, List<StateChange> changes) {
+    if (entry instanceof LogRecord.BudgetMoved m && moves.containsKey(m.id())) {
+      moves.remove(m.id());
+      giveAway(m.team(), m.from(), -m.amount());
+    }
+  }
+
+  @Override
+  public void restored() {
+    moves.clear();
+    givenByHost.clear();
+  }
+
+  private void resend(long nowMillis, List<LogRecord> records) {
+    moves.values().stream()
+        .filter(m -> nowMillis - m.sentAtMillis >= RESEND_MILLIS)
+        .forEach(
+            m -> {
+              m.sentAtMillis = nowMillis;
+              records.add(m.entry);
+            });
+  }
+
+  private void give(
+      ConfigItem.Team team, List<ShardOwner> owners, long nowMillis, List<LogRecord> records) {
+    List<Holding> own = holdings(team.name(), owners.stream()).toList();
+    Stream<Hints.Demand> here =
+        own.stream()
+            .filter(h -> h.lacking() > 0)
+            .map(h -> new Hints.Demand(h.account(), team.name(), h.lacking()));
+    List<Hints.Demand> demands =
+        Stream.concat(here, hints.demand(team.name(), nowMillis).stream())
+            .sorted(Comparator.comparingInt(Hints.Demand::waiting).reversed())
+            .toList();
+    if (demands.isEmpty()) {
+      return;
+    }
+    own.stream()
+        .filter(h -> h.spare() > 0)
+        .forEach(h -> give(team, h, demands, nowMillis, records));
+  }
+
+  /** Gives half of what is spare, at least one unit, split among those that lack. */
+  private void give(
+      ConfigItem.Team team,
+      Holding giver,
+      List<Hints.Demand> demands,
+      long nowMillis,
+      List<LogRecord> records) {
+    int left = (giver.spare() + 1) / 2;
+    int each = Math.max(1, left / demands.size());
+    for (Hints.Demand d : demands) {
+      int amount = Math.min(Math.min(each, d.waiting()), left);
+      if (amount == 0 || d.account().equals(giver.account())) {
+        continue;
+      }
+      left -= amount;
+      records.add(move(team, giver.account(), d.account(), amount, nowMillis));
+    }
+  }
+
+  private LogRecord move(
+      ConfigItem.Team team, BudgetAccount from, BudgetAccount to, int amount, long nowMillis) {
+    long revision = cell.configuration().revisionOf(team.path());
+    LogRecord.BudgetMoved entry =
+        new LogRecord.BudgetMoved(
+            UUID.randomUUID().toString(), team.name(), from, to, amount, revision);
+    moves.put(entry.id(), new Move(entry, nowMillis));
+    giveAway(team.name(), from, amount);
+    return entry;
+  }
+
+  private void giveAway(String team, BudgetAccount from, int units) {
+    if (from.equals(hostAccount)) {
+      givenByHost.merge(team, units, Integer::sum);
+      return;
+    }
+    shards.owners().stream()
+        .filter(o -> o.account().equals(from))
+        .forEach(o -> o.giveAway(team, units));
+  }
+
+  private Stream<Holding> holdings(String team, Stream<ShardOwner> owners) {
+    ToIntFunction<BudgetAccount> budget =
+        a -> cell.read(s -> s.budget(team, a)) - givenFrom(team, a);
+    Holding host =
+        new Holding(
+            hostAccount,
+            budget.applyAsInt(hostAccount),
+            requests.inFlight(team),
+            requests.waiting(team));
+    Stream<Holding> ofShards =
+        owners.map(
+            o ->
+                new Holding(
+                    o.account(),
+                    budget.applyAsInt(o.account()),
+                    o.running(team),
+                    o.placer().waiting(team)));
+    return Stream.concat(Stream.of(host), ofShards);
+  }
+
+  private int givenFrom(String team, BudgetAccount account) {
+    return moves.values().stream()
+        .map(m -> m.entry)
+        .filter(e -> e.team().equals(team) && e.from().equals(account))
+        .mapToInt(LogRecord.BudgetMoved::amount)
+        .sum();
+  }
+}
--- /dev/null
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/control/EntryHost.java
@@ -0,0 +1,173 @@
+package io.cactusspring.daemon.control;
+
+import io.cactusspring.core.membership.Authority;
+import io.cactusspring.core.membership.ClaimPolicy;
+import io.cactusspring.core.membership.PeerTable;
+import io.cactusspring.core.model.AvailabilityZone;
+import io.cactusspring.core.model.ConfigItem;
+import io.cactusspring.daemon.cell.Cell;
+import io.cactusspring.daemon.cell.MonotonicClock;
+import io.cactusspring.daemon.peers.PeerHandler;
+import io.cactusspring.protocol.gen.AppendReply;
+import io.cactusspring.protocol.gen.AppendRequest;
+import io.cactusspring.protocol.gen.EndpointLoad;
+import io.cactusspring.protocol.gen.Heartbeat;
+import io.cactusspring.protocol.gen.OffsetRecord;
+import io.cactusspring.protocol.gen.RecordsReply;
+import io.cactusspring.protocol.gen.RecordsRequest;
+import io.cactusspring.protocol.gen.TeamLoad;
+import io.vertx.core.Future;
+import java.util.List;
+import java.util.function.Supplier;
+import java.util.stream.Stream;
+
+/**
+ * Answers peers' messages from the controllers of this entry host. Runs on the control context.
+ *
+ * @since 0.1
+ */
+public final class EntryHost implements PeerHandler {
+  /** Hints go with every so many heartbeats. */
+  private static final int HEARTBEATS_PER_HINTS = 4;
+
+  private static final int MAX_RECORDS = 2_000;
+  private static final long FAR_MILLIS = 1L << 40;
+
+  private final Cell cell;
+  private final MonotonicClock clock;
+  private final AvailabilityZone zone;
+  private final PeerTable peers;
+  private final Authority authority;
+  private final ClaimPolicy claims;
+  private final LogController log;
+  private final ShardController shards;
+  private final BudgetController budgets;
+  private final Supplier<List<EndpointLoad>> endpointLoads;
+  private final PeerLogs peerLogs;
+  private final Hints hints;
+  private long heartbeats;
+  private volatile boolean draining;
+
+  /** What the entry host works with. */
+  public record Parts(
+      Cell cell,
+      MonotonicClock clock,
+      AvailabilityZone zone,
+      PeerTable peers,
+      Authority authority,
+      ClaimPolicy claims,
+      LogController log,
+      ShardController shards,
+      BudgetController budgets,
+      Supplier<List<EndpointLoad>> endpointLoads,
+      PeerLogs peerLogs,
+      Hints hints) {}
+
+  public EntryHost(Parts parts) {
+    this.cell = parts.cell();
+    this.clock = parts.clock();
+    this.zone = parts.zone();
+    this.peers = parts.peers();
+    this.authority = parts.authority();
+    this.claims = parts.claims();
+    this.log = parts.log();
+    this.shards = parts.shards();
+    this.budgets = parts.budgets();
+    this.endpointLoads = parts.endpointLoads();
+    this.peerLogs = parts.peerLogs();
+    this.hints = parts.hints();
+  }
+
+  /** Tells peers from now on that this host is shutting down. */
+  public void drain() {
+    draining = true;
+  }
+
+  @Override
+  public Heartbeat heartbeat() {
+    boolean withHints = heartbeats++ % HEARTBEATS_PER_HINTS == 0;
+    Heartbeat h = new Heartbeat();
+    h.setNextOffset(cell.nextOffset());
+    h.setLogAgeMillis(logAge());
+    h.setDraining(draining);
+    h.setConfigRevision(cell.configuration().revision());
+    h.setTeams(List.of());
+    h.setShards(List.of());
+    h.setEndpoints(List.of());
+    if (withHints) {
+      addHints(h);
+    }
+    return h;
+  }
+
+  @Override
+  public boolean heard(
+      String peer, String incarnation, Heartbeat heartbeat, long acknowledgedSentAtMillis) {
+    long now = clock.millis();
+    peerLogs.heard(peer, heartbeat, now);
+    if (heartbeat.getTeamsSize() + heartbeat.getShardsSize() + heartbeat.getEndpointsSize() > 0) {
+      hints.heard(peer, heartbeat, now);
+    }
+    return cell.locked(
+        () -> {
+          peers.heard(
+              peer, incarnation, heartbeat.getNextOffset(), heartbeat.isDraining(), now);
+          if (heartbeat.isPromise() && acknowledgedSentAtMillis >= 0 && inZone(peer)) {
+            authority.promised(peer, acknowledgedSentAtMillis);
+          }
+          return claims.promises(heartbeat.getNextOffset());
+        });
+  }
+
+  @Override
+  public RecordsReply records(RecordsRequest request) {
+    RecordsReply reply = new RecordsReply();
+    reply.setId(request.getId());
+    long from = request.getFromOffset();
+    var kept = cell.recordsFrom(from, MAX_RECORDS);
+    if (kept.isEmpty()) {
+      Cell.Snapshot snapshot = cell.snapshot();
+      reply.setSnapshot(snapshot.data());
+      reply.setSnapshotNextOffset(snapshot.nextOffset());
+    }
+    reply.setRecords(
+        kept.orElse(List.of()).stream()
+            .map(e -> new OffsetRecord(e.offset(), e.data()))
+            .toList());
+    reply.setLogAgeMillis(logAge());
+    reply.setNextOffset(cell.nextOffset());
+    return reply;
+  }
+
+  @Override
+  public Future<AppendReply> append(AppendRequest request) {
+    return log.appendForPeer(request.getRecords())
+        .map(x -> new AppendReply(request.getId(), true))
+        .otherwise(new AppendReply(request.getId(), false));
+  }
+
+  private long logAge() {
+    long age = cell.locked(() -> authority.logAgeMillis(clock.millis()));
+    return Math.min(age, FAR_MILLIS);
+  }
+
+  private boolean inZone(String peer) {
+    return peers.peer(peer).map(p -> p.zone().equals(zone)).orElse(false);
+  }
+
+  private void addHints(Heartbeat heartbeat) {
+    heartbeat.setTeams(
+        cell.configuration().teams().stream()
+            .map(ConfigItem.Team::name)
+            .flatMap(this::teamLoads)
+            .toList());
+    heartbeat.setShards(cell.locked(() -> shards.owners().stream().map(ShardLoads::of).toList()));
+    heartbeat.setEndpoints(endpointLoads.get());
+  }
+
+  private Stream<TeamLoad> teamLoads(String team) {
+    return budgets.loads(team).stream()
+        .filter(l -> l.running() + l.lacking() > 0)
+        .map(l -> new TeamLoad(team, l.account().id(), l.running(), l.lacking()));
+  }
+}
--- /dev/null
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/control/HomeChoice.java
@@ -0,0 +1,108 @@
+package io.cactusspring.daemon.control;
+
+import io.cactusspring.core.model.AvailabilityZone;
+import io.cactusspring.core.model.ConfigItem;
+import io.cactusspring.core.model.Resources;
+import io.cactusspring.core.model.ShardId;
+import io.cactusspring.core.model.Submission;
+import io.cactusspring.core.model.WorkerInfo;
+import io.cactusspring.daemon.cell.Cell;
+import io.cactusspring.daemon.cell.MonotonicClock;
+import io.cactusspring.protocol.gen.ShardLoad;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/**
+ * Chooses the home shard of a submission: one whose workers can hold it, with the most room, in this
+ * zone where all else is equal.
+ *
+ * @since 0.1
+ */
+public final class HomeChoice {
+  private final Cell cell;
+  private final HostListController hosts;
+  private final ShardController shards;
+  private final Hints hints;
+  private final AvailabilityZone zone;
+  private final MonotonicClock clock;
+
+  /** Room of one shard for a submission. */
+  private record Room(ShardId shard, long tasksThatFit, boolean owned, boolean here) {}
+
+  public HomeChoice(
+      Cell cell,
+      HostListController hosts,
+      ShardController shards,
+      Hints hints,
+      AvailabilityZone zone,
+      MonotonicClock clock) {
+    this.cell = cell;
+    this.hosts = hosts;
+    this.shards = shards;
+    this.hints = hints;
+    this.zone = zone;
+    this.clock = clock;
+  }
+
+  /** Returns the home, or empty if the work can never run on the known workers. */
+  public Optional<ShardId> choose(Submission submission) {
+    Map<ShardId, ShardLoad> loads = loads();
+    return cell.configuration().shards().stream()
+        .filter(s -> couldHold(s, submission))
+        .map(s -> room(s, submission, loads))
+        .max(
+            Comparator.comparing(Room::owned)
+                .thenComparingLong(Room::tasksThatFit)
+                .thenComparing(Room::here)
+                .thenComparing(Room::shard))
+        .map(Room::shard);
+  }
+
+  /** Loads of all shards: this host's own, and those that peers told. */
+  public Map<ShardId, ShardLoad> loads() {
+    Map<ShardId, ShardLoad> loads = new TreeMap<>();
+    cell.configuration()
+        .shards()
+        .forEach(
+            s -> hints.shard(s.toString(), clock.millis()).ifPresent(l -> loads.put(s, l)));
+    return cell.locked(
+        () -> {
+          shards.owners().forEach(o -> loads.put(o.shard(), ShardLoads.of(o)));
+          return loads;
+        });
+  }
+
+  private boolean couldHold(ShardId shard, Submission submission) {
+    List<WorkerInfo> workers = hosts.workers(shard, shardsOf(shard));
+    Resources task = submission.task().resources();
+    if (!submission.gang()) {
+      return workers.stream().anyMatch(w -> task.fitsIn(w.total()));
+    }
+    long places = workers.stream().mapToLong(w -> ShardLoads.fits(task, w.total())).sum();
+    return places >= submission.tasks();
+  }
+
+  private int shardsOf(ShardId shard) {
+    return cell.configuration().zones().stream()
+        .filter(z -> z.name().equals(shard.zone().name()))
+        .mapToInt(ConfigItem.Zone::shards)
+        .findFirst()
+        .orElse(1);
+  }
+
+  private Room room(ShardId shard, Submission submission, Map<ShardId, ShardLoad> loads) {
+    ShardLoad load = loads.get(shard);
+    boolean here = shard.zone().equals(zone);
+    if (load == null) {
+      return new Room(shard, 0, false, here);
+    }
+    Resources free =
+        new Resources(
+            load.getFreeMilliProcessors(), load.getFreeMemoryMib(), load.getFreeAccelerators());
+    long fits = ShardLoads.fits(submission.task().resources(), free) - load.getWaitingRuns();
+    return new Room(shard, Math.min(fits, submission.tasks()), true, here);
+  }
+}
--- /dev/null
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/control/HostListController.java
@@ -0,0 +1,65 @@
+package io.cactusspring.daemon.control;
+
+import io.cactusspring.core.model.EndpointInfo;
+import io.cactusspring.core.model.ShardId;
+import io.cactusspring.core.model.WorkerInfo;
+import io.cactusspring.daemon.platform.HostList;
+import io.vertx.core.Future;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.zip.CRC32;
+
+/**
+ * Keeps the platform's host list as last read; an unreachable platform leaves the last one in use.
+ *
+ * @since 0.1
+ */
+public final class HostListController {
+  private final HostList list;
+  private volatile HostList.Hosts hosts = HostList.Hosts.NONE;
+  private volatile boolean known;
+
+  public HostListController(HostList list) {
+    this.list = list;
+  }
+
+  /** Reads the list once; never fails. */
+  public Future<Void> refresh() {
+    return list.read()
+        .onSuccess(
+            h -> {
+              hosts = h;
+              known = true;
+            })
+        .<Void>mapEmpty()
+        .otherwiseEmpty();
+  }
+
+  /** Whether the list has been read since the start. */
+  public boolean known() {
+    return known;
+  }
+
+  public List<WorkerInfo> workers() {
+    return hosts.workers();
+  }
+
+  /** Workers of a shard, when the zone has the given number of shards. */
+  public List<WorkerInfo> workers(ShardId shard, int shardsOfZone) {
+    return hosts.workers().stream()
+        .filter(w -> w.zone().equals(shard.zone()))
+        .filter(w -> shardIndex(w.name(), shardsOfZone) == shard.index())
+        .toList();
+  }
+
+  /** Executors of a service, with those that are leaving. */
+  public List<EndpointInfo> endpoints(String service) {
+    return hosts.endpoints().stream().filter(e -> e.service().equals(service)).toList();
+  }
+
+  private static int shardIndex(String worker, int shards) {
+    CRC32 crc = new CRC32();
+    crc.update(worker.getBytes(StandardCharsets.UTF_8));
+    return (int) (crc.getValue() % shards);
+  }
+}
--- /dev/null
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/control/PeerLogs.java
@@ -0,0 +1,100 @@
+package io.cactusspring.daemon.control;
+
+import io.cactusspring.daemon.cell.MonotonicClock;
+import io.cactusspring.daemon.peers.PeerMesh;
+import io.cactusspring.protocol.gen.AppendReply;
+import io.cactusspring.protocol.gen.Heartbeat;
+import io.cactusspring.protocol.gen.RecordsReply;
+import io.vertx.core.Future;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * What peers said of their view of the log, and the way to the log through them.
+ *
+ * @since 0.1
+ */
+public final class PeerLogs implements LogRelay {
+  /** A peer whose last read of the log is older is not asked to append. */
+  private static final long FRESH_LOG_MILLIS = 2_500;
+
+  private static final long FRESH_HEARTBEAT_MILLIS = 1_500;
+
+  private final MonotonicClock clock;
+  private final Map<String, View> views = new ConcurrentHashMap<>();
+  private PeerMesh mesh;
+
+  /** A peer's view of the log. */
+  public record View(long nextOffset, long logAgeMillis, long revision, long heardAtMillis) {}
+
+  public PeerLogs(MonotonicClock clock) {
+    this.clock = clock;
+  }
+
+  /** Sets the connections to the peers. */
+  public void use(PeerMesh peerMesh) {
+    mesh = peerMesh;
+  }
+
+  /** Notes a heartbeat. */
+  public void heard(String peer, Heartbeat heartbeat, long nowMillis) {
+    views.put(
+        peer,
+        new View(
+            heartbeat.getNextOffset(),
+            heartbeat.getLogAgeMillis(),
+            heartbeat.getConfigRevision(),
+            nowMillis));
+  }
+
+  /** Returns what each peer last said. */
+  public Map<String, View> views() {
+    return new TreeMap<>(views);
+  }
+
+  @Override
+  public boolean available() {
+    return freshest().isPresent();
+  }
+
+  @Override
+  public Future<RecordsReply> records(long fromOffset) {
+    Optional<String> best =
+        heardLately()
+            .max(Comparator.comparingLong(e -> e.getValue().nextOffset()))
+            .map(Map.Entry::getKey);
+    return best.map(p -> mesh.records(p, fromOffset))
+        .orElseGet(() -> Future.failedFuture("no peer is connected"));
+  }
+
+  @Override
+  public Future<Void> append(List<String> records) {
+    return freshest()
+        .map(p -> mesh.append(p, records))
+        .orElseGet(() -> Future.failedFuture("no peer reaches the log"))
+        .compose(PeerLogs::landed);
+  }
+
+  private static Future<Void> landed(AppendReply reply) {
+    return reply.isAppended()
+        ? Future.succeededFuture()
+        : Future.failedFuture("the peer got no answer from the log");
+  }
+
+  private Optional<String> freshest() {
+    return heardLately()
+        .filter(e -> e.getValue().logAgeMillis() <= FRESH_LOG_MILLIS)
+        .min(Comparator.comparingLong(e -> e.getValue().logAgeMillis()))
+        .map(Map.Entry::getKey);
+  }
+
+  private java.util.stream.Stream<Map.Entry<String, View>> heardLately() {
+    long now = clock.millis();
+    return views.entrySet().stream()
+        .filter(e -> now - e.getValue().heardAtMillis() <= FRESH_HEARTBEAT_MILLIS);
+  }
+}
--- /dev/null
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/control/ShardLoads.java
@@ -0,0 +1,35 @@
+package io.cactusspring.daemon.control;
+
+import io.cactusspring.core.model.Resources;
+import io.cactusspring.core.shard.ShardOwner;
+import io.cactusspring.protocol.gen.ShardLoad;
+
+/** Sums of a shard's free capacity. */
+final class ShardLoads {
+  private static final long NO_BOUND = 1_000_000;
+
+  private ShardLoads() {}
+
+  static ShardLoad of(ShardOwner owner) {
+    Resources free = owner.placer().free();
+    return new ShardLoad(
+        owner.shard().toString(),
+        free.milliProcessors(),
+        free.memoryMib(),
+        free.accelerators(),
+        owner.placer().waitingRuns());
+  }
+
+  /** Number of tasks that fit into an amount. */
+  static long fits(Resources task, Resources total) {
+    return Math.min(
+        ratio(total.milliProcessors(), task.milliProcessors()),
+        Math.min(
+            ratio(total.memoryMib(), task.memoryMib()),
+            ratio(total.accelerators(), task.accelerators())));
+  }
+
+  private static long ratio(long total, long part) {
+    return part == 0 ? NO_BOUND : total / part;
+  }
+}
--- /dev/null
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/control/SnapshotController.java
@@ -0,0 +1,82 @@
+package io.cactusspring.daemon.control;
+
+import io.cactusspring.core.model.LogRecord;
+import io.cactusspring.core.model.ShardId;
+import io.cactusspring.core.state.SnapshotAssembler;
+import io.cactusspring.core.state.StateChange;
+import io.cactusspring.daemon.cell.Cell;
+import io.cactusspring.daemon.cell.CellListener;
+import io.cactusspring.daemon.log.Event;
+import io.cactusspring.daemon.log.EventLog;
+import java.util.List;
+import java.util.UUID;
+
+/**
+ * Writes snapshots of the state to the log often enough that one is always kept. The owner of the
+ * cell's first shard writes; a second writer would do no harm. Guarded by the lock of the cell.
+ *
+ * @since 0.1
+ */
+public final class SnapshotController implements CellListener {
+  private static final EventLog LOG = EventLog.of(SnapshotController.class);
+  private static final int MAX_PART_CHARS = 65_536;
+
+  private final Cell cell;
+  private final LogController log;
+  private final ShardController shards;
+  private final long everyRecords;
+  private long newestCovers;
+  private boolean writing;
+
+  public SnapshotController(
+      Cell cell, LogController log, ShardController shards, long everyRecords) {
+    this.cell = cell;
+    this.log = log;
+    this.shards = shards;
+    this.everyRecords = everyRecords;
+  }
+
+  @Override
+  public void applied(long offset, LogRecord entry, List<StateChange> changes) {
+    if (entry instanceof LogRecord.SnapshotPart p && p.part() == p.parts() - 1) {
+      newestCovers = Math.max(newestCovers, p.covers());
+    }
+  }
+
+  @Override
+  public void restored() {
+    newestCovers = Math.max(newestCovers, cell.nextOffset());
+  }
+
+  /** Writes a snapshot if it is this host's turn and one is due. */
+  public void tick() {
+    boolean due =
+        cell.locked(() -> !writing && cell.nextOffset() - newestCovers >= everyRecords);
+    if (due && log.available() && isWriter()) {
+      write();
+    }
+  }
+
+  private boolean isWriter() {
+    return cell.configuration().shards().stream().findFirst().filter(this::owns).isPresent();
+  }
+
+  private boolean owns(ShardId shard) {
+    return shards.owners().stream().anyMatch(o -> o.shard().equals(shard));
+  }
+
+  private void write() {
+    writing = true;
+    Cell.Snapshot snapshot = cell.snapshot();
+    List<LogRecord> parts =
+        List.copyOf(
+            SnapshotAssembler.split(
+                UUID.randomUUID().toString(),
+                snapshot.nextOffset(),
+                snapshot.data(),
+                MAX_PART_CHARS));
+    log.append(parts)
+        .onSuccess(x -> LOG.event(Event.SNAPSHOT_WRITTEN, snapshot.nextOffset()))
+        .onComplete(x -> writing = false);
+  }
+}
--- /dev/null
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/control/SnapshotFinder.java
@@ -0,0 +1,57 @@
+package io.cactusspring.daemon.control;
+
+import io.cactusspring.core.codec.CodecException;
+import io.cactusspring.core.codec.RecordCodec;
+import io.cactusspring.core.model.LogRecord;
+import io.cactusspring.core.state.SnapshotAssembler;
+import io.cactusspring.daemon.cell.Cell;
+import io.cactusspring.daemon.platform.LogRead;
+import io.cactusspring.daemon.platform.PlatformLog;
+import io.vertx.core.Future;
+import java.util.Optional;
+
+/** Looks for the newest snapshot among the records that the log still keeps. */
+final class SnapshotFinder {
+  private final PlatformLog log;
+  private final RecordCodec codec = new RecordCodec();
+
+  SnapshotFinder(PlatformLog log) {
+    this.log = log;
+  }
+
+  /** Reads the log from its earliest record; completes empty when no snapshot is whole. */
+  Future<Optional<Cell.Snapshot>> find(LogRead.Expired expired) {
+    return scan(expired.earliest(), expired.next(), new SnapshotAssembler());
+  }
+
+  private Future<Optional<Cell.Snapshot>> scan(long from, long end, SnapshotAssembler parts) {
+    if (from >= end) {
+      return Future.succeededFuture(
+          parts.newest().map(s -> new Cell.Snapshot(s.text(), s.covers())));
+    }
+    return log.read(from, 0).compose(r -> scanned(r, from, end, parts));
+  }
+
+  private Future<Optional<Cell.Snapshot>> scanned(
+      LogRead read, long from, long end, SnapshotAssembler parts) {
+    return switch (read) {
+      case LogRead.Expired e -> scan(e.earliest(), end, parts);
+      case LogRead.Records r -> {
+        r.records().forEach(e -> add(e, parts));
+        long next = from + Math.max(1, r.records().size());
+        yield scan(next, end, parts);
+      }
+    };
+  }
+
+  private void add(LogRead.Entry entry, SnapshotAssembler parts) {
+    try {
+      if (codec.decode(entry.data()) instanceof LogRecord.SnapshotPart p) {
+        parts.add(p);
+      }
+    } catch (CodecException e) {
+      // Replay counts and logs records that cannot be decoded.
+      return;
+    }
+  }
+}
--- /dev/null
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/work/Bodies.java
@@ -0,0 +1,80 @@
+package io.cactusspring.daemon.work;
+
+import com.fasterxml.jackson.core.JsonLocation;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonMappingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.exc.ValueInstantiationException;
+import io.cactusspring.daemon.http.Refusal;
+import io.cactusspring.daemon.http.RefusalReason;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.ext.web.RoutingContext;
+import java.io.IOException;
+
+/** Reads bodies strictly and writes answers. */
+final class Bodies {
+  private static final ObjectMapper JSON =
+      new ObjectMapper()
+          .configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, true)
+          .configure(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES, true);
+
+  private Bodies() {}
+
+  /** A body that is not what the call expects. */
+  static final class BodyException extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    private final transient Refusal refusal;
+
+    BodyException(RefusalReason reason, String message) {
+      super(message);
+      this.refusal = Refusal.of(reason, message);
+    }
+
+    Refusal refusal() {
+      return refusal;
+    }
+  }
+
+  /**
+   * Reads the body of a call.
+   *
+   * @throws BodyException naming the place and what was expected
+   */
+  static <T> T read(RoutingContext ctx, Class<T> type) throws BodyException {
+    Buffer body = ctx.body().buffer();
+    if (body == null || body.length() == 0) {
+      throw new BodyException(RefusalReason.MALFORMED_BODY, "the body is empty; expected JSON");
+    }
+    try {
+      return JSON.readValue(body.getBytes(), type);
+    } catch (ValueInstantiationException e) {
+      String cause = e.getCause() == null ? e.getOriginalMessage() : e.getCause().getMessage();
+      throw new BodyException(RefusalReason.INVALID_VALUE, at(e, cause));
+    } catch (JsonMappingException e) {
+      throw new BodyException(RefusalReason.MALFORMED_BODY, at(e, e.getOriginalMessage()));
+    } catch (JsonProcessingException e) {
+      throw new BodyException(RefusalReason.MALFORMED_BODY, at(e, e.getOriginalMessage()));
+    } catch (IOException e) {
+      throw new BodyException(RefusalReason.MALFORMED_BODY, e.getMessage());
+    }
+  }
+
+  private static String at(JsonProcessingException e, String message) {
+    JsonLocation l = e.getLocation();
+    return l == null ? message : "line " + l.getLineNr() + ": " + message;
+  }
+
+  /** Writes an answer as JSON. */
+  static void write(RoutingContext ctx, int status, Object answer) {
+    try {
+      ctx.response()
+          .setStatusCode(status)
+          .putHeader("content-type", "application/json")
+          .end(Buffer.buffer(JSON.writeValueAsBytes(answer)));
+    } catch (JsonProcessingException e) {
+      ctx.fail(e);
+    }
+  }
+}
--- /dev/null
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/work/NoteApi.java
@@ -0,0 +1,222 @@
+package io.cactusspring.daemon.work;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import io.cactusspring.core.config.Configuration;
+import io.cactusspring.core.config.ItemConflict;
+import io.cactusspring.core.config.Resolution;
+import io.cactusspring.core.config.Revisioned;
+import io.cactusspring.core.model.Change;
+import io.cactusspring.core.model.ConfigItem;
+import io.cactusspring.core.model.LogRecord;
+import io.cactusspring.core.model.ReleaseNote;
+import io.cactusspring.core.security.Identity;
+import io.cactusspring.core.state.ClusterState;
+import io.cactusspring.core.state.NoteStatus;
+import io.cactusspring.daemon.cell.Cell;
+import io.cactusspring.daemon.http.Ran;
+import io.cactusspring.daemon.http.Refusal;
+import io.cactusspring.daemon.http.RefusalReason;
+import io.cactusspring.daemon.http.RefusalWriter;
+import io.cactusspring.daemon.http.Requests;
+import io.cactusspring.daemon.log.Event;
+import io.cactusspring.daemon.log.EventLog;
+import io.vertx.ext.web.RoutingContext;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Calls of operators about the configuration.
+ *
+ * @since 0.1
+ */
+public final class NoteApi {
+  private static final EventLog LOG = EventLog.of(NoteApi.class);
+  private static final int OK = 200;
+  private static final long RETRY_MILLIS = 1_000;
+
+  private final Cell cell;
+  private final ReadBack readBack;
+  private final RefusalWriter refusals;
+
+  /** Answer to a note that is in force. */
+  record Accepted(String id, boolean accepted, long revision) {}
+
+  /** Answer to a note that was refused; the refusal's fields and what is wrong. */
+  @JsonInclude(JsonInclude.Include.NON_NULL)
+  record Refused(
+      RefusalReason reason,
+      String message,
+      String ran,
+      String requestId,
+      List<ItemConflict> conflicts,
+      List<String> problems) {}
+
+  /** Answer to a check. */
+  record Checked(String id, boolean accepted, long revision, List<Difference> differences) {}
+
+  /** What a note does to one item. */
+  record Difference(String path, String change, ConfigItem before, ConfigItem after) {}
+
+  record ConfigurationView(long revision, List<ItemView> items) {}
+
+  record ItemView(String path, long revision, String note, String operator, ConfigItem item) {}
+
+  public NoteApi(Cell cell, ReadBack readBack, RefusalWriter refusals) {
+    this.cell = cell;
+    this.readBack = readBack;
+    this.refusals = refusals;
+  }
+
+  /** {@code POST /v1/notes}. */
+  public void apply(RoutingContext ctx) {
+    readNote(ctx).ifPresent(n -> apply(ctx, n));
+  }
+
+  /** {@code POST /v1/notes/check}. */
+  public void check(RoutingContext ctx) {
+    readNote(ctx).ifPresent(n -> check(ctx, n));
+  }
+
+  /** {@code GET /v1/configuration}. */
+  public void configuration(RoutingContext ctx) {
+    Configuration c = cell.configuration();
+    Bodies.write(
+        ctx,
+        OK,
+        new ConfigurationView(
+            c.revision(), c.items().values().stream().map(NoteApi::view).toList()));
+  }
+
+  private Optional<ReleaseNote> readNote(RoutingContext ctx) {
+    try {
+      ReleaseNote note = Bodies.read(ctx, ReleaseNote.class);
+      return Optional.of(new ReleaseNote(note.id(), operator(ctx), note.changes()));
+    } catch (Bodies.BodyException e) {
+      refusals.write(ctx, e.refusal());
+      return Optional.empty();
+    }
+  }
+
+  private static String operator(RoutingContext ctx) {
+    return Requests.identity(ctx) instanceof Identity.OperatorIdentity o ? o.key() : "unknown";
+  }
+
+  private void apply(RoutingContext ctx, ReleaseNote note) {
+    Optional<NoteStatus> before = cell.read(s -> s.note(note.id()));
+    if (before.isPresent()) {
+      answer(ctx, note, before.get());
+      return;
+    }
+    Resolution expected = cell.read(s -> s.resolve(note));
+    if (!(expected instanceof Resolution.Accepted)) {
+      refuse(ctx, note, expected);
+      return;
+    }
+    readBack
+        .append(new LogRecord.NoteApplied(note), s -> s.note(note.id()).isPresent())
+        .onSuccess(o -> sent(ctx, note, o));
+  }
+
+  private void sent(RoutingContext ctx, ReleaseNote note, LogOutcome outcome) {
+    switch (outcome) {
+      case READ -> answer(ctx, note, cell.read((ClusterState s) -> s.note(note.id())).get());
+      case NOT_SENT ->
+          refusals.write(
+              ctx,
+              Refusal.of(RefusalReason.LOG_UNAVAILABLE, "the platform's log cannot be reached")
+                  .withRetryAfterMillis(RETRY_MILLIS));
+      case UNKNOWN ->
+          refusals.write(
+              ctx,
+              Refusal.of(
+                      RefusalReason.LOG_UNAVAILABLE,
+                      "note " + note.id() + " was sent and not read back; it may still take effect."
+                          + " Send it again with the same id")
+                  .withRan(Ran.UNKNOWN)
+                  .withRetryAfterMillis(RETRY_MILLIS));
+    }
+  }
+
+  private void answer(RoutingContext ctx, ReleaseNote note, NoteStatus status) {
+    switch (status) {
+      case NoteStatus.Accepted a -> {
+        LOG.event(Event.NOTE_ACCEPTED, note.id(), note.operator(), a.revision());
+        Bodies.write(ctx, OK, new Accepted(note.id(), true, a.revision()));
+      }
+      case NoteStatus.Refused r -> refuse(ctx, note, r.reason());
+    }
+  }
+
+  private void refuse(RoutingContext ctx, ReleaseNote note, Resolution resolution) {
+    Refused body =
+        switch (resolution) {
+          case Resolution.Conflict c ->
+              refused(ctx, RefusalReason.NOTE_CONFLICT, c.conflicts(), null);
+          case Resolution.Invalid i ->
+              refused(ctx, RefusalReason.NOTE_INVALID, null, i.problems());
+          case Resolution.Accepted a -> throw new IllegalArgumentException("note is accepted");
+        };
+    LOG.event(Event.NOTE_REFUSED, note.id(), note.operator(), body.message());
+    refusals.count(body.reason());
+    Bodies.write(ctx, body.reason().status(), body);
+  }
+
+  private static Refused refused(
+      RoutingContext ctx,
+      RefusalReason reason,
+      List<ItemConflict> conflicts,
+      List<String> problems) {
+    String message =
+        problems == null
+            ? "items were changed since the note was written"
+            : String.join("; ", problems);
+    return new Refused(reason, message, "NO", Requests.id(ctx), conflicts, problems);
+  }
+
+  private void check(RoutingContext ctx, ReleaseNote note) {
+    Configuration before = cell.configuration();
+    switch (cell.read(s -> s.resolve(note))) {
+      case Resolution.Accepted a ->
+          Bodies.write(
+              ctx,
+              OK,
+              new Checked(
+                  note.id(), true, before.revision(), differences(before, a.configuration(), note)));
+      case Resolution r -> refuse(ctx, note, r);
+    }
+  }
+
+  private static List<Difference> differences(
+      Configuration before, Configuration after, ReleaseNote note) {
+    return note.changes().stream()
+        .map(
+            c ->
+                new Difference(
+                    c.path(), kind(c), item(before, c.path()), item(after, c.path())))
+        .toList();
+  }
+
+  private static String kind(Change change) {
+    return switch (change) {
+      case Change.Add a -> "add";
+      case Change.Replace r -> "change";
+      case Change.Withdraw w -> "withdraw";
+    };
+  }
+
+  private static ConfigItem item(Configuration configuration, String path) {
+    Revisioned r = configuration.items().get(path);
+    return r == null ? null : hidden(r.item());
+  }
+
+  private static ItemView view(Revisioned r) {
+    return new ItemView(r.item().path(), r.revision(), r.note(), r.operator(), hidden(r.item()));
+  }
+
+  /** Leaves out the salt and hash of a key. */
+  private static ConfigItem hidden(ConfigItem item) {
+    return item instanceof ConfigItem.Key k
+        ? new ConfigItem.Key(k.name(), k.team(), k.operator(), "", "")
+        : item;
+  }
+}
--- /dev/null
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/work/ReadBack.java
@@ -0,0 +1,96 @@
+package io.cactusspring.daemon.work;
+
+import io.cactusspring.core.model.LogRecord;
+import io.cactusspring.core.state.ClusterState;
+import io.cactusspring.core.state.StateChange;
+import io.cactusspring.daemon.cell.Cell;
+import io.cactusspring.daemon.cell.CellListener;
+import io.cactusspring.daemon.control.LogController;
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+
+/**
+ * Appends a record and waits until replay shows its effect, whatever became of the append's answer.
+ *
+ * @since 0.1
+ */
+public final class ReadBack implements CellListener {
+  private static final long WAIT_MILLIS = 4_000;
+
+  private final Cell cell;
+  private final LogController log;
+  private final Context context;
+  private final List<Waiter> waiters = new ArrayList<>();
+
+  private record Waiter(Predicate<ClusterState> effect, Promise<Void> promise) {}
+
+  public ReadBack(Cell cell, LogController log, Context context) {
+    this.cell = cell;
+    this.log = log;
+    this.context = context;
+  }
+
+  /**
+   * Appends a record.
+   *
+   * @param effect whether the state shows that the record, or one that precedes it, was read
+   */
+  Future<LogOutcome> append(LogRecord entry, Predicate<ClusterState> effect) {
+    if (!log.available()) {
+      return Future.succeededFuture(LogOutcome.NOT_SENT);
+    }
+    Future<Void> read = await(effect);
+    context.runOnContext(x -> log.append(List.of(entry)));
+    return read.timeout(WAIT_MILLIS, TimeUnit.MILLISECONDS)
+        .map(LogOutcome.READ)
+        .otherwise(LogOutcome.UNKNOWN);
+  }
+
+  @Override
+  public void applied(long offset, LogRecord entry, List<StateChange> changes) {
+    settle();
+  }
+
+  @Override
+  public void restored() {
+    settle();
+  }
+
+  private Future<Void> await(Predicate<ClusterState> effect) {
+    Promise<Void> promise = Promise.promise();
+    Waiter waiter = new Waiter(effect, promise);
+    cell.read(
+        s -> {
+          waiters.add(waiter);
+          return null;
+        });
+    Future<Void> future = promise.future().timeout(WAIT_MILLIS, TimeUnit.MILLISECONDS);
+    future.onFailure(e -> remove(waiter));
+    return future;
+  }
+
+  private void remove(Waiter waiter) {
+    cell.read(s -> waiters.remove(waiter));
+  }
+
+  private void settle() {
+    cell.read(
+        s -> {
+          Iterator<Waiter> all = waiters.iterator();
+          while (all.hasNext()) {
+            Waiter waiter = all.next();
+            if (waiter.effect().test(s)) {
+              all.remove();
+              waiter.promise().tryComplete();
+            }
+          }
+          return null;
+        });
+  }
+}
--- /dev/null
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/work/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP calls about submitted work, release notes and status. */
+package io.cactusspring.daemon.work;
