Place runs on the workers of one shard

Weighted dominant shares under hard budgets, best fit by an index of available room, gangs whole or not at all behind a reservation, backfill by run times seen, preemption for urgent work, quarantine with probes.

--- /dev/null
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/placement/PlacementPolicy.java
@@ -0,0 +1,126 @@
+package io.cactusspring.core.placement;
+
+import io.cactusspring.core.model.Arguments;
+
+/**
+ * How placement weighs its aims; immutable.
+ *
+ * <pre>{@code
+ * PlacementPolicy policy =
+ *     PlacementPolicy.builder().packingWeight(0.8).quarantineFailures(5).build();
+ * }</pre>
+ *
+ * @param packingWeight weight of tight packing, 0 to 1; the rest goes to even load of workers,
+ *     which shortens waiting
+ * @param spreadServices whether replicas of one service are spread over racks
+ * @param backfill whether short runs may use room that is reserved for others
+ * @param durationFactor factor on the longest run time seen, before backfill trusts it
+ * @param patienceMillis how long a single run waits before room is reserved for it
+ * @param quarantineFailures failures in a row, without a success, that quarantine a worker
+ * @param quarantineMillis first time in quarantine; doubled after each failed probe
+ * @param maxQuarantineMillis longest time in quarantine
+ * @since 0.1
+ */
+public record PlacementPolicy(
+    double packingWeight,
+    boolean spreadServices,
+    boolean backfill,
+    double durationFactor,
+    long patienceMillis,
+    int quarantineFailures,
+    long quarantineMillis,
+    long maxQuarantineMillis) {
+  private static final long MAX_MILLIS = 24L * 3_600_000;
+
+  /**
+   * @throws IllegalArgumentException if a value is out of range
+   */
+  public PlacementPolicy {
+    checkRange("packingWeight", packingWeight, 0, 1);
+    checkRange("durationFactor", durationFactor, 1, 100);
+    Arguments.checkRange("patienceMillis", patienceMillis, 0, MAX_MILLIS);
+    Arguments.checkRange("quarantineFailures", quarantineFailures, 1, 1_000);
+    Arguments.checkRange("quarantineMillis", quarantineMillis, 1, MAX_MILLIS);
+    Arguments.checkRange("maxQuarantineMillis", maxQuarantineMillis, quarantineMillis, MAX_MILLIS);
+  }
+
+  public static Builder builder() {
+    return new Builder();
+  }
+
+  private static void checkRange(String field, double value, double min, double max) {
+    if (!(value >= min && value <= max)) {
+      throw new IllegalArgumentException(
+          field + " is " + value + "; expected " + min + " to " + max);
+    }
+  }
+
+  /** Builds a {@link PlacementPolicy}. */
+  public static final class Builder {
+    private double packingWeight = 0.8;
+    private boolean spreadServices = true;
+    private boolean backfill = true;
+    private double durationFactor = 1.5;
+    private long patienceMillis = 10_000;
+    private int quarantineFailures = 5;
+    private long quarantineMillis = 10_000;
+    private long maxQuarantineMillis = 600_000;
+
+    private Builder() {}
+
+    public Builder packingWeight(double value) {
+      packingWeight = value;
+      return this;
+    }
+
+    public Builder spreadServices(boolean value) {
+      spreadServices = value;
+      return this;
+    }
+
+    public Builder backfill(boolean value) {
+      backfill = value;
+      return this;
+    }
+
+    public Builder durationFactor(double value) {
+      durationFactor = value;
+      return this;
+    }
+
+    public Builder patienceMillis(long value) {
+      patienceMillis = value;
+      return this;
+    }
+
+    public Builder quarantineFailures(int value) {
+      quarantineFailures = value;
+      return this;
+    }
+
+    public Builder quarantineMillis(long value) {
+      quarantineMillis = value;
+      return this;
+    }
+
+    public Builder maxQuarantineMillis(long value) {
+      maxQuarantineMillis = value;
+      return this;
+    }
+
+    /**
+     * @throws IllegalArgumentException if a value is out of range
+     */
+    public PlacementPolicy build() {
+      return new PlacementPolicy(
+          packingWeight,
+          spreadServices,
+          backfill,
+          durationFactor,
+          patienceMillis,
+          quarantineFailures,
+          quarantineMillis,
+          maxQuarantineMillis);
+    }
+  }
+}
--- /dev/null
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/placement/Placer.java
@@ -0,0 +1,258 @@
+package io.cactusspring.core.placement;
+
+import io.cactusspring.core.model.Arguments;
+import io.cactusspring.core.model.Resources;
+import io.cactusspring.core.model.RunId;
+import io.cactusspring.core.model.TaskId;
+import io.cactusspring.core.model.WorkerInfo;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.ToIntFunction;
+
+/**
+ * Decides what starts where on the workers of one shard. Not safe for use by several threads; its
+ * caller guards it. Time is handed in, in milliseconds of a monotonic clock.
+ *
+ * <pre>{@code
+ * Placer placer = new Placer(PlacementPolicy.builder().build());
+ * placer.setTeams(Map.of("counter", 4));
+ * placer.putWorker(worker);
+ * placer.enqueue(run, nowMillis);
+ * List<Decision> decisions = placer.decide(nowMillis, 100, team -> 200);
+ * }</pre>
+ *
+ * @since 0.1
+ */
+public final class Placer {
+  private final PlacementRules rules;
+  private final ShardState state;
+  private final WaitingRuns waiting = new WaitingRuns();
+  private final RunTimes runTimes;
+  private final Claims claims;
+  private final DecisionRound.Parts parts;
+
+  /** Runs that were preempted once; they are spared from then on, until they end. */
+  private final Set<RunId> preempted = new HashSet<>();
+
+  /** Creates a placer without workers, teams or work. */
+  public Placer(PlacementPolicy policy) {
+    this(policy, new PlacementRules());
+  }
+
+  Placer(PlacementPolicy policy, PlacementRules rules) {
+    Arguments.checkPresent("policy", policy);
+    this.rules = rules;
+    state = new ShardState(policy, rules);
+    runTimes = new RunTimes(policy.durationFactor());
+    claims = new Claims(state.workers());
+    parts =
+        new DecisionRound.Parts(
+            policy,
+            rules,
+            state,
+            waiting,
+            claims,
+            runTimes,
+            preempted,
+            new UnitPlacer(policy, rules, state, preempted),
+            new Preemptor(state),
+            new ReservationPlanner(state, runTimes),
+            new Pace());
+  }
+
+  /** Replaces the shares; a team that is not named keeps its work and has a share of 1. */
+  public void setTeams(Map<String, Integer> shareByTeam) {
+    shareByTeam.forEach(
+        (team, share) -> Arguments.checkRange("share of " + team, share, 1, Integer.MAX_VALUE));
+    state.setShares(Map.copyOf(shareByTeam));
+  }
+
+  /** Adds a worker or takes over its changed description. */
+  public void putWorker(WorkerInfo worker) {
+    Arguments.checkPresent("worker", worker);
+    state.workers().put(worker);
+  }
+
+  /**
+   * Marks a worker as reachable or not; an unreachable one receives nothing new and keeps its
+   * commitments.
+   *
+   * @throws IllegalArgumentException if the worker is unknown
+   */
+  public void setReachable(String worker, boolean reachable) {
+    state.workers().setReachable(known(worker), reachable);
+  }
+
+  /**
+   * Removes a worker; does nothing if it is unknown.
+   *
+   * @throws IllegalStateException if tasks are committed on it
+   */
+  public void removeWorker(String worker) {
+    Optional<WorkerState> found = state.workers().get(worker);
+    if (found.isEmpty()) {
+      return;
+    }
+    int tasks = found.get().taskCount();
+    if (tasks > 0) {
+      throw new IllegalStateException(
+          "worker " + worker + " has " + tasks + " tasks; expected none");
+    }
+    claims.dropOn(found.get()).forEach(this::queue);
+    state.workers().remove(found.get());
+  }
+
+  /**
+   * Commits a task that was found running.
+   *
+   * @throws IllegalArgumentException if its worker is unknown
+   * @throws IllegalStateException if the task is committed already
+   */
+  public void commit(CommittedTask task) {
+    WorkerState worker = known(task.worker());
+    if (state.task(task.task()).isPresent()) {
+      throw new IllegalStateException("task " + task.task() + " is committed already");
+    }
+    state.start(task, worker, TaskState.UNKNOWN_START, preempted.contains(task.task().run()));
+  }
+
+  /** Frees what a task had committed; does nothing if it is not committed. */
+  public void release(TaskId task, ReleaseReason reason, long nowMillis) {
+    Optional<TaskState> found = state.task(task);
+    if (found.isEmpty()) {
+      return;
+    }
+    TaskState ended = found.get();
+    state.end(ended);
+    claims.victimEnded(task);
+    learn(ended, reason, nowMillis);
+  }
+
+  private void learn(TaskState task, ReleaseReason reason, long nowMillis) {
+    Workers workers = state.workers();
+    switch (reason) {
+      case SUCCEEDED -> {
+        runTimes.observe(task, nowMillis);
+        workers.succeeded(task.worker());
+      }
+      case FAILED -> workers.failed(task, false, nowMillis);
+      case START_FAILED -> workers.failed(task, true, nowMillis);
+      case CHECKPOINTED, STOPPED, LAPSED -> workers.endedOtherwise(task, nowMillis);
+    }
+    if (reason != ReleaseReason.CHECKPOINTED && reason != ReleaseReason.LAPSED) {
+      preempted.remove(task.id().run());
+    }
+  }
+
+  /** Takes over what a task was seen to use; does nothing if the task is not committed. */
+  public void observeUsage(TaskId task, Resources used, long nowMillis) {
+    state.task(task).ifPresent(t -> t.worker().observe(t, used));
+  }
+
+  /**
+   * Queues a run; the members of a gang wait until all of them are queued.
+   *
+   * @throws IllegalStateException if the run waits already or has a committed task
+   */
+  public void enqueue(PendingRun run, long nowMillis) {
+    if (!rules.mayQueue(state.runs(run.run()))) {
+      throw new IllegalStateException("run " + run.run() + " has a committed task");
+    }
+    Optional<WaitingUnit> whole = waiting.add(run, nowMillis);
+    state.team(run.team()).addWaiting(1);
+    whole.ifPresent(this::queue);
+  }
+
+  /** Removes a run from the queue; returns whether it waited. */
+  public boolean remove(RunId run) {
+    Optional<PendingRun> removed = waiting.remove(run, this::withdraw);
+    removed.ifPresent(r -> state.team(r.team()).addWaiting(-1));
+    preempted.remove(run);
+    return removed.isPresent();
+  }
+
+  private void withdraw(WaitingUnit unit) {
+    if (!claims.drop(unit)) {
+      state.team(unit.team()).queue(unit.urgency()).remove(unit);
+    }
+  }
+
+  private void queue(WaitingUnit unit) {
+    state.team(unit.team()).queue(unit.urgency()).add(unit);
+  }
+
+  /**
+   * Decides what starts now and commits it.
+   *
+   * @param maxDecisions upper limit on the length of the answer; a gang counts once
+   * @param budgetOfTeam units that a team may have running here, its committed tasks included
+   */
+  public List<Decision> decide(
+      long nowMillis, int maxDecisions, ToIntFunction<String> budgetOfTeam) {
+    return new DecisionRound(parts, nowMillis, maxDecisions, budgetOfTeam).run();
+  }
+
+  /** Returns the number of committed tasks of a team. */
+  public int running(String team) {
+    return state.team(team).running();
+  }
+
+  /** Returns the number of waiting runs of a team. */
+  public int waiting(String team) {
+    return state.team(team).waiting();
+  }
+
+  /** Tells why a run waits; empty if it doesn't. */
+  public Optional<WaitReason> whyWaiting(RunId run) {
+    if (!waiting.contains(run)) {
+      return Optional.empty();
+    }
+    return Optional.of(waiting.unitOf(run).map(this::reason).orElse(WaitReason.GANG_INCOMPLETE));
+  }
+
+  private WaitReason reason(WaitingUnit unit) {
+    TeamState team = state.team(unit.team());
+    if (state.workers().isEmpty()) {
+      return WaitReason.NO_WORKER;
+    }
+    if (claims.contains(unit)) {
+      return WaitReason.RESERVED;
+    }
+    if (team.running() + unit.size() > team.lastBudget()) {
+      return WaitReason.TEAM_LIMIT;
+    }
+    boolean blocked = team.queue(unit.urgency()).isBlocked(unit.shape());
+    return blocked ? WaitReason.NO_ROOM : WaitReason.QUEUED;
+  }
+
+  /** Returns all known workers. */
+  public Collection<WorkerView> workers() {
+    return state.workers().all().stream().map(WorkerState::view).toList();
+  }
+
+  /** Returns what is free on workers that take work. */
+  public Resources free() {
+    return state.workers().all().stream()
+        .filter(state.workers()::takesWork)
+        .map(WorkerState::free)
+        .reduce(Resources.NONE, Resources::plus);
+  }
+
+  /** Returns the number of waiting runs. */
+  public int waitingRuns() {
+    return waiting.size();
+  }
+
+  private WorkerState known(String worker) {
+    return state
+        .workers()
+        .get(worker)
+        .orElseThrow(
+            () ->
+                new IllegalArgumentException("worker is \"" + worker + "\"; expected a known one"));
+  }
+}
--- /dev/null
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/placement/Preemptor.java
@@ -0,0 +1,94 @@
+package io.cactusspring.core.placement;
+
+import io.cactusspring.core.model.Resources;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/** Chooses checkpointable tasks of teams above their share that make room for urgent work. */
+final class Preemptor {
+  private static final int MAX_WORKERS_SEEN = 64;
+
+  private final ShardState state;
+
+  /** Tasks on one worker whose end makes room for a run. */
+  record Plan(WorkerState worker, List<TaskState> victims) {
+    long youngestStart() {
+      return victims.stream().mapToLong(TaskState::startMillis).min().orElse(0);
+    }
+  }
+
+  private static final Comparator<Plan> CHEAPEST =
+      Comparator.comparingInt((Plan p) -> p.victims().size())
+          .thenComparing(Comparator.comparingLong(Plan::youngestStart).reversed());
+
+  Preemptor(ShardState state) {
+    this.state = state;
+  }
+
+  /** Returns the fewest and youngest victims among the workers looked at. */
+  Optional<Plan> plan(WaitingUnit unit) {
+    if (unit.size() > 1 || state.isAboveShare(state.team(unit.team()))) {
+      return Optional.empty();
+    }
+    Resources need = unit.first().spec().resources();
+    List<TeamState> donors = donors(unit.team());
+    Set<String> donorNames = new HashSet<>();
+    donors.forEach(d -> donorNames.add(d.name()));
+    return workersOf(donors).stream()
+        .map(w -> planOn(w, need, donorNames))
+        .flatMap(Optional::stream)
+        .min(CHEAPEST);
+  }
+
+  private List<TeamState> donors(String beneficiary) {
+    List<TeamState> found = new ArrayList<>();
+    for (TeamState team : state.teams()) {
+      if (!team.name().equals(beneficiary) && state.isAboveShare(team)) {
+        found.add(team);
+      }
+    }
+    Resources total = state.total();
+    found.sort(Comparator.comparingDouble((TeamState t) -> t.weightedShare(total)).reversed());
+    return found;
+  }
+
+  private Set<WorkerState> workersOf(List<TeamState> donors) {
+    Set<WorkerState> found = new HashSet<>();
+    for (TeamState donor : donors) {
+      for (TaskState task : donor.preemptible()) {
+        if (found.size() == MAX_WORKERS_SEEN) {
+          return found;
+        }
+        if (state.workers().takesWork(task.worker()) && !task.worker().hasHolds()) {
+          found.add(task.worker());
+        }
+      }
+    }
+    return found;
+  }
+
+  private Optional<Plan> planOn(WorkerState worker, Resources need, Set<String> donors) {
+    Resources room = worker.available();
+    List<TaskState> victims = new ArrayList<>();
+    for (TaskState task : youngestFirst(worker, donors)) {
+      if (need.fitsIn(room)) {
+        break;
+      }
+      victims.add(task);
+      room = room.plus(task.resources());
+    }
+    return need.fitsIn(room) ? Optional.of(new Plan(worker, victims)) : Optional.empty();
+  }
+
+  private static List<TaskState> youngestFirst(WorkerState worker, Set<String> donors) {
+    return worker.tasks().stream()
+        .filter(TaskState::mayBeVictim)
+        .filter(t -> donors.contains(t.committed().team()))
+        .sorted(Comparator.comparingLong(TaskState::startMillis).reversed())
+        .toList();
+  }
+}
--- /dev/null
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/placement/RunQueue.java
@@ -0,0 +1,99 @@
+package io.cactusspring.core.placement;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+
+/** Waiting work of one team and urgency; groups that nothing fits for are set aside. */
+final class RunQueue {
+  private final Map<Shape, RunGroup> groups = new HashMap<>();
+  private final TreeSet<RunGroup> ready =
+      new TreeSet<>(Comparator.comparingLong(RunGroup::headSequence));
+  private final Set<RunGroup> blocked = new LinkedHashSet<>();
+  private final Set<RunGroup> unchecked = new LinkedHashSet<>();
+
+  void add(WaitingUnit unit) {
+    Shape shape = unit.shape();
+    RunGroup group = groups.computeIfAbsent(shape, this::newGroup);
+    boolean aside = blocked.contains(group);
+    if (!group.isEmpty() && !aside) {
+      ready.remove(group);
+    }
+    group.add(unit);
+    if (!aside) {
+      ready.add(group);
+    }
+  }
+
+  private RunGroup newGroup(Shape shape) {
+    RunGroup group = new RunGroup(shape);
+    unchecked.add(group);
+    return group;
+  }
+
+  void remove(WaitingUnit unit) {
+    RunGroup group = groups.get(unit.shape());
+    boolean aside = blocked.contains(group);
+    if (!aside) {
+      ready.remove(group);
+    }
+    group.remove(unit);
+    if (group.isEmpty()) {
+      groups.remove(group.shape());
+      blocked.remove(group);
+      unchecked.remove(group);
+      return;
+    }
+    if (!aside) {
+      ready.add(group);
+    }
+  }
+
+  boolean hasReady() {
+    return !ready.isEmpty();
+  }
+
+  /** Returns the ready group whose head waits longest; there is one. */
+  RunGroup firstReady() {
+    return ready.first();
+  }
+
+  void block(RunGroup group) {
+    ready.remove(group);
+    blocked.add(group);
+  }
+
+  boolean isBlocked(Shape shape) {
+    RunGroup group = groups.get(shape);
+    return group != null && blocked.contains(group);
+  }
+
+  void unblockIf(Predicate<Shape> mayFit) {
+    if (blocked.isEmpty()) {
+      return;
+    }
+    List<RunGroup> freed = blocked.stream().filter(g -> mayFit.test(g.shape())).toList();
+    freed.forEach(blocked::remove);
+    ready.addAll(freed);
+  }
+
+  List<WaitingUnit> blockedHeads() {
+    return blocked.stream().map(RunGroup::head).toList();
+  }
+
+  /** Returns the groups that are new since the last call, or all of them. */
+  List<RunGroup> takeUnchecked(boolean all) {
+    List<RunGroup> taken = List.copyOf(all ? groups.values() : unchecked);
+    unchecked.clear();
+    return taken;
+  }
+
+  void checkAgain(RunGroup group) {
+    unchecked.add(group);
+  }
+}
--- /dev/null
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/placement/TeamState.java
@@ -0,0 +1,103 @@
+package io.cactusspring.core.placement;
+
+import io.cactusspring.core.model.Resources;
+import io.cactusspring.core.model.Urgency;
+import java.util.EnumMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+
+/** What a team runs and what of it waits. */
+final class TeamState {
+  private final String name;
+  private final Map<Urgency, RunQueue> queues = new EnumMap<>(Urgency.class);
+
+  /** Tasks that may be checkpointed for the work of others, oldest first. */
+  private final Set<TaskState> preemptible = new LinkedHashSet<>();
+
+  private int share;
+  private int lastBudget = Integer.MAX_VALUE;
+  private Resources used = Resources.NONE;
+  private int running;
+  private int waiting;
+
+  TeamState(String name, int share) {
+    this.name = name;
+    this.share = share;
+    for (Urgency urgency : Urgency.values()) {
+      queues.put(urgency, new RunQueue());
+    }
+  }
+
+  String name() {
+    return name;
+  }
+
+  int share() {
+    return share;
+  }
+
+  void setShare(int value) {
+    share = value;
+  }
+
+  /** Budget that the last decisions were made with. */
+  int lastBudget() {
+    return lastBudget;
+  }
+
+  void setLastBudget(int value) {
+    lastBudget = value;
+  }
+
+  RunQueue queue(Urgency urgency) {
+    return queues.get(urgency);
+  }
+
+  Iterable<RunQueue> queues() {
+    return queues.values();
+  }
+
+  int running() {
+    return running;
+  }
+
+  int waiting() {
+    return waiting;
+  }
+
+  void addWaiting(int runs) {
+    waiting += runs;
+  }
+
+  void started(TaskState task) {
+    used = used.plus(task.resources());
+    running++;
+    if (task.isPreemptible()) {
+      preemptible.add(task);
+    }
+  }
+
+  void ended(TaskState task) {
+    used = used.minus(task.resources());
+    running--;
+    preemptible.remove(task);
+  }
+
+  void markVictim(TaskState task) {
+    preemptible.remove(task);
+  }
+
+  Iterable<TaskState> preemptible() {
+    return preemptible;
+  }
+
+  double dominantShare(Resources total) {
+    return used.dominantShareOf(total);
+  }
+
+  /** Returns the dominant share for each unit of weight; the lowest is served first. */
+  double weightedShare(Resources total) {
+    return used.dominantShareOf(total) / share;
+  }
+}
--- /dev/null
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/placement/UnitPlacer.java
@@ -0,0 +1,98 @@
+package io.cactusspring.core.placement;
+
+import io.cactusspring.core.model.Resources;
+import io.cactusspring.core.model.RunId;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/** Finds workers for waiting units and commits them. */
+final class UnitPlacer {
+  private final PlacementPolicy policy;
+  private final PlacementRules rules;
+  private final ShardState state;
+  private final Set<RunId> preempted;
+
+  UnitPlacer(PlacementPolicy policy, PlacementRules rules, ShardState state, Set<RunId> preempted) {
+    this.policy = policy;
+    this.rules = rules;
+    this.state = state;
+    this.preempted = preempted;
+  }
+
+  /** Starts a unit where it fits, a gang whole or not at all; empty if there is no room. */
+  Optional<Decision> place(WaitingUnit unit, long nowMillis) {
+    return unit.first().inGang() ? placeGang(unit, nowMillis) : placeSingle(unit, nowMillis);
+  }
+
+  private Optional<Decision> placeSingle(WaitingUnit unit, long nowMillis) {
+    PendingRun run = unit.first();
+    return findFor(run).map(w -> start(run, w, nowMillis));
+  }
+
+  private Optional<WorkerState> findFor(PendingRun run) {
+    Resources need = run.spec().resources();
+    Optional<WorkerState> best = state.workers().find(need);
+    if (best.isEmpty() || !run.service() || !policy.spreadServices()) {
+      return best;
+    }
+    int count = replicas(run, best.get().rack());
+    if (count == 0) {
+      return best;
+    }
+    return state.workers().findInRack(need, r -> replicas(run, r) < count).or(() -> best);
+  }
+
+  private int replicas(PendingRun run, String rack) {
+    return state.spread().replicas(run.run().workload(), rack);
+  }
+
+  private Optional<Decision> placeGang(WaitingUnit unit, long nowMillis) {
+    List<Claim.Hold> holds = holdAll(unit);
+    holds.forEach(h -> state.workers().unhold(h.worker(), h.need()));
+    if (!rules.gangIsWhole(holds.size(), unit.size()) || holds.isEmpty()) {
+      return Optional.empty();
+    }
+    return Optional.of(startAll(holds, nowMillis));
+  }
+
+  private List<Claim.Hold> holdAll(WaitingUnit unit) {
+    List<Claim.Hold> holds = new ArrayList<>();
+    for (PendingRun member : unit.members()) {
+      Optional<WorkerState> worker = findFor(member);
+      if (worker.isEmpty()) {
+        break;
+      }
+      holds.add(new Claim.Hold(member, worker.get()));
+      state.workers().hold(worker.get(), member.spec().resources());
+    }
+    return holds;
+  }
+
+  /** Starts the runs where room was held for them. */
+  Decision startAll(List<Claim.Hold> holds, long nowMillis) {
+    List<Decision.Place> places =
+        holds.stream().map(h -> start(h.run(), h.worker(), nowMillis)).toList();
+    return places.getFirst().run().inGang() ? new Decision.PlaceGang(places) : places.getFirst();
+  }
+
+  /**
+   * Starts a run on a worker.
+   *
+   * @throws IllegalStateException if the worker has no room for it or takes no work
+   */
+  Decision.Place start(PendingRun run, WorkerState worker, long nowMillis) {
+    Resources need = run.spec().resources();
+    if (!rules.fits(need, worker.free()) || !rules.takesWork(worker)) {
+      throw new IllegalStateException(
+          "worker " + worker.name() + " has " + worker.free() + " free; expected " + need);
+    }
+    CommittedTask task =
+        new CommittedTask(
+            run.task(), run.team(), run.spec(), worker.name(), run.service(), run.inGang());
+    TaskState started = state.start(task, worker, nowMillis, preempted.contains(run.run()));
+    state.workers().watchProbe(started, nowMillis);
+    return new Decision.Place(run, worker.name());
+  }
+}
--- /dev/null
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/placement/WaitingUnit.java
@@ -0,0 +1,31 @@
+package io.cactusspring.core.placement;
+
+import io.cactusspring.core.model.Urgency;
+import java.util.List;
+
+/** A single run, or a whole gang, that is placed in one step. */
+record WaitingUnit(long sequence, long sinceMillis, List<PendingRun> members) {
+  WaitingUnit {
+    members = List.copyOf(members);
+  }
+
+  PendingRun first() {
+    return members.getFirst();
+  }
+
+  int size() {
+    return members.size();
+  }
+
+  String team() {
+    return first().team();
+  }
+
+  Urgency urgency() {
+    return first().spec().urgency();
+  }
+
+  Shape shape() {
+    return Shape.of(first());
+  }
+}
--- /dev/null
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/placement/WorkerHealth.java
@@ -0,0 +1,100 @@
+package io.cactusspring.core.placement;
+
+import io.cactusspring.core.model.TaskId;
+import java.util.HashSet;
+import java.util.Set;
+
+/**
+ * Failures of a worker since its last success. A worker that fails everything is quarantined; after
+ * a while it receives one probe at a time, and each failed probe doubles the next wait.
+ */
+final class WorkerHealth {
+  private final PlacementPolicy policy;
+  private final Set<String> failedWorkloads = new HashSet<>();
+  private int failures;
+  private int startFailures;
+  private boolean quarantined;
+  private boolean probeOpen;
+  private TaskId probe;
+  private long backoffMillis;
+
+  WorkerHealth(PlacementPolicy policy) {
+    this.policy = policy;
+  }
+
+  boolean isQuarantined() {
+    return quarantined;
+  }
+
+  /** Whether the worker may receive a task: healthy, or quarantined with a probe due. */
+  boolean takesWork() {
+    return !quarantined || probeOpen;
+  }
+
+  void started(TaskId task) {
+    if (quarantined && probeOpen) {
+      probeOpen = false;
+      probe = task;
+    }
+  }
+
+  void succeeded() {
+    failures = 0;
+    startFailures = 0;
+    failedWorkloads.clear();
+    quarantined = false;
+    probeOpen = false;
+    probe = null;
+    backoffMillis = 0;
+  }
+
+  /**
+   * Counts a failure. One workload that always fails says nothing about the worker; failed starts
+   * do.
+   *
+   * @return whether the worker should be quarantined
+   */
+  boolean failed(TaskId task, boolean atStart) {
+    failures++;
+    startFailures += atStart ? 1 : 0;
+    if (failedWorkloads.size() < 2) {
+      failedWorkloads.add(task.run().workload());
+    }
+    boolean workersFault = failedWorkloads.size() > 1 || startFailures == failures;
+    return task.equals(probe)
+        || (!quarantined && failures >= policy.quarantineFailures() && workersFault);
+  }
+
+  /** Returns when the next probe is due, in milliseconds. */
+  long quarantine(long nowMillis) {
+    long next = backoffMillis == 0 ? policy.quarantineMillis() : backoffMillis * 2;
+    backoffMillis = Math.min(next, policy.maxQuarantineMillis());
+    quarantined = true;
+    return waitForProbe(nowMillis);
+  }
+
+  boolean isProbe(TaskId task) {
+    return task.equals(probe);
+  }
+
+  /** Forgets a probe that told nothing; returns when the next one is due, in milliseconds. */
+  long waitForProbe(long nowMillis) {
+    probeOpen = false;
+    probe = null;
+    return nowMillis + backoffMillis;
+  }
+
+  /** A probe that still runs after one more wait has shown that the worker works. */
+  boolean probeSurvived() {
+    return quarantined && probe != null;
+  }
+
+  /** Returns how long a probe has to run to count as a success, in milliseconds. */
+  long backoffMillis() {
+    return backoffMillis;
+  }
+
+  void openProbe() {
+    probeOpen = quarantined && probe == null;
+  }
+}
