Check placement against an oracle in random histories

The fuzz found that a worker whose total shrank below its commitments still received tasks that asked for other resources; such a worker takes no work now.

--- a/cactusspring-core/src/main/java/io/cactusspring/core/placement/WorkerState.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/placement/WorkerState.java
@@ -66,8 +66,9 @@
     return remainder(total(), committed);
   }
 
+  /** A worker whose total shrank below its commitments receives nothing until tasks end. */
   boolean takesWork() {
-    return reachable && !info.leaving();
+    return reachable && !info.leaving() && committed.fitsIn(total());
   }
 
   void setInfo(WorkerInfo value) {
@@ -135,7 +136,6 @@
     available = remainder(remainder(total(), committed), held);
   }
 
-  /** A worker whose total shrank below its commitments has nothing free. */
   private static Resources remainder(Resources whole, Resources part) {
     return new Resources(
         Math.max(0, whole.milliProcessors() - part.milliProcessors()),
--- /dev/null
+++ b/cactusspring-core/src/test/java/io/cactusspring/core/placement/PlacementFuzzTest.java
@@ -0,0 +1,89 @@
+package io.cactusspring.core.placement;
+
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.cactusspring.core.model.Resources;
+import java.util.List;
+import java.util.stream.LongStream;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.junit.jupiter.api.Test;
+
+class PlacementFuzzTest {
+  private static final int MUTATION_TRIES = 300;
+
+  @Provide
+  Arbitrary<List<PlacementStep>> histories() {
+    return PlacementSteps.histories();
+  }
+
+  @Property(tries = 2_000, seed = "41")
+  void placementAgreesWithTheBooksInEveryHistory(@ForAll("histories") List<PlacementStep> steps) {
+    new PlacementHistory(new PlacementRules()).play(steps);
+  }
+
+  private static void assertCaught(PlacementRules mutation) {
+    assertThrows(
+        Throwable.class,
+        () ->
+            LongStream.range(0, MUTATION_TRIES)
+                .forEach(s -> new PlacementHistory(mutation).play(PlacementSteps.sample(s))));
+  }
+
+  @Test
+  void mutationThatIgnoresMemoryIsCaught() {
+    assertCaught(
+        new PlacementRules() {
+          @Override
+          boolean fits(Resources need, Resources room) {
+            return need.milliProcessors() <= room.milliProcessors();
+          }
+        });
+  }
+
+  @Test
+  void mutationThatExceedsBudgetsIsCaught() {
+    assertCaught(
+        new PlacementRules() {
+          @Override
+          boolean withinBudget(int running, int starting, int budget) {
+            return running <= budget;
+          }
+        });
+  }
+
+  @Test
+  void mutationThatStartsPartOfAGangIsCaught() {
+    assertCaught(
+        new PlacementRules() {
+          @Override
+          boolean gangIsWhole(int found, int gangSize) {
+            return found > 0;
+          }
+        });
+  }
+
+  @Test
+  void mutationThatQueuesARunningRunIsCaught() {
+    assertCaught(
+        new PlacementRules() {
+          @Override
+          boolean mayQueue(boolean runsAlready) {
+            return true;
+          }
+        });
+  }
+
+  @Test
+  void mutationThatUsesLeavingWorkersIsCaught() {
+    assertCaught(
+        new PlacementRules() {
+          @Override
+          boolean takesWork(WorkerState worker) {
+            return worker.health().takesWork();
+          }
+        });
+  }
+}
--- /dev/null
+++ b/cactusspring-core/src/test/java/io/cactusspring/core/placement/PlacementStep.java
@@ -0,0 +1,33 @@
+package io.cactusspring.core.placement;
+
+/** One step of a random history; indexes are taken modulo what there is. */
+sealed interface PlacementStep {
+  record AddWorker(int worker, int processors, int accelerators, boolean leaving)
+      implements PlacementStep {}
+
+  record Reach(int worker, boolean reachable) implements PlacementStep {}
+
+  record RemoveWorker(int worker) implements PlacementStep {}
+
+  record Enqueue(int team, int processors, int accelerators, int urgency, boolean checkpointable)
+      implements PlacementStep {}
+
+  record EnqueueGang(int team, int processors, int size) implements PlacementStep {}
+
+  record EnqueueReplica(int team, int processors) implements PlacementStep {}
+
+  /** Tries to queue a run that runs or waits already. */
+  record EnqueueAgain(int run) implements PlacementStep {}
+
+  record Cancel(int run) implements PlacementStep {}
+
+  record Release(int task, ReleaseReason reason) implements PlacementStep {}
+
+  record Recover(int worker, int team, int processors) implements PlacementStep {}
+
+  record SetBudget(int team, int budget) implements PlacementStep {}
+
+  record Decide(int maxDecisions) implements PlacementStep {}
+
+  record Wait(int millis) implements PlacementStep {}
+}
