Add the stand-ins for the platform, workers and executors

Tests and the quickstart need the platform's log, its host list, workers and executors as processes that can be started, paused and cut alone. Each is a subcommand of one main class; their state is plain classes with the time handed in, and HTTP is typed JSON.

--- /dev/null
+++ b/cactusspring-standins/src/main/java/io/cactusspring/standins/executor/ExecutorSwitches.java
@@ -0,0 +1,22 @@
+package io.cactusspring.standins.executor;
+
+/**
+ * The body of an admin call; an absent field leaves its switch as it is.
+ *
+ * @param slowMillis added to each service time
+ * @param silent whether requests run and get no answer
+ * @param lateMillis how long an answer is held after its slot was given back
+ * @param leaving whether new requests are refused
+ */
+record ExecutorSwitches(Long slowMillis, Boolean silent, Long lateMillis, Boolean leaving) {
+  static final ExecutorSwitches OFF = new ExecutorSwitches(0L, false, 0L, false);
+
+  /** Returns these switches with the present fields of another one. */
+  ExecutorSwitches with(ExecutorSwitches changed) {
+    return new ExecutorSwitches(
+        changed.slowMillis == null ? slowMillis : changed.slowMillis,
+        changed.silent == null ? silent : changed.silent,
+        changed.lateMillis == null ? lateMillis : changed.lateMillis,
+        changed.leaving == null ? leaving : changed.leaving);
+  }
+}
--- /dev/null
+++ b/cactusspring-standins/src/main/java/io/cactusspring/standins/executor/ServiceTimes.java
@@ -0,0 +1,22 @@
+package io.cactusspring.standins.executor;
+
+import java.util.random.RandomGenerator;
+
+/** Draws service times from an exponential distribution with a cap. Not thread-safe. */
+final class ServiceTimes {
+  private static final int CAP_MEANS = 10;
+
+  private final double meanMillis;
+  private final RandomGenerator random;
+
+  ServiceTimes(double meanMillis, RandomGenerator random) {
+    this.meanMillis = meanMillis;
+    this.random = random;
+  }
+
+  /** Returns the next service time in whole milliseconds. */
+  long nextMillis() {
+    double drawn = random.nextExponential() * meanMillis;
+    return Math.round(Math.min(drawn, meanMillis * CAP_MEANS));
+  }
+}
--- /dev/null
+++ b/cactusspring-standins/src/main/java/io/cactusspring/standins/hosts/EndpointHost.java
@@ -0,0 +1,15 @@
+package io.cactusspring.standins.hosts;
+
+/** An endpoint in the list. */
+record EndpointHost(
+    String name,
+    String zone,
+    String service,
+    String address,
+    int slots,
+    int connections,
+    boolean leaving) {
+  EndpointHost asLeaving(boolean value) {
+    return new EndpointHost(name, zone, service, address, slots, connections, value);
+  }
+}
--- /dev/null
+++ b/cactusspring-standins/src/main/java/io/cactusspring/standins/hosts/HostTable.java
@@ -0,0 +1,41 @@
+package io.cactusspring.standins.hosts;
+
+import java.util.List;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
+
+/** The host list at one moment, as it goes over the wire. */
+record HostTable(List<WorkerHost> workers, List<EndpointHost> endpoints) {
+  HostTable {
+    workers = workers == null ? List.of() : List.copyOf(workers);
+    endpoints = endpoints == null ? List.of() : List.copyOf(endpoints);
+  }
+
+  boolean has(String name) {
+    return Stream.concat(
+            workers.stream().map(WorkerHost::name), endpoints.stream().map(EndpointHost::name))
+        .anyMatch(Predicate.isEqual(name));
+  }
+
+  HostTable withLeaving(String name, boolean leaving) {
+    return new HostTable(
+        workers.stream().map(w -> w.name().equals(name) ? w.asLeaving(leaving) : w).toList(),
+        endpoints.stream().map(e -> e.name().equals(name) ? e.asLeaving(leaving) : e).toList());
+  }
+
+  HostTable without(String name) {
+    return new HostTable(
+        workers.stream().filter(w -> !w.name().equals(name)).toList(),
+        endpoints.stream().filter(e -> !e.name().equals(name)).toList());
+  }
+
+  /** Returns this list with the hosts of another one added, which replace those of their name. */
+  HostTable with(HostTable added) {
+    return new HostTable(
+        Stream.concat(workers.stream().filter(w -> !added.has(w.name())), added.workers.stream())
+            .toList(),
+        Stream.concat(
+                endpoints.stream().filter(e -> !added.has(e.name())), added.endpoints.stream())
+            .toList());
+  }
+}
--- /dev/null
+++ b/cactusspring-standins/src/main/java/io/cactusspring/standins/hosts/WorkerHost.java
@@ -0,0 +1,9 @@
+package io.cactusspring.standins.hosts;
+
+/** A worker in the list. */
+record WorkerHost(
+    String name, String zone, String rack, String address, Amounts total, boolean leaving) {
+  WorkerHost asLeaving(boolean value) {
+    return new WorkerHost(name, zone, rack, address, total, value);
+  }
+}
--- /dev/null
+++ b/cactusspring-standins/src/main/java/io/cactusspring/standins/log/AppendBody.java
@@ -0,0 +1,13 @@
+package io.cactusspring.standins.log;
+
+import java.util.List;
+
+/** The body of an append: records that are appended whole. */
+record AppendBody(List<String> records) {
+  AppendBody {
+    if (records == null || records.isEmpty()) {
+      throw new IllegalArgumentException("records is empty; expected at least one");
+    }
+    records = List.copyOf(records);
+  }
+}
--- /dev/null
+++ b/cactusspring-standins/src/main/java/io/cactusspring/standins/log/StoredRecord.java
@@ -0,0 +1,4 @@
+package io.cactusspring.standins.log;
+
+/** A record with the offset that it was given. */
+record StoredRecord(long offset, String data) {}
--- /dev/null
+++ b/cactusspring-standins/src/main/java/io/cactusspring/standins/worker/StaleEpochException.java
@@ -0,0 +1,17 @@
+package io.cactusspring.standins.worker;
+
+/** Thrown for a call whose epoch is lower than the highest one seen. */
+final class StaleEpochException extends Exception {
+  private static final long serialVersionUID = 1;
+
+  private final long highestEpoch;
+
+  StaleEpochException(long epoch, long highestEpoch) {
+    super("epoch is " + epoch + "; expected at least " + highestEpoch);
+    this.highestEpoch = highestEpoch;
+  }
+
+  long highestEpoch() {
+    return highestEpoch;
+  }
+}
--- /dev/null
+++ b/cactusspring-standins/src/main/java/io/cactusspring/standins/worker/TaskResult.java
@@ -0,0 +1,10 @@
+package io.cactusspring.standins.worker;
+
+/** How a task ended. */
+enum TaskResult {
+  SUCCEEDED,
+  FAILED,
+  STOPPED,
+  CHECKPOINTED,
+  LAPSED
+}
--- /dev/null
+++ b/cactusspring-standins/src/main/java/io/cactusspring/standins/worker/TaskTable.java
@@ -0,0 +1,190 @@
+package io.cactusspring.standins.worker;
+
+import io.cactusspring.standins.hosts.Amounts;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+/**
+ * The tasks of one worker under their leases. It refuses a stale epoch and checks nothing else: it
+ * commits more than its total when told to and records that it did. Thread-safe; the time is handed
+ * in on a monotonic clock.
+ */
+final class TaskTable {
+  private static final double MIN_USED_SHARE = 0.3;
+  private static final String FAILING_PAYLOAD = "fail";
+
+  private final String incarnation;
+  private final Amounts total;
+  private final long usageLagNanos;
+  private final RunRegistry registry;
+  private final RandomGenerator random;
+  private final Map<String, Task> running = new LinkedHashMap<>();
+  private final Map<String, TaskResult> ended = new LinkedHashMap<>();
+  private final Set<String> seen = new HashSet<>();
+  private final List<HistoryEvent> history = new ArrayList<>();
+  private long highestEpoch;
+  private int overcommits;
+  private int doubleRuns;
+
+  TaskTable(
+      String incarnation,
+      Amounts total,
+      long usageLagMillis,
+      RunRegistry registry,
+      RandomGenerator random) {
+    this.incarnation = incarnation;
+    this.total = total;
+    this.usageLagNanos = TimeUnit.MILLISECONDS.toNanos(usageLagMillis);
+    this.registry = registry;
+    this.random = random;
+  }
+
+  /**
+   * Starts a task unless its id was seen before.
+   *
+   * @param receivedNanos when the call was received; its lease counts from then
+   * @return whether it was started
+   * @throws StaleEpochException if the epoch is lower than the highest seen
+   */
+  synchronized boolean start(StartBody body, long receivedNanos, long nowNanos)
+      throws StaleEpochException {
+    advance(nowNanos);
+    fence(body.epoch());
+    if (!seen.add(body.task())) {
+      return false;
+    }
+    Task task = newTask(body, receivedNanos, nowNanos);
+    running.put(task.id(), task);
+    record(task.id(), HistoryEvent.Kind.START, null, nowNanos);
+    countViolations(task);
+    advance(nowNanos);
+    return true;
+  }
+
+  /**
+   * Applies the lists of a sync, renewals last, and tells what runs and what has ended.
+   *
+   * @throws StaleEpochException if the epoch is lower than the highest seen
+   */
+  synchronized SyncAnswer sync(SyncBody body, long nowNanos) throws StaleEpochException {
+    advance(nowNanos);
+    fence(body.epoch());
+    body.forget().forEach(ended::remove);
+    body.stop().forEach(id -> end(id, TaskResult.STOPPED, nowNanos));
+    body.checkpoint().forEach(id -> checkpoint(id, nowNanos));
+    body.throttle().forEach(id -> running.computeIfPresent(id, (k, t) -> throttle(t, nowNanos)));
+    long leaseEnd = nowNanos + TimeUnit.MILLISECONDS.toNanos(body.leaseMillis());
+    body.renew().forEach(id -> running.computeIfPresent(id, (k, t) -> t.withLease(leaseEnd)));
+    return answer(body, nowNanos);
+  }
+
+  /** Ends the tasks whose work is done or whose lease has lapsed by now. */
+  synchronized void advance(long nowNanos) {
+    List<Task> due =
+        running.values().stream().filter(t -> t.isDone(nowNanos) || t.hasLapsed(nowNanos)).toList();
+    due.forEach(task -> endDue(task, nowNanos));
+  }
+
+  synchronized Violations violations() {
+    return new Violations(overcommits, doubleRuns);
+  }
+
+  synchronized List<HistoryEvent> history() {
+    return List.copyOf(history);
+  }
+
+  private Task newTask(StartBody body, long receivedNanos, long nowNanos) {
+    return new Task(
+        body.task(),
+        body.resources(),
+        FAILING_PAYLOAD.equals(body.payload()),
+        TimeUnit.MILLISECONDS.toNanos(body.expectedMillis()),
+        MIN_USED_SHARE + (1 - MIN_USED_SHARE) * random.nextDouble(),
+        nowNanos,
+        registry.progressOf(body.task()),
+        nowNanos,
+        false,
+        receivedNanos + TimeUnit.MILLISECONDS.toNanos(body.leaseMillis()));
+  }
+
+  private void countViolations(Task task) {
+    Amounts committed =
+        running.values().stream().map(Task::resources).reduce(Amounts.NONE, Amounts::plus);
+    if (committed.exceeds(total)) {
+      overcommits++;
+    }
+    if (registry.started(task.id())) {
+      doubleRuns++;
+    }
+  }
+
+  private void fence(long epoch) throws StaleEpochException {
+    if (epoch < highestEpoch) {
+      throw new StaleEpochException(epoch, highestEpoch);
+    }
+    highestEpoch = epoch;
+  }
+
+  /** Ends a due task at the instant that came first: its lapse or the end of its work. */
+  private void endDue(Task task, long nowNanos) {
+    boolean done = task.isDone(nowNanos);
+    boolean lapsedFirst = !done || task.doneAtNanos() - task.leaseEndNanos() > 0;
+    if (lapsedFirst) {
+      end(task.id(), TaskResult.LAPSED, task.leaseEndNanos());
+    } else {
+      end(task.id(), task.fails() ? TaskResult.FAILED : TaskResult.SUCCEEDED, task.doneAtNanos());
+    }
+  }
+
+  private void checkpoint(String id, long nowNanos) {
+    Task task = running.get(id);
+    if (task != null) {
+      registry.keepProgress(id, task.doneAt(nowNanos));
+      end(id, TaskResult.CHECKPOINTED, nowNanos);
+    }
+  }
+
+  private static Task throttle(Task task, long nowNanos) {
+    return task.throttled() ? task : task.withThrottle(nowNanos);
+  }
+
+  private void end(String id, TaskResult result, long atNanos) {
+    if (running.remove(id) == null) {
+      return;
+    }
+    registry.ended(id);
+    ended.put(id, result);
+    record(id, HistoryEvent.Kind.END, result, atNanos);
+  }
+
+  private void record(String id, HistoryEvent.Kind kind, TaskResult result, long atNanos) {
+    history.add(new HistoryEvent(id, kind, result, atNanos));
+  }
+
+  private SyncAnswer answer(SyncBody body, long nowNanos) {
+    Set<String> renewed = Set.copyOf(body.renew());
+    List<RunningTask> listed =
+        running.values().stream()
+            .filter(t -> body.full() || !renewed.contains(t.id()))
+            .map(t -> report(t, nowNanos))
+            .toList();
+    List<EndedTask> over =
+        ended.entrySet().stream().map(e -> new EndedTask(e.getKey(), e.getValue())).toList();
+    List<String> missing = body.renew().stream().filter(id -> !running.containsKey(id)).toList();
+    return new SyncAnswer(incarnation, listed, over, missing);
+  }
+
+  private RunningTask report(Task task, long nowNanos) {
+    return new RunningTask(
+        task.id(),
+        task.resources(),
+        task.remainingLeaseMillis(nowNanos),
+        task.usageAt(nowNanos, usageLagNanos));
+  }
+}
--- /dev/null
+++ b/cactusspring-standins/src/test/java/io/cactusspring/standins/executor/ExecutorStandInTest.java
@@ -0,0 +1,87 @@
+package io.cactusspring.standins.executor;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.cactusspring.standins.http.ListenAddress;
+import io.cactusspring.standins.http.TestClient;
+import io.vertx.core.Vertx;
+import java.net.http.HttpResponse;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class ExecutorStandInTest {
+  private Vertx vertx;
+  private TestClient client;
+
+  @BeforeEach
+  void start() throws Exception {
+    vertx = Vertx.vertx();
+    ExecutorOptions options = new ExecutorOptions("x1", 1, 1, 60, 0, 1);
+    client =
+        new TestClient(
+            new ExecutorStandIn(vertx, options).listen(new ListenAddress("127.0.0.1", 0)));
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    vertx.close().toCompletionStage().toCompletableFuture().get(20, TimeUnit.SECONDS);
+  }
+
+  @Test
+  void answerCarriesTheRequestAndItsBody() throws Exception {
+    HttpResponse<String> answer = execute("r1", "clipper");
+    assertThat(answer.statusCode()).isEqualTo(200);
+    assertThat(answer.headers().firstValue("x-request-id")).hasValue("r1");
+    assertThat(answer.headers().firstValue("content-length")).isPresent();
+    assertThat(answer.body())
+        .isEqualTo("{\"request\":\"r1\",\"executor\":\"x1\",\"echo\":\"clipper\"}");
+  }
+
+  @Test
+  void fullExecutorRefusesAsNotRun() throws Exception {
+    client.post("/admin", "{\"slowMillis\":60000}");
+    CompletableFuture<HttpResponse<String>> first = executeLater("r1");
+    await("\"executions\":1");
+    HttpResponse<String> refused = execute("r2", "");
+    assertThat(refused.statusCode()).isEqualTo(503);
+    assertThat(refused.headers().firstValue("x-not-run")).hasValue("true");
+    assertThat(client.get("/admin/history").body())
+        .isEqualTo("[{\"request\":\"r1\",\"attempt\":1}]");
+    first.cancel(true);
+  }
+
+  @Test
+  void leavingExecutorRefusesAsNotRun() throws Exception {
+    client.post("/admin", "{\"leaving\":true}");
+    assertThat(execute("r1", "").headers().firstValue("x-not-run")).hasValue("true");
+    assertThat(client.get("/admin/history").body()).isEqualTo("[]");
+  }
+
+  @Test
+  void silentExecutorRunsAndDoesNotAnswer() throws Exception {
+    client.post("/admin", "{\"silent\":true}");
+    CompletableFuture<HttpResponse<String>> first = executeLater("r1");
+    await("\"executions\":1");
+    assertThat(first.isDone()).isFalse();
+    first.cancel(true);
+  }
+
+  private HttpResponse<String> execute(String id, String body) throws Exception {
+    return client.post("/execute", body, "x-request-id", id, "x-attempt", "1");
+  }
+
+  private CompletableFuture<HttpResponse<String>> executeLater(String id) {
+    return client.postLater("/execute", "", "x-request-id", id);
+  }
+
+  private void await(String stats) throws Exception {
+    long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+    while (!client.get("/admin/stats").body().contains(stats)) {
+      assertThat(System.nanoTime() - deadline).isLessThan(0L);
+      Thread.sleep(10);
+    }
+  }
+}
