--- /dev/null
+++ b/bin/quickstart.d/steps.sh
@@ -0,0 +1,376 @@
+# Sourced by bin/quickstart: the steps, each of which checks the answers that it gets.
+
+readonly OPS_SECRET=ops-secret
+readonly COUNTER_SECRET=counter-secret
+readonly PLANS_SECRET=plans-secret
+readonly LATE_SECRET=late-secret
+readonly SMALL_TASK='{"resources":{"milliProcessors":1000,"memoryMib":512,"accelerators":0}'
+
+run_steps() {
+  step_start
+  [ "$step_failed" -eq 0 ] || return 0
+  step_note
+  step_bad_note
+  step_requests
+  step_request_refusals
+  step_batch
+  step_gang
+  step_replicas
+  step_withdrawn_key
+  step_leaving_endpoint
+  step_graceful_shutdown
+  step_open_queue
+  step_violations
+}
+
+# cactusspring NAME ARGUMENT...: runs the command-line tool at the first entry host with a key file.
+cactusspring() {
+  local key=$1
+  shift
+  "$root/bin/cactusspring" "$@" --host "http://${entry_addresses[0]}" --key-file "$work/$key.key" 2>&1
+}
+
+# as KEY: prints the header that carries a key.
+as() {
+  printf 'authorization: Bearer %s' "$(cat "$work/$1.key")"
+}
+
+key_item() {
+  printf '{"change":"add","item":{"kind":"key","name":"%s",%s,"salt":"%s","hash":"%s"}}' \
+    "$1" "$2" "$SALT" "$(key_hash "$3")"
+}
+
+team_item() {
+  printf '{"change":"add","item":{"kind":"team","name":"%s","share":%d,"maxRunning":%d,"open":%s}}' "$@"
+}
+
+zone_item() {
+  printf '{"change":"add","item":{"kind":"zone","name":"%s","region":"riga","shards":1,"entryHosts":["%s-1","%s-2"]}}' \
+    "$1" "$1" "$1"
+}
+
+write_first_note() {
+  local zone
+  {
+    printf '{"id":"first","operator":"boot","changes":['
+    for zone in "${ZONES[@]}"; do printf '%s,' "$(zone_item "$zone")"; done
+    printf '%s,' "$(team_item counter 4 200 false)" "$(team_item plans 2 50 false)" \
+      "$(team_item walk-in 1 2 true)"
+    printf '%s,' "$(key_item ops '"operator":true' "$OPS_SECRET")" \
+      "$(key_item counter '"team":"counter"' "$COUNTER_SECRET")" \
+      "$(key_item plans '"team":"plans"' "$PLANS_SECRET")" \
+      "$(key_item late '"team":"counter"' "$LATE_SECRET")"
+    printf '{"change":"add","item":{"kind":"service","name":"ordering","team":"counter","replicas":0}},'
+    printf '{"change":"add","item":{"kind":"service","name":"feed","team":"plans","replicas":3,"task":%s}}}' "$SMALL_TASK"
+    printf '}]}'
+  } >"$work/first.json"
+  echo "boot.$BOOT_SECRET" >"$work/boot.key"
+  echo "ops.$OPS_SECRET" >"$work/ops.key"
+  echo "counter.$COUNTER_SECRET" >"$work/counter.key"
+  echo "plans.$PLANS_SECRET" >"$work/plans.key"
+  echo "late.$LATE_SECRET" >"$work/late.key"
+  chmod 600 "$work"/*.key
+}
+
+step_start() {
+  step "0 the platform's stand-ins and six entry hosts start"
+  start_platform
+  entry_hosts_started=$(now_millis)
+  start_entry_hosts
+  entry_hosts_ready=$(now_millis)
+  end_step
+}
+
+# knows_revision ADDRESS REVISION: whether an entry host has that revision in force, or a later one.
+knows_revision() {
+  http GET "$1" /v1/status '' "$(as ops)"
+  local revision
+  revision=$(json_field revision)
+  [ "$HTTP_STATUS" = 200 ] && [ "${revision:-0}" -ge "$2" ]
+}
+
+await_revision_everywhere() {
+  local revision=$1 i
+  for i in "${!entry_addresses[@]}"; do
+    await 10 "revision $revision in force on ${entry_names[$i]}" \
+      knows_revision "${entry_addresses[$i]}" "$revision"
+  done
+}
+
+step_note() {
+  step "1 a release note is accepted and in force on every entry host"
+  write_first_note
+  local answer
+  answer=$(cactusspring boot note apply "$work/first.json" --output json)
+  check_contains 'answer to the note' "$answer" '"accepted":true'
+  HTTP_BODY=$answer
+  local revision
+  revision=$(json_field revision)
+  await_revision_everywhere "${revision:-1}"
+  answer=$(cactusspring ops note status)
+  check_contains 'revision shown' "$answer" "${revision:-1}"
+  end_step
+}
+
+step_bad_note() {
+  step "1 a note with a negative share or a missing team is refused whole"
+  local before
+  http GET "${entry_addresses[0]}" /v1/configuration '' "$(as ops)"
+  before=$HTTP_BODY
+  local note='{"id":"bad","operator":"ops","changes":['
+  note+="$(team_item good 1 1 false),$(team_item bad -1 1 false)]}"
+  http POST "${entry_addresses[0]}" /v1/notes "$note" "$(as ops)"
+  check_equal 'status of a negative share' "$HTTP_STATUS" 422
+  note='{"id":"bad2","operator":"ops","changes":['
+  note+="$(key_item stray '"team":"nobody"' x)]}"
+  http POST "${entry_addresses[0]}" /v1/notes "$note" "$(as ops)"
+  check_equal 'status of a missing team' "$HTTP_STATUS" 422
+  check_contains 'reason' "$HTTP_BODY" note-invalid
+  http GET "${entry_addresses[0]}" /v1/configuration '' "$(as ops)"
+  check_equal 'configuration after' "$HTTP_BODY" "$before"
+  end_step
+}
+
+step_requests() {
+  step "2 requests are answered whole, each with its own answer"
+  local answer i
+  answer=$(cactusspring counter request ordering --body clipper --idempotent)
+  check_contains 'idempotent request' "$answer" '"echo":"clipper"'
+  answer=$(cactusspring counter request ordering --body razor)
+  check_contains 'non-idempotent request' "$answer" '"echo":"razor"'
+  for i in "${!entry_addresses[@]}"; do
+    http POST "${entry_addresses[$i]}" /v1/services/ordering/requests "pomade-$i" \
+      "$(as counter)" "x-request-id: own-$i" 'content-type: text/plain'
+    check_equal "status at ${entry_names[$i]}" "$HTTP_STATUS" 200
+    check_contains "answer at ${entry_names[$i]}" "$HTTP_BODY" "\"request\":\"own-$i\""
+    check_contains "answer at ${entry_names[$i]}" "$HTTP_BODY" "\"echo\":\"pomade-$i\""
+  done
+  end_step
+}
+
+# check_refused WHAT STATUS REASON
+check_refused() {
+  check_equal "status of $1" "$HTTP_STATUS" "$2"
+  check_contains "body of $1" "$HTTP_BODY" "\"reason\":\"$3\""
+}
+
+step_request_refusals() {
+  step "2 refusals are typed and say whether the request ran"
+  local entry=${entry_addresses[1]} path=/v1/services/ordering/requests
+  http POST "$entry" $path x
+  check_refused 'no key' 401 missing-key
+  check_contains 'no key' "$HTTP_BODY" '"ran":"NO"'
+  http POST "$entry" $path x 'authorization: Bearer nobody.wrong'
+  check_refused 'an unknown key' 401 unknown-key
+  http POST "$entry" /v1/services/nothing/requests x "$(as counter)"
+  check_refused 'an unknown service' 404 unknown-service
+  http POST "$entry" $path x "$(as counter)" 'x-deadline-millis: soon'
+  check_refused 'a malformed header' 400 bad-header
+  http POST "$entry" /v1/submissions '{"tasks":' "$(as plans)"
+  check_refused 'a malformed body' 400 malformed-body
+  http POST "$entry" /v1/submissions '<xml/>' "$(as plans)" 'content-type: text/xml'
+  check_refused 'a wrong content type' 415 content-type
+  http POST "$entry" /v1/notes "$(cat "$work/first.json")" "$(as counter)"
+  check_refused "a team's key for a note" 403 not-an-operator
+  end_step
+}
+
+# submission ID TEAM GANG TASKS EXPECTED_MILLIS IDEMPOTENT
+submission() {
+  printf '{"id":"%s","team":"%s","gang":%s,"tasks":%d,"task":%s,"expectedMillis":%d,"idempotent":%s}}' \
+    "$1" "$2" "$3" "$4" "$SMALL_TASK" "$5" "$6"
+}
+
+# counts_are ADDRESS ID KEY COUNTS: whether a submission's runs are counted so.
+counts_are() {
+  http GET "$1" "/v1/submissions/$2" '' "$(as "$3")"
+  [[ $HTTP_BODY == *"\"counts\":{$4}"* ]]
+}
+
+# starts_of ID: prints how often tasks of a submission were started, over all workers.
+starts_of() {
+  local address count=0
+  for address in "${worker_addresses[@]}"; do
+    http GET "$address" /admin/history
+    count=$((count + $(grep -o "\"task\":\"$1#[^\"]*\",\"event\":\"START\"" <<<"$HTTP_BODY" | wc -l)))
+  done
+  echo "$count"
+}
+
+step_batch() {
+  step "3 a batch runs once and its outcome is read at another entry host"
+  submission nightly plans false 5 300 false >"$work/nightly.json"
+  check_contains 'answer to the batch' "$(cactusspring plans submit "$work/nightly.json")" nightly
+  await 20 'batch succeeds' counts_are "${entry_addresses[5]}" nightly plans '"SUCCEEDED":5'
+  check_equal 'starts of the batch' "$(starts_of nightly)" 5
+  http POST "${entry_addresses[3]}" /v1/submissions "$(cat "$work/nightly.json")" "$(as plans)"
+  check_equal 'the same submission again' "$HTTP_STATUS" 202
+  http POST "${entry_addresses[3]}" /v1/submissions \
+    "$(submission nightly plans false 6 300 false)" "$(as plans)"
+  check_refused 'another submission of that id' 409 submission-conflict
+  check_equal 'starts of the batch after' "$(starts_of nightly)" 5
+  submission waste plans false 2 600000 true >"$work/waste.json"
+  cactusspring plans submit "$work/waste.json" >/dev/null
+  check_contains 'cancel' "$(cactusspring plans cancel waste)" waste
+  await 20 'cancelled' counts_are "${entry_addresses[2]}" waste plans '"CANCELLED":2'
+  end_step
+}
+
+step_gang() {
+  step "4 a gang starts whole, and one that can never fit starts no task"
+  http POST "${entry_addresses[0]}" /v1/submissions \
+    "$(submission moulds plans true 4 300 true)" "$(as plans)"
+  check_equal 'status of the gang' "$HTTP_STATUS" 202
+  await 20 'gang succeeds' counts_are "${entry_addresses[4]}" moulds plans '"SUCCEEDED":4'
+  local huge
+  huge=$(submission giant plans true 3 300 true)
+  huge=${huge/'"milliProcessors":1000'/'"milliProcessors":900000'}
+  http POST "${entry_addresses[0]}" /v1/submissions "$huge" "$(as plans)"
+  await 20 'told that it can never run' counts_are "${entry_addresses[4]}" giant plans '"INFEASIBLE":3'
+  check_equal 'starts of the gang that never fits' "$(starts_of giant)" 0
+  end_step
+}
+
+# feed_workers: prints the indexes of workers on which a replica of the feed runs.
+feed_workers() {
+  local i task
+  for i in "${!worker_addresses[@]}"; do
+    http GET "${worker_addresses[$i]}" /admin/history
+    for task in $(grep -o '"task":"service:feed#[^"]*","event":"START"' <<<"$HTTP_BODY" | cut -d'"' -f4); do
+      [[ $HTTP_BODY == *"\"task\":\"$task\",\"event\":\"END\""* ]] || echo "$i"
+    done
+  done
+}
+
+replicas_are() {
+  [ "$(feed_workers | wc -l)" -eq "$1" ]
+}
+
+step_replicas() {
+  step "5 a service keeps its replicas when a worker is lost, and requests go on"
+  await 20 'three replicas run' replicas_are 3
+  lost_worker=$(feed_workers | head -n 1)
+  kill -KILL "${pid_of[w${lost_worker:-0}]}"
+  http POST "$hosts_address" "/admin/hosts/w${lost_worker:-0}" '{"removed":true}'
+  http POST "${entry_addresses[2]}" /v1/services/ordering/requests meanwhile "$(as counter)" \
+    'content-type: text/plain'
+  check_equal 'request meanwhile' "$HTTP_STATUS" 200
+  await 40 'three replicas run again' replicas_are 3
+  end_step
+}
+
+is_refused_at() {
+  http POST "$1" /v1/services/ordering/requests x "$(as late)" 'content-type: text/plain'
+  [ "$HTTP_STATUS" = 401 ]
+}
+
+step_withdrawn_key() {
+  step "6 a withdrawn key is refused at every entry host"
+  local i
+  http POST "${entry_addresses[4]}" /v1/services/ordering/requests x "$(as late)" \
+    'content-type: text/plain'
+  check_equal 'status before' "$HTTP_STATUS" 200
+  http GET "${entry_addresses[0]}" /v1/configuration '' "$(as ops)"
+  HTTP_BODY=$(grep -o '"path":"key/late","revision":[0-9]*' <<<"$HTTP_BODY")
+  printf '{"id":"withdraw-late","operator":"ops","changes":[{"change":"withdraw","item":"key/late","basedOn":%d}]}' \
+    "$(json_field revision)" >"$work/withdraw.json"
+  check_contains 'answer to the note' \
+    "$(cactusspring ops note apply "$work/withdraw.json" --output json)" '"accepted":true'
+  for i in "${!entry_addresses[@]}"; do
+    await 10 "key refused at ${entry_names[$i]}" is_refused_at "${entry_addresses[$i]}"
+  done
+  end_step
+}
+
+executions_of() {
+  http GET "$1" /admin/stats
+  json_field executions
+}
+
+step_leaving_endpoint() {
+  step "6 a leaving endpoint receives no new work after a few seconds"
+  local i before
+  http POST "$hosts_address" /admin/hosts/x0 '{"leaving":true}'
+  check_equal 'marked as leaving' "$HTTP_STATUS" 200
+  sleep 4
+  before=$(executions_of "${executor_addresses[0]}")
+  for i in {0..29}; do
+    http POST "${entry_addresses[$((i % 6))]}" /v1/services/ordering/requests x "$(as counter)" \
+      'content-type: text/plain'
+    check_equal 'request while it leaves' "$HTTP_STATUS" 200
+  done
+  check_equal 'its executions' "$(executions_of "${executor_addresses[0]}")" "$before"
+  end_step
+}
+
+step_graceful_shutdown() {
+  step "6 SIGTERM cuts off no request"
+  local i address senders=() victim=${entry_names[5]}
+  for address in "${executor_addresses[@]}"; do
+    http POST "$address" /admin '{"slowMillis":1500}'
+  done
+  for i in {0..7}; do
+    (
+      http POST "${entry_addresses[5]}" /v1/services/ordering/requests "open-$i" "$(as counter)" \
+        'content-type: text/plain'
+      echo "$HTTP_STATUS $HTTP_BODY" >"$work/open-$i"
+    ) &
+    senders+=("$!")
+  done
+  sleep 0.7
+  kill -TERM "${pid_of[$victim]}"
+  wait "${senders[@]}"
+  for i in {0..7}; do
+    check_contains "request $i at the shutdown" "$(cat "$work/open-$i")" "\"echo\":\"open-$i\""
+  done
+  await 20 "$victim ends" has_ended "${pid_of[$victim]}"
+  for address in "${executor_addresses[@]}"; do
+    http POST "$address" /admin '{"slowMillis":0}'
+  done
+  restart_started=$(now_millis)
+  start_entry_host 5
+  await 30 "$victim ready again" is_ready "${entry_addresses[5]}"
+  restart_ready=$(now_millis)
+  end_step
+}
+
+has_ended() {
+  ! kill -0 "$1" 2>/dev/null
+}
+
+step_open_queue() {
+  step "7 an open queue takes work without a key, under its own limit"
+  http POST "${entry_addresses[3]}" /v1/submissions "$(submission visitors walk-in false 6 300 true)"
+  check_equal 'status without a key' "$HTTP_STATUS" 202
+  await 30 'its runs succeed' visitors_done
+  check_equal 'most of its tasks at once' "$(most_at_once visitors)" 2
+  http POST "${entry_addresses[3]}" /v1/submissions "$(submission stray plans false 1 300 true)"
+  check_refused "a team's work without a key" 401 missing-key
+  end_step
+}
+
+visitors_done() {
+  http GET "${entry_addresses[1]}" /v1/submissions/visitors
+  [[ $HTTP_BODY == *'"counts":{"SUCCEEDED":6}'* ]]
+}
+
+# most_at_once ID: prints the most tasks of a submission that ran at once, from the histories.
+most_at_once() {
+  local address
+  for address in "${worker_addresses[@]}"; do
+    http GET "$address" /admin/history
+    grep -o "{\"task\":\"$1#[^}]*}" <<<"$HTTP_BODY"
+  done | sed 's/.*"event":"\([A-Z]*\)".*"atNanos":\([0-9]*\).*/\2 \1/' | sort -n \
+    | awk '{ n += ($2 == "START") ? 1 : -1; if (n > most) most = n } END { print most + 0 }'
+}
+
+step_violations() {
+  step "  no worker was overcommitted and no run ran twice at once"
+  local i
+  for i in "${!worker_addresses[@]}"; do
+    [ "$i" = "${lost_worker-}" ] && continue
+    http GET "${worker_addresses[$i]}" /admin/violations
+    check_equal "violations of w$i" "$HTTP_BODY" '{"overcommits":0,"doubleRuns":0}'
+  done
+  end_step
+}
