--- a/bin/quickstart.d/figures.sh
+++ b/bin/quickstart.d/figures.sh
@@ -12,6 +12,11 @@
     rss=$(sed -n 's/^VmRSS:[^0-9]*\([0-9]*\).*/\1/p' "/proc/${pid_of[$name]}/status" 2>/dev/null)
     [ -n "$rss" ] && echo "resident memory of entry host $name: $((rss / 1024)) MB"
   done
+  local address
+  for address in "${executor_addresses[@]}"; do
+    http POST "$address" /admin '{"serviceMillis":0}'
+  done
+  echo "latency of requests without service time, straight to an executor and through an entry host:"
   "$root/bin/standin" load --requests "$LOAD_REQUESTS" --key "counter.$COUNTER_SECRET" \
     --direct "http://${executor_addresses[1]}/execute" \
     --entry "http://${entry_addresses[1]}/v1/services/ordering/requests"
--- a/bin/quickstart.d/steps.sh
+++ b/bin/quickstart.d/steps.sh
@@ -62,7 +62,7 @@
       "$(key_item late '"team":"counter"' "$LATE_SECRET")"
     printf '{"change":"add","item":{"kind":"service","name":"ordering","team":"counter","replicas":0}},'
     printf '{"change":"add","item":{"kind":"service","name":"feed","team":"plans","replicas":3,"task":%s}}}' "$SMALL_TASK"
-    printf '}]}'
+    printf ']}'
   } >"$work/first.json"
   echo "boot.$BOOT_SECRET" >"$work/boot.key"
   echo "ops.$OPS_SECRET" >"$work/ops.key"
--- a/cactusspring-core/src/main/java/io/cactusspring/core/membership/ClaimPolicy.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/membership/ClaimPolicy.java
@@ -65,9 +65,7 @@
    * superseded.
    */
   public void settle(ClusterState state) {
-    outstanding
-        .entrySet()
-        .removeIf(e -> epoch(state, e.getKey()) != e.getValue().supersedes());
+    outstanding.entrySet().removeIf(e -> epoch(state, e.getKey()) != e.getValue().supersedes());
   }
 
   /**
--- a/cactusspring-core/src/main/java/io/cactusspring/core/membership/PeerTable.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/membership/PeerTable.java
@@ -32,8 +32,7 @@
       String name, String incarnation, long nextOffset, boolean draining, long nowMillis) {
     peers.computeIfPresent(
         name,
-        (n, p) ->
-            new Peer(n, p.zone(), Optional.of(incarnation), nowMillis, nextOffset, draining));
+        (n, p) -> new Peer(n, p.zone(), Optional.of(incarnation), nowMillis, nextOffset, draining));
   }
 
   public Optional<Peer> peer(String name) {
--- a/cactusspring-core/src/main/java/io/cactusspring/core/membership/package-info.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/membership/package-info.java
@@ -1,2 +1,4 @@
-/** Which entry host may act for a shard, decided from heartbeats and reads of the platform's log. */
+/**
+ * Which entry host may act for a shard, decided from heartbeats and reads of the platform's log.
+ */
 package io.cactusspring.core.membership;
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/cell/Cell.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/cell/Cell.java
@@ -127,8 +127,7 @@
     if (recent.isEmpty() || recent.peekFirst().offset() > offset) {
       return Optional.empty();
     }
-    return Optional.of(
-        recent.stream().filter(e -> e.offset() >= offset).limit(limit).toList());
+    return Optional.of(recent.stream().filter(e -> e.offset() >= offset).limit(limit).toList());
   }
 
   private void apply(LogRead.Entry entry) {
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/cell/package-info.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/cell/package-info.java
@@ -1,2 +1,4 @@
-/** The replayed state of the cell behind its lock, and what was heard of the cell's surroundings. */
+/**
+ * The replayed state of the cell behind its lock, and what was heard of the cell's surroundings.
+ */
 package io.cactusspring.daemon.cell;
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/peers/PeerMesh.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/peers/PeerMesh.java
@@ -70,10 +70,7 @@
 
   /** Starts to accept peers' connections. */
   public Future<Void> listen(Address address) {
-    return server
-        .connectHandler(this::accept)
-        .listen(address.port(), address.host())
-        .mapEmpty();
+    return server.connectHandler(this::accept).listen(address.port(), address.host()).mapEmpty();
   }
 
   /** Sends a heartbeat to every peer. */
@@ -178,8 +175,7 @@
 
     private void heard(Heartbeat heartbeat) {
       long sentAt = link().heard(peer.getIncarnation(), heartbeat);
-      boolean promise =
-          handler.heard(peer.getName(), peer.getIncarnation(), heartbeat, sentAt);
+      boolean promise = handler.heard(peer.getName(), peer.getIncarnation(), heartbeat, sentAt);
       link().promise(promise);
     }
 
--- a/cactusspring-standins/src/main/java/io/cactusspring/standins/executor/Executor.java
+++ b/cactusspring-standins/src/main/java/io/cactusspring/standins/executor/Executor.java
@@ -20,13 +20,14 @@
   private final SlotTable table;
   private final ServiceTimes times;
   private final JsonServer server;
-  private ExecutorSwitches switches = ExecutorSwitches.OFF;
+  private ExecutorSwitches switches;
 
   Executor(Vertx vertx, ExecutorOptions options, int index) {
     this.vertx = vertx;
     name = options.nameOf(index);
     table = new SlotTable(options.slots(), options.connections());
-    times = new ServiceTimes(options.serviceMillis(), new Random(options.seed() + index));
+    times = new ServiceTimes(new Random(options.seed() + index));
+    switches = ExecutorSwitches.off(options.serviceMillis());
     server = new JsonServer(vertx);
     server.onConnection(this::onConnection);
     server.handle(HttpMethod.POST, "/execute", this::onExecute);
@@ -105,7 +106,7 @@
   }
 
   private synchronized long serviceMillis() {
-    return times.nextMillis() + switches.slowMillis();
+    return times.nextMillis(switches.serviceMillis()) + switches.slowMillis();
   }
 
   private synchronized ExecutorSwitches current() {
--- a/cactusspring-standins/src/main/java/io/cactusspring/standins/executor/ServiceTimes.java
+++ b/cactusspring-standins/src/main/java/io/cactusspring/standins/executor/ServiceTimes.java
@@ -6,16 +6,14 @@
 final class ServiceTimes {
   private static final int CAP_MEANS = 10;
 
-  private final double meanMillis;
   private final RandomGenerator random;
 
-  ServiceTimes(double meanMillis, RandomGenerator random) {
-    this.meanMillis = meanMillis;
+  ServiceTimes(RandomGenerator random) {
     this.random = random;
   }
 
   /** Returns the next service time in whole milliseconds. */
-  long nextMillis() {
+  long nextMillis(double meanMillis) {
     double drawn = random.nextExponential() * meanMillis;
     return Math.round(Math.min(drawn, meanMillis * CAP_MEANS));
   }
