Fuzz the core in virtual time against the truth

Cause: claims, owners, leases and limits were not held against faults together. Change: four entry hosts with the real state, authority, claim policy and shard owners; a log, a network and workers that fail; an oracle of what really runs.

--- a/cactusspring-core/src/main/java/io/cactusspring/core/state/RunRules.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/state/RunRules.java
@@ -169,12 +169,10 @@
     return w.cancelled(i) ? Outcome.CANCELLED : null;
   }
 
-  /** A gang that lost a member for good can never start whole; what waits of it ends. */
+  /** A gang that may not run again can never start whole once a member has ended. */
   private List<End> endGangThatCannotStart(Workload w) {
-    boolean isBroken =
-        w.gang
-            && w.indexes(RunState.ENDED).mapToObj(w::outcome).anyMatch(o -> o == Outcome.UNKNOWN);
-    if (!isBroken) {
+    boolean isOver = w.indexes(RunState.ENDED).findAny().isPresent();
+    if (!w.gang || w.spec().idempotent() || !isOver) {
       return List.of();
     }
     List<Integer> waiting = w.indexes(RunState.PENDING).boxed().toList();
--- /dev/null
+++ b/cactusspring-core/src/test/java/io/cactusspring/core/fuzz/FakeLog.java
@@ -0,0 +1,69 @@
+package io.cactusspring.core.fuzz;
+
+import io.cactusspring.core.model.LogRecord;
+import io.cactusspring.core.state.ClusterState;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+
+/** The platform's log, with what it does to appends in an outage. */
+final class FakeLog {
+  /** How the log answers. */
+  enum Mode {
+    UP,
+    REFUSING,
+    SILENT,
+    /** Appends take effect and their answers are lost. */
+    LOSING_ANSWERS,
+    /** Appends take effect seconds later and their answers are lost. */
+    LANDING_LATE
+  }
+
+  private static final long FIRST_OFFSET = 1;
+
+  private final List<LogRecord> records = new ArrayList<>();
+  private final ClusterState reference = new ClusterState();
+  private final List<Long> times = new ArrayList<>();
+  private final Events events;
+  private Mode mode = Mode.UP;
+
+  FakeLog(Events events) {
+    this.events = events;
+  }
+
+  Mode mode() {
+    return mode;
+  }
+
+  void mode(Mode next) {
+    mode = next;
+  }
+
+  /** State of a host that has read everything. */
+  ClusterState reference() {
+    return reference;
+  }
+
+  long append(LogRecord r) {
+    records.add(r);
+    times.add(events.now());
+    long offset = records.size();
+    reference.apply(offset, r);
+    return offset;
+  }
+
+  List<LogRecord> from(long offset) {
+    return List.copyOf(records.subList((int) (offset - FIRST_OFFSET), records.size()));
+  }
+
+  List<LogRecord> all() {
+    return from(FIRST_OFFSET);
+  }
+
+  /** The records as text, with the true times of their appends. */
+  List<String> lines() {
+    return IntStream.range(0, records.size())
+        .mapToObj(i -> "%d at %d ms: %s".formatted(i + 1, times.get(i), records.get(i)))
+        .toList();
+  }
+}
--- /dev/null
+++ b/cactusspring-core/src/test/java/io/cactusspring/core/fuzz/FakeWorker.java
@@ -0,0 +1,151 @@
+package io.cactusspring.core.fuzz;
+
+import io.cactusspring.core.model.Resources;
+import io.cactusspring.core.model.TaskId;
+import io.cactusspring.core.model.TaskSpec;
+import io.cactusspring.core.model.WorkerInfo;
+import io.cactusspring.core.shard.OwnerCommand;
+import io.cactusspring.core.shard.StartAnswer;
+import io.cactusspring.core.shard.TaskResult;
+import io.cactusspring.core.shard.WorkerReport;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/** A worker's agent: keeps to epochs and leases, and to nothing else. */
+final class FakeWorker {
+  static final String FAILING_PAYLOAD = "fail";
+
+  private final WorkerInfo info;
+  private final Clock clock;
+  private final Events events;
+  private final Truth truth;
+  private final TreeMap<TaskId, Running> running = new TreeMap<>();
+  private final TreeMap<TaskId, TaskResult> ended = new TreeMap<>();
+  private int incarnation;
+  private long highestEpoch;
+  private long leaseMillis;
+  boolean failsStarts;
+
+  private static final class Running {
+    private final TaskSpec spec;
+    private long lapsesAt;
+
+    Running(TaskSpec spec, long lapsesAt) {
+      this.spec = spec;
+      this.lapsesAt = lapsesAt;
+    }
+  }
+
+  FakeWorker(WorkerInfo info, Clock clock, Events events, Truth truth, long leaseMillis) {
+    this.info = info;
+    this.clock = clock;
+    this.events = events;
+    this.truth = truth;
+    this.leaseMillis = leaseMillis;
+  }
+
+  WorkerInfo info() {
+    return info;
+  }
+
+  /** Grants leases of another length from now on. */
+  void leaseMillis(long millis) {
+    leaseMillis = millis;
+  }
+
+  StartAnswer start(long epoch, OwnerCommand.Start s) {
+    if (epoch < highestEpoch) {
+      return StartAnswer.FENCED;
+    }
+    highestEpoch = epoch;
+    if (running.containsKey(s.task()) || ended.containsKey(s.task())) {
+      return StartAnswer.STARTED;
+    }
+    if (failsStarts) {
+      return StartAnswer.NOT_RUN;
+    }
+    running.put(s.task(), new Running(s.spec(), leaseEnd()));
+    truth.began(info, s.task(), s.spec());
+    watchLease(s.task());
+    if (s.spec().expectedMillis() > 0) {
+      int born = incarnation;
+      events.after(s.spec().expectedMillis(), () -> finish(s.task(), born));
+    }
+    return StartAnswer.STARTED;
+  }
+
+  /** Returns empty if the epoch is too low. */
+  Optional<WorkerReport> sync(long epoch, OwnerCommand.Sync s) {
+    if (epoch < highestEpoch) {
+      return Optional.empty();
+    }
+    highestEpoch = epoch;
+    s.renew().stream().map(running::get).forEach(this::renew);
+    s.stop().forEach(t -> end(t, TaskResult.STOPPED));
+    s.checkpoint().forEach(t -> end(t, TaskResult.CHECKPOINTED));
+    s.forget().forEach(ended::remove);
+    return Optional.of(report());
+  }
+
+  /** Replaces the agent; all that ran on it is gone. */
+  void restart() {
+    List.copyOf(running.keySet()).forEach(t -> end(t, TaskResult.LAPSED));
+    ended.clear();
+    highestEpoch = 0;
+    incarnation++;
+  }
+
+  private void renew(Running r) {
+    if (r != null) {
+      r.lapsesAt = leaseEnd();
+    }
+  }
+
+  private WorkerReport report() {
+    List<WorkerReport.Running> runs =
+        running.entrySet().stream()
+            .map(e -> new WorkerReport.Running(e.getKey(), resources(e.getValue()), null))
+            .toList();
+    List<WorkerReport.Ended> ends =
+        ended.entrySet().stream()
+            .map(e -> new WorkerReport.Ended(e.getKey(), e.getValue()))
+            .toList();
+    return new WorkerReport(info.name() + "-" + incarnation, runs, ends);
+  }
+
+  private static Resources resources(Running r) {
+    return r.spec.resources();
+  }
+
+  private long leaseEnd() {
+    return events.now() + clock.trueDuration(leaseMillis);
+  }
+
+  private void watchLease(TaskId task) {
+    Running r = running.get(task);
+    if (r == null) {
+      return;
+    }
+    if (events.now() >= r.lapsesAt) {
+      end(task, TaskResult.LAPSED);
+    } else {
+      events.after(r.lapsesAt - events.now(), () -> watchLease(task));
+    }
+  }
+
+  private void finish(TaskId task, int born) {
+    Running r = running.get(task);
+    if (r != null && born == incarnation) {
+      boolean fails = r.spec.payload().equals(FAILING_PAYLOAD);
+      end(task, fails ? TaskResult.FAILED : TaskResult.SUCCEEDED);
+    }
+  }
+
+  private void end(TaskId task, TaskResult result) {
+    if (running.remove(task) != null) {
+      ended.put(task, result);
+      truth.ended(info, task, result);
+    }
+  }
+}
--- /dev/null
+++ b/cactusspring-core/src/test/java/io/cactusspring/core/fuzz/Fuzz.java
@@ -0,0 +1,105 @@
+package io.cactusspring.core.fuzz;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.Collectors;
+import net.jqwik.api.RandomGenerator;
+import net.jqwik.api.Shrinkable;
+
+/** Draws sequences of commands, runs them, and shrinks one that breaks an invariant. */
+final class Fuzz {
+  private static final int GENERATOR_SIZE = 1_000;
+  private static final int MAX_SHRINKS = 2_000;
+
+  /** Time in which the first owners take their shards. */
+  private static final long START_MILLIS = 8_000;
+
+  private final long seed;
+  private final Set<Guards> guards;
+
+  /**
+   * A sequence that breaks an invariant.
+   *
+   * @param tries how many sequences were run until it was found
+   */
+  record Failure(
+      long seed, int tries, List<Command> steps, List<String> violations, List<String> log) {
+    private static final int LOG_LINES = 40;
+
+    @Override
+    public String toString() {
+      String lines = steps.stream().map(c -> "  " + c + "\n").collect(Collectors.joining());
+      String found = violations.stream().limit(5).collect(Collectors.joining("\n  "));
+      String records =
+          String.join("\n  ", log.subList(Math.max(0, log.size() - LOG_LINES), log.size()));
+      return "seed %d, try %d, shrunk steps:\n%s  %s\nlog:\n  %s"
+          .formatted(seed, tries, lines, found, records);
+    }
+  }
+
+  Fuzz(long seed, Set<Guards> guards) {
+    this.seed = seed;
+    this.guards = guards;
+  }
+
+  /** Runs sequences until one fails. */
+  Optional<Failure> run(int tries) {
+    Random random = new Random(seed);
+    RandomGenerator<List<Command>> generator = Command.sequences().generator(GENERATOR_SIZE);
+    for (int i = 1; i <= tries; i++) {
+      Shrinkable<List<Command>> next = generator.next(random);
+      if (!violations(next.value()).isEmpty()) {
+        List<Command> steps = shrink(next);
+        World world = played(steps);
+        List<String> log = world.log().lines();
+        return Optional.of(new Failure(seed, i, steps, world.truth().violations(), log));
+      }
+    }
+    return Optional.empty();
+  }
+
+  private List<String> violations(List<Command> steps) {
+    return played(steps).truth().violations();
+  }
+
+  private World played(List<Command> steps) {
+    World world = new World(seed, guards);
+    try {
+      run(world, steps);
+    } catch (IllegalStateException | IllegalArgumentException | NullPointerException e) {
+      StackTraceElement at = e.getStackTrace()[0];
+      world.truth().check(false, e + " at " + at);
+    }
+    return world;
+  }
+
+  private static void run(World world, List<Command> steps) {
+    world.events().runFor(START_MILLIS);
+    for (int i = 0; i < steps.size() && world.truth().violations().isEmpty(); i++) {
+      steps.get(i).run(world, i);
+    }
+    if (world.truth().violations().isEmpty()) {
+      new FinalChecks(world).run();
+    }
+  }
+
+  private List<Command> shrink(Shrinkable<List<Command>> failing) {
+    Shrinkable<List<Command>> best = failing;
+    int left = MAX_SHRINKS;
+    boolean isSmaller = true;
+    while (isSmaller && left > 0) {
+      isSmaller = false;
+      for (Shrinkable<List<Command>> s : best.shrink().limit(left).toList()) {
+        left--;
+        if (!violations(s.value()).isEmpty()) {
+          best = s;
+          isSmaller = true;
+          break;
+        }
+      }
+    }
+    return best.value();
+  }
+}
--- /dev/null
+++ b/cactusspring-core/src/test/java/io/cactusspring/core/fuzz/Host.java
@@ -0,0 +1,296 @@
+package io.cactusspring.core.fuzz;
+
+import io.cactusspring.core.membership.Authority;
+import io.cactusspring.core.membership.ClaimPolicy;
+import io.cactusspring.core.membership.PeerTable;
+import io.cactusspring.core.model.AvailabilityZone;
+import io.cactusspring.core.model.LogRecord;
+import io.cactusspring.core.model.ShardId;
+import io.cactusspring.core.shard.OwnerCommand;
+import io.cactusspring.core.shard.Permission;
+import io.cactusspring.core.shard.ShardOwner;
+import io.cactusspring.core.shard.StartAnswer;
+import io.cactusspring.core.shard.WorkerReport;
+import io.cactusspring.core.state.Claim;
+import io.cactusspring.core.state.ClusterState;
+import io.cactusspring.core.state.StateChange;
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/** One process of an entry host: the real decisions, joined to the fakes. */
+final class Host {
+  private static final long READ_TIMEOUT_MILLIS = 1_000;
+  private static final int TICKS_PER_HEARTBEAT = 3;
+  private static final int TICKS_PER_LISTING = 10;
+
+  private final World world;
+  private final String name;
+  private final AvailabilityZone zone;
+  private final String incarnation;
+  private final Clock clock;
+  private final ClusterState state;
+  private final PeerTable peers;
+  private final Authority authority;
+  private final ClaimPolicy policy;
+  private final TreeMap<ShardId, ShardOwner> owners = new TreeMap<>();
+  private final ArrayDeque<Runnable> deferred = new ArrayDeque<>();
+  private final TreeMap<Long, LogRecord> history = new TreeMap<>();
+  private boolean isReading;
+  private boolean isReadable;
+  private boolean hasCaughtUp;
+  private boolean isAlive = true;
+  private boolean isPaused;
+  private int ticks;
+  boolean draining;
+  long pauseAfterTickMillis;
+
+  Host(World world, String name, AvailabilityZone zone, String incarnation, Clock clock) {
+    this.world = world;
+    this.name = name;
+    this.zone = zone;
+    this.incarnation = incarnation;
+    this.clock = clock;
+    state = new ClusterState();
+    peers = new PeerTable(localMillis());
+    world.names().stream().filter(n -> !n.equals(name)).forEach(n -> peers.add(n, World.zoneOf(n)));
+    List<String> zonePeers =
+        world.names().stream()
+            .filter(n -> !n.equals(name) && World.zoneOf(n).equals(zone))
+            .toList();
+    authority = new Authority(World.MEMBERSHIP, zonePeers);
+    policy = new ClaimPolicy(name, incarnation, zone, World.MEMBERSHIP);
+  }
+
+  String name() {
+    return name;
+  }
+
+  ClusterState state() {
+    return state;
+  }
+
+  boolean isAlive() {
+    return isAlive;
+  }
+
+  boolean isWorking() {
+    return isAlive && !isPaused;
+  }
+
+  void kill() {
+    isAlive = false;
+  }
+
+  void pause(long millis) {
+    if (isPaused) {
+      return;
+    }
+    isPaused = true;
+    world.events().after(millis, this::wake);
+  }
+
+  private void wake() {
+    isPaused = false;
+    while (!deferred.isEmpty() && !isPaused) {
+      deferred.poll().run();
+    }
+  }
+
+  /** Does something in this process: later if it is paused, never if it is dead. */
+  void run(Runnable action) {
+    if (isAlive && isPaused) {
+      deferred.add(() -> run(action));
+    } else if (isAlive) {
+      action.run();
+    }
+  }
+
+  void tick() {
+    if (!isWorking()) {
+      return;
+    }
+    ticks++;
+    read();
+    if (ticks % TICKS_PER_HEARTBEAT == 0) {
+      world.others(name).forEach(this::heartbeat);
+    }
+    owners.values().forEach(this::tick);
+    owners.values().stream().filter(ShardOwner::fenced).forEach(o -> distrust());
+    owners.values().removeIf(ShardOwner::fenced);
+    if (hasCaughtUp && logAvailable() && !draining) {
+      policy.settle(state);
+      policy.claims(state, peers, localMillis()).forEach(c -> append(c, r -> {}));
+    }
+    if (pauseAfterTickMillis > 0) {
+      pause(pauseAfterTickMillis);
+      pauseAfterTickMillis = 0;
+    }
+  }
+
+  private void distrust() {
+    authority.distrust(localMillis());
+  }
+
+  private long localMillis() {
+    return clock.read(world.events().now());
+  }
+
+  // The log.
+
+  boolean logAvailable() {
+    return isReadable;
+  }
+
+  /** Appends over the platform, or over a peer that reaches it. */
+  void append(LogRecord r, Consumer<World.Appended> answer) {
+    world.append(this, r, a -> run(() -> answer.accept(a)));
+  }
+
+  private void read() {
+    if (isReading) {
+      return;
+    }
+    isReading = true;
+    long sentAt = localMillis();
+    long from = state.nextOffset();
+    world.read(
+        this, from, answer -> run(() -> readAnswered(sentAt, from, answer)), READ_TIMEOUT_MILLIS);
+  }
+
+  private void readAnswered(long sentAt, long from, World.Read answer) {
+    isReading = false;
+    isReadable = answer != null;
+    if (answer == null) {
+      return;
+    }
+    long offset = from;
+    for (LogRecord r : answer.records()) {
+      if (offset == state.nextOffset()) {
+        apply(offset, r);
+      }
+      offset++;
+    }
+    if (state.nextOffset() >= answer.next()) {
+      hasCaughtUp = true;
+      authority.logRead(sentAt - answer.ageMillis());
+    }
+  }
+
+  /** Gives a peer what this host has read, with the age of that knowledge. */
+  World.Read relay(long from) {
+    long age = authority.logAgeMillis(localMillis());
+    return new World.Read(
+        List.copyOf(history.tailMap(from).values()), state.nextOffset(), age + age / 50 + 1);
+  }
+
+  private void apply(long offset, LogRecord r) {
+    history.put(offset, r);
+    List<StateChange> changes = state.apply(offset, world.mutate(state, r));
+    changes.forEach(this::changed);
+    world.applied(this, r, changes);
+  }
+
+  private void changed(StateChange change) {
+    if (change instanceof StateChange.ClaimChanged c && c.claim() != null) {
+      policy.claimRead(c.shard(), c.claim());
+      claimed(c.shard(), c.claim());
+    }
+    owners.values().forEach(o -> o.changed(change, localMillis()));
+  }
+
+  private void claimed(ShardId shard, Claim claim) {
+    owners.remove(shard);
+    if (policy.isMine(claim)) {
+      ShardOwner owner = world.owner(shard, claim.epoch(), state, localMillis());
+      owners.put(shard, owner);
+      owner.workersListed(world.listed(zone), localMillis());
+    }
+  }
+
+  // Peers.
+
+  private void heartbeat(String peer) {
+    long sentAt = localMillis();
+    long next = state.nextOffset();
+    boolean leaving = draining;
+    world.tell(name, peer, p -> p.heard(name, incarnation, next, leaving, sentAt));
+  }
+
+  private void heard(String peer, String from, long next, boolean leaving, long sentAt) {
+    peers.heard(peer, from, next, leaving, localMillis());
+    if (policy.promises(next)) {
+      world.tell(name, peer, p -> p.acknowledged(name, from, sentAt));
+    }
+  }
+
+  private void acknowledged(String peer, String to, long sentAt) {
+    if (incarnation.equals(to)) {
+      authority.promised(peer, sentAt);
+    }
+  }
+
+  // Workers.
+
+  private void tick(ShardOwner owner) {
+    long now = localMillis();
+    if (ticks % TICKS_PER_LISTING == 0) {
+      owner.workersListed(world.listed(zone), now);
+    }
+    long trueNow = world.events().now();
+    for (OwnerCommand c : owner.tick(now, permission(now))) {
+      world.events().after(1, () -> run(() -> send(owner, c, now, trueNow)));
+    }
+  }
+
+  private Permission permission(long now) {
+    boolean always = !world.guards().contains(Guards.AUTHORITY);
+    return new Permission(
+        always || authority.mayStart(now) && !draining,
+        always || authority.mayRenew(now),
+        logAvailable());
+  }
+
+  private void send(ShardOwner owner, OwnerCommand command, long tickedAt, long trueTick) {
+    switch (command) {
+      case OwnerCommand.Append a -> append(a.entry(), r -> {});
+      case OwnerCommand.Start s -> start(owner, s, trueTick);
+      case OwnerCommand.Sync s -> sync(owner, s, tickedAt, trueTick);
+    }
+  }
+
+  private void start(ShardOwner owner, OwnerCommand.Start s, long trueTick) {
+    world.callWorker(
+        this,
+        s.worker(),
+        trueTick,
+        w -> w.start(world.seenEpoch(owner.epoch()), s),
+        a -> run(() -> started(owner, s, a)));
+  }
+
+  private void started(ShardOwner owner, OwnerCommand.Start s, StartAnswer answer) {
+    StartAnswer known = answer == null ? StartAnswer.UNKNOWN : answer;
+    owner.startAnswered(s.task(), known, localMillis());
+  }
+
+  private void sync(ShardOwner owner, OwnerCommand.Sync s, long sentAt, long trueTick) {
+    world.callWorker(
+        this,
+        s.worker(),
+        trueTick,
+        w -> w.sync(world.seenEpoch(owner.epoch()), s),
+        a -> run(() -> synced(owner, s.worker(), a, sentAt)));
+  }
+
+  private void synced(ShardOwner owner, String worker, Optional<WorkerReport> answer, long sentAt) {
+    if (answer == null) {
+      owner.syncFailed(worker);
+    } else if (answer.isEmpty()) {
+      owner.syncFenced(worker);
+    } else {
+      owner.syncAnswered(worker, answer.get(), sentAt, localMillis());
+    }
+  }
+}
--- /dev/null
+++ b/cactusspring-core/src/test/java/io/cactusspring/core/fuzz/Net.java
@@ -0,0 +1,111 @@
+package io.cactusspring.core.fuzz;
+
+import java.util.HashSet;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/** Calls between hosts, workers and the log, with cuts, losses, repeats and delays. */
+final class Net {
+  static final String LOG = "log";
+  private static final int FAST_MILLIS = 20;
+  private static final int SLOW_MILLIS = 700;
+  private static final int LATE_MILLIS = 6_000;
+
+  private final Events events;
+  private final Random random;
+  private final Set<String> cuts = new HashSet<>();
+  boolean losesAnswers;
+  boolean repeats;
+  boolean slow;
+
+  Net(Events events, Random random) {
+    this.events = events;
+    this.random = random;
+  }
+
+  void cut(String a, String b) {
+    cuts.add(a + " " + b);
+    cuts.add(b + " " + a);
+  }
+
+  void join(String a, String b) {
+    cuts.remove(a + " " + b);
+    cuts.remove(b + " " + a);
+  }
+
+  boolean isCut(String a, String b) {
+    return cuts.contains(a + " " + b);
+  }
+
+  /** Delivers a message, perhaps late, twice, or not at all. */
+  void tell(String from, String to, Runnable deliver) {
+    int times = repeats && random.nextInt(3) == 0 ? 2 : 1;
+    for (int i = 0; i < times; i++) {
+      long latency = slow && random.nextInt(4) == 0 ? random.nextInt(LATE_MILLIS) : latency();
+      events.after(latency, () -> deliverUnlessCut(from, to, deliver));
+    }
+  }
+
+  /**
+   * Calls and answers. The call is handled before the timeout, counted from its command, or never.
+   *
+   * @param ageMillis age of the command when it is sent
+   * @param answer gets the result, or null if there was no answer in time
+   */
+  <T> void call(
+      String from,
+      String to,
+      long ageMillis,
+      long timeoutMillis,
+      Supplier<T> handler,
+      Consumer<T> answer) {
+    Answer<T> once = new Answer<>(answer);
+    int times = repeats && random.nextInt(4) == 0 ? 2 : 1;
+    for (int i = 0; i < times; i++) {
+      long there = latency();
+      if (ageMillis + there < timeoutMillis) {
+        events.after(there, () -> handle(from, to, handler, once));
+      }
+    }
+    events.after(timeoutMillis - Math.min(ageMillis, timeoutMillis), () -> once.take(null));
+  }
+
+  private <T> void handle(String from, String to, Supplier<T> handler, Answer<T> once) {
+    if (isCut(from, to)) {
+      return;
+    }
+    T result = handler.get();
+    boolean isLost = losesAnswers && random.nextBoolean();
+    if (result != null && !isLost) {
+      events.after(latency(), () -> deliverUnlessCut(to, from, () -> once.take(result)));
+    }
+  }
+
+  private void deliverUnlessCut(String from, String to, Runnable deliver) {
+    if (!isCut(from, to)) {
+      deliver.run();
+    }
+  }
+
+  private long latency() {
+    return 1 + random.nextInt(slow ? SLOW_MILLIS : FAST_MILLIS);
+  }
+
+  private static final class Answer<T> {
+    private final Consumer<T> consumer;
+    private boolean taken;
+
+    Answer(Consumer<T> consumer) {
+      this.consumer = consumer;
+    }
+
+    void take(T result) {
+      if (!taken) {
+        taken = true;
+        consumer.accept(result);
+      }
+    }
+  }
+}
--- a/cactusspring-core/src/test/java/io/cactusspring/core/state/ClusterStateTest.java
+++ b/cactusspring-core/src/test/java/io/cactusspring/core/state/ClusterStateTest.java
@@ -65,6 +65,22 @@
         .isEqualTo(RunState.PENDING);
   }
 
+  @Example
+  void gangThatMayNotRunAgainEndsWholeWhenAMemberIsStopped() {
+    TaskSpec once = TaskSpec.builder(new Resources(1, 1, 0)).idempotent(false).build();
+    apply(new LogRecord.WorkSubmitted(new Submission("g1", "t0", true, 2, once), SHARD));
+    long epoch = claim(0);
+    List<LogRecord.Placement> placements =
+        List.of(
+            new LogRecord.Placement(TaskId.parse("g1#0@1"), "w1"),
+            new LogRecord.Placement(TaskId.parse("g1#1@1"), "w2"));
+    apply(new LogRecord.AttemptsStarted(SHARD, epoch, placements));
+    end(epoch, LogRecord.End.notRun(TaskId.parse("g1#1@1")));
+    assertThat(state.run(RunId.parse("g1#1")).orElseThrow().state()).isEqualTo(RunState.PENDING);
+    end(epoch, new LogRecord.End(TaskId.parse("g1#0@1"), Outcome.FAILED));
+    assertThat(state.run(RunId.parse("g1#1")).orElseThrow().outcome()).isEqualTo(Outcome.CANCELLED);
+  }
+
   @Example
   void submissionToNoTeamIsVoidWithItsReason() {
     apply(new LogRecord.WorkSubmitted(submission("b1", "nobody", 1), SHARD));
