Adopt only attempts that the log does not know

Cause: a new owner adopted an attempt that the log already had as ended; its end was appended every two seconds for ever and the run never started again.

--- a/cactusspring-core/src/main/java/io/cactusspring/core/shard/ShardOwner.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/shard/ShardOwner.java
@@ -615,7 +615,7 @@
       observe(running, nowMillis);
       return;
     }
-    if (entry != null && entry.phase == RunEntry.Phase.HELD) {
+    if (isUnrecorded(entry, running.task())) {
       adoptUnrecorded(link, entry, running.task());
       return;
     }
@@ -628,6 +628,11 @@
     }
   }
 
+  /** Whether a held run's attempt is one that the log does not know, not even as ended. */
+  private static boolean isUnrecorded(RunEntry entry, TaskId task) {
+    return entry != null && entry.phase == RunEntry.Phase.HELD && task.attempt() > entry.attempt;
+  }
+
   /** Takes over a task that the replaced owner started while it could not reach the log. */
   private void adoptUnrecorded(WorkerLink link, RunEntry entry, TaskId task) {
     entry.attempt = task.attempt();
@@ -665,10 +670,12 @@
   private void sawEnded(WorkerLink link, WorkerReport.Ended ended, long nowMillis) {
     TaskId task = ended.task();
     RunEntry entry = runs.get(task.run());
-    if (entry != null && entry.phase == RunEntry.Phase.HELD) {
+    if (isUnrecorded(entry, task)) {
       adoptUnrecorded(link, entry, task);
     }
-    if (entry == null || entry.attempt != task.attempt() || !link.worker.equals(entry.worker)) {
+    boolean isCurrent =
+        entry != null && entry.attempt == task.attempt() && link.worker.equals(entry.worker);
+    if (!isCurrent || entry.phase == RunEntry.Phase.HELD) {
       link.forget.add(task);
       return;
     }
