Let a gang start on a worker that is being probed

Cause: the first member of a gang closed the probe of a quarantined worker, and the second was then refused there with an exception that stopped the owner. Change: all workers are checked before the first member starts; after that room alone decides.

--- a/cactusspring-core/src/main/java/io/cactusspring/core/placement/UnitPlacer.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/placement/UnitPlacer.java
@@ -72,8 +72,9 @@
 
   /** Starts the runs where room was held for them. */
   Decision startAll(List<Claim.Hold> holds, long nowMillis) {
+    holds.forEach(h -> checkTakesWork(h.worker()));
     List<Decision.Place> places =
-        holds.stream().map(h -> start(h.run(), h.worker(), nowMillis)).toList();
+        holds.stream().map(h -> startInRoom(h.run(), h.worker(), nowMillis)).toList();
     return places.getFirst().run().inGang() ? new Decision.PlaceGang(places) : places.getFirst();
   }
 
@@ -83,8 +84,21 @@
    * @throws IllegalStateException if the worker has no room for it or takes no work
    */
   Decision.Place start(PendingRun run, WorkerState worker, long nowMillis) {
+    checkTakesWork(worker);
+    return startInRoom(run, worker, nowMillis);
+  }
+
+  private void checkTakesWork(WorkerState worker) {
+    if (!rules.takesWork(worker)) {
+      throw new IllegalStateException(
+          "worker " + worker.name() + " takes no work; expected one that does");
+    }
+  }
+
+  /** The first member of a gang may close the probe that lets the others in, so room decides. */
+  private Decision.Place startInRoom(PendingRun run, WorkerState worker, long nowMillis) {
     Resources need = run.spec().resources();
-    if (!rules.fits(need, worker.free()) || !rules.takesWork(worker)) {
+    if (!rules.fits(need, worker.free())) {
       throw new IllegalStateException(
           "worker " + worker.name() + " has " + worker.free() + " free; expected " + need);
     }
