--- /dev/null
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/http/Refusal.java
@@ -0,0 +1,54 @@
+package io.cactusspring.daemon.http;
+
+import com.fasterxml.jackson.annotation.JsonIgnore;
+import com.fasterxml.jackson.annotation.JsonInclude;
+import io.cactusspring.core.model.Arguments;
+import io.cactusspring.core.request.Ran;
+
+/**
+ * Body of every answer that is not a success.
+ *
+ * <pre>{@code
+ * Refusal r = Refusal.of(RefusalReason.OVER_LIMIT, "team counter is at its limit")
+ *     .withRetryAfterMillis(250);
+ * }</pre>
+ *
+ * @param ran whether what was asked for ran
+ * @param retryAfterMillis when to come back; null when that is of no use
+ * @param requestId id of the refused request; set by {@link RefusalWriter} when null
+ * @since 0.1
+ */
+@JsonInclude(JsonInclude.Include.NON_NULL)
+public record Refusal(
+    RefusalReason reason, String message, Ran ran, Long retryAfterMillis, String requestId) {
+  /**
+   * @throws IllegalArgumentException if reason, message or ran is missing
+   */
+  public Refusal {
+    Arguments.checkPresent("reason", reason);
+    Arguments.checkPresent("message", message);
+    Arguments.checkPresent("ran", ran);
+  }
+
+  /** Returns a refusal of something that did not run. */
+  public static Refusal of(RefusalReason reason, String message) {
+    return new Refusal(reason, message, Ran.NO, null, null);
+  }
+
+  public Refusal withRan(Ran value) {
+    return new Refusal(reason, message, value, retryAfterMillis, requestId);
+  }
+
+  public Refusal withRetryAfterMillis(long value) {
+    return new Refusal(reason, message, ran, value, requestId);
+  }
+
+  public Refusal withRequestId(String value) {
+    return new Refusal(reason, message, ran, retryAfterMillis, value);
+  }
+
+  @JsonIgnore
+  public int status() {
+    return reason.status();
+  }
+}
--- /dev/null
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/http/RefusalWriter.java
@@ -0,0 +1,72 @@
+package io.cactusspring.daemon.http;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpHeaders;
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.ext.web.RoutingContext;
+import java.util.EnumMap;
+import java.util.Map;
+
+/**
+ * Answers refusals and counts them by reason in {@code cactusspring_refusals_total}.
+ *
+ * @since 0.1
+ */
+public final class RefusalWriter {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final long MILLIS_PER_SECOND = 1_000;
+
+  private final Map<RefusalReason, Counter> counters = new EnumMap<>(RefusalReason.class);
+
+  public RefusalWriter(MeterRegistry metrics) {
+    for (RefusalReason r : RefusalReason.values()) {
+      counters.put(
+          r,
+          Counter.builder("cactusspring.refusals")
+              .description("Refused requests by reason")
+              .tag("reason", r.wireName())
+              .register(metrics));
+    }
+  }
+
+  /** Ends the response with a refusal, unless it has ended or its client is gone. */
+  public void write(RoutingContext ctx, Refusal refusal) {
+    counters.get(refusal.reason()).increment();
+    HttpServerResponse response = ctx.response();
+    if (response.ended() || response.closed()) {
+      return;
+    }
+    Refusal r = withRequestId(ctx, refusal);
+    response.setStatusCode(r.status()).putHeader(HttpHeaders.CONTENT_TYPE, "application/json");
+    if (r.retryAfterMillis() != null) {
+      response.putHeader("retry-after", Long.toString(seconds(r.retryAfterMillis())));
+    }
+    if (!ctx.request().isEnded()) {
+      // The rest of the body is not read, so the connection cannot carry another request.
+      response.putHeader(HttpHeaders.CONNECTION, HttpHeaders.CLOSE);
+      response.end(encode(r)).onComplete(x -> ctx.request().connection().close());
+      return;
+    }
+    response.end(encode(r));
+  }
+
+  private static Refusal withRequestId(RoutingContext ctx, Refusal refusal) {
+    return refusal.requestId() == null ? refusal.withRequestId(Requests.id(ctx)) : refusal;
+  }
+
+  private static long seconds(long millis) {
+    return (millis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
+  }
+
+  private static Buffer encode(Refusal refusal) {
+    try {
+      return Buffer.buffer(MAPPER.writeValueAsBytes(refusal));
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("refusal cannot be written as JSON", e);
+    }
+  }
+}
--- /dev/null
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/http/Requests.java
@@ -0,0 +1,35 @@
+package io.cactusspring.daemon.http;
+
+import io.cactusspring.core.security.Identity;
+import io.vertx.ext.web.RoutingContext;
+
+/**
+ * Typed access to what the filters learned about a request.
+ *
+ * @since 0.1
+ */
+public final class Requests {
+  private static final String ID = "cactusspring.requestId";
+  private static final String IDENTITY = "cactusspring.identity";
+
+  private Requests() {}
+
+  /** Id of the request; null before the filter that sets it. */
+  public static String id(RoutingContext ctx) {
+    return ctx.get(ID);
+  }
+
+  /** Caller of the request; anonymous before the filter that authenticates. */
+  public static Identity identity(RoutingContext ctx) {
+    Identity i = ctx.get(IDENTITY);
+    return i == null ? new Identity.Anonymous() : i;
+  }
+
+  static void setId(RoutingContext ctx, String id) {
+    ctx.put(ID, id);
+  }
+
+  static void setIdentity(RoutingContext ctx, Identity identity) {
+    ctx.put(IDENTITY, identity);
+  }
+}
--- /dev/null
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/http/package-info.java
@@ -0,0 +1,2 @@
+/** Filter chain for callers' requests: limits, authentication and refusals. */
+package io.cactusspring.daemon.http;
