--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/CallerServer.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/CallerServer.java
@@ -17,7 +17,6 @@
 import io.vertx.ext.web.Route;
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
-import java.util.function.Supplier;
 
 /** The port for callers, operators, the balancer and Prometheus. */
 final class CallerServer {
@@ -38,7 +37,7 @@
       WorkApi work,
       NoteApi notes,
       StatusApi status,
-      Supplier<Future<Void>> drain) {}
+      Runnable drain) {}
 
   CallerServer(Vertx vertx, DaemonSettings settings, Apis apis) {
     this.settings = settings;
@@ -111,6 +110,6 @@
         .setStatusCode(ACCEPTED)
         .putHeader("content-type", "application/json")
         .end("{\"draining\":true}");
-    apis.drain().get();
+    apis.drain().run();
   }
 }
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/Daemon.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/Daemon.java
@@ -5,6 +5,7 @@
 import io.cactusspring.core.membership.MembershipSettings;
 import io.cactusspring.core.membership.PeerTable;
 import io.cactusspring.core.placement.PlacementPolicy;
+import io.cactusspring.core.request.RequestSettings;
 import io.cactusspring.core.shard.OwnerSettings;
 import io.cactusspring.daemon.cell.Cell;
 import io.cactusspring.daemon.cell.MonotonicClock;
@@ -26,7 +27,7 @@
 import io.cactusspring.daemon.platform.HttpWorkerAgent;
 import io.cactusspring.daemon.platform.JsonClient;
 import io.cactusspring.daemon.request.RequestService;
-import io.cactusspring.daemon.request.RequestSettings;
+
 import io.cactusspring.daemon.settings.DaemonSettings;
 import io.cactusspring.daemon.work.NoteApi;
 import io.cactusspring.daemon.work.ReadBack;
@@ -97,8 +98,7 @@
     authority = new Authority(membership, zonePeers());
     PeerTable peers = new PeerTable(clock.millis());
     settings.peers().forEach(p -> peers.add(p.name(), p.zone()));
-    ClaimPolicy claims =
-        new ClaimPolicy(settings.name(), incarnation, settings.zone(), membership);
+    ClaimPolicy claims = new ClaimPolicy(settings.name(), incarnation, settings.zone(), membership);
     PeerLogs peerLogs = new PeerLogs(clock);
     Hints hints = new Hints();
     long timeout = settings.callTimeoutMillis();
@@ -127,8 +127,7 @@
                 ownerSettings(),
                 policy()));
     RequestLoads loads = new RequestLoads();
-    budgets =
-        new BudgetController(cell, shards, log, hints, clock, settings.name(), loads);
+    budgets = new BudgetController(cell, shards, log, hints, clock, settings.name(), loads);
     snapshots = new SnapshotController(cell, log, shards, settings.snapshotEveryRecords());
     view = new HostView(settings, cell, log, hosts, budgets, hints, clock);
     requests = new RequestService(vertx, RequestSettings.builder().build(), view, registry);
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/http/RefusalWriter.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/http/RefusalWriter.java
@@ -54,6 +54,11 @@
     response.end(encode(r));
   }
 
+  /** Counts a refusal that is written elsewhere, because its body has more fields. */
+  public void count(RefusalReason reason) {
+    counters.get(reason).increment();
+  }
+
   private static Refusal withRequestId(RoutingContext ctx, Refusal refusal) {
     return refusal.requestId() == null ? refusal.withRequestId(Requests.id(ctx)) : refusal;
   }
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/work/Bodies.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/work/Bodies.java
@@ -16,8 +16,7 @@
 final class Bodies {
   private static final ObjectMapper JSON =
       new ObjectMapper()
-          .configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, true)
-          .configure(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES, true);
+          .configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, true);
 
   private Bodies() {}
 
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/work/NoteApi.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/work/NoteApi.java
@@ -9,11 +9,11 @@
 import io.cactusspring.core.model.ConfigItem;
 import io.cactusspring.core.model.LogRecord;
 import io.cactusspring.core.model.ReleaseNote;
+import io.cactusspring.core.request.Ran;
 import io.cactusspring.core.security.Identity;
 import io.cactusspring.core.state.ClusterState;
 import io.cactusspring.core.state.NoteStatus;
 import io.cactusspring.daemon.cell.Cell;
-import io.cactusspring.daemon.http.Ran;
 import io.cactusspring.daemon.http.Refusal;
 import io.cactusspring.daemon.http.RefusalReason;
 import io.cactusspring.daemon.http.RefusalWriter;
@@ -130,7 +130,9 @@
               ctx,
               Refusal.of(
                       RefusalReason.LOG_UNAVAILABLE,
-                      "note " + note.id() + " was sent and not read back; it may still take effect."
+                      "note "
+                          + note.id()
+                          + " was sent and not read back; it may still take effect."
                           + " Send it again with the same id")
                   .withRan(Ran.UNKNOWN)
                   .withRetryAfterMillis(RETRY_MILLIS));
@@ -152,8 +154,7 @@
         switch (resolution) {
           case Resolution.Conflict c ->
               refused(ctx, RefusalReason.NOTE_CONFLICT, c.conflicts(), null);
-          case Resolution.Invalid i ->
-              refused(ctx, RefusalReason.NOTE_INVALID, null, i.problems());
+          case Resolution.Invalid i -> refused(ctx, RefusalReason.NOTE_INVALID, null, i.problems());
           case Resolution.Accepted a -> throw new IllegalArgumentException("note is accepted");
         };
     LOG.event(Event.NOTE_REFUSED, note.id(), note.operator(), body.message());
@@ -181,7 +182,10 @@
               ctx,
               OK,
               new Checked(
-                  note.id(), true, before.revision(), differences(before, a.configuration(), note)));
+                  note.id(),
+                  true,
+                  before.revision(),
+                  differences(before, a.configuration(), note)));
       case Resolution r -> refuse(ctx, note, r);
     }
   }
@@ -189,10 +193,7 @@
   private static List<Difference> differences(
       Configuration before, Configuration after, ReleaseNote note) {
     return note.changes().stream()
-        .map(
-            c ->
-                new Difference(
-                    c.path(), kind(c), item(before, c.path()), item(after, c.path())))
+        .map(c -> new Difference(c.path(), kind(c), item(before, c.path()), item(after, c.path())))
         .toList();
   }
 
