Serve callers' requests by executors

Cause: requests need admission, order, routing, retries and one final answer. Change: pure ServiceRouter (weighted fair queue, least loaded of a sample, zone first, retry budgets, deadline estimate) and RequestLife (state machine of one request); the daemon drives them under a lock per service and talks to executors with a pool per endpoint. A second request with the id of one in flight is refused as a conflict, unless both are idempotent.

--- /dev/null
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/request/EndpointPicker.java
@@ -0,0 +1,92 @@
+package io.cactusspring.core.request;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.ToIntFunction;
+import java.util.random.RandomGenerator;
+
+/** Chooses the endpoint of an attempt: nearest first, then the least loaded of a few sampled. */
+final class EndpointPicker {
+  private final RequestRules rules;
+  private final int samples;
+  private final RandomGenerator random;
+  private final ToIntFunction<String> remoteInFlight;
+
+  /**
+   * @param remoteInFlight hint: requests of other entry hosts at an endpoint
+   */
+  EndpointPicker(
+      RequestRules rules,
+      int samples,
+      RandomGenerator random,
+      ToIntFunction<String> remoteInFlight) {
+    this.rules = rules;
+    this.samples = samples;
+    this.random = random;
+    this.remoteInFlight = remoteInFlight;
+  }
+
+  /**
+   * @param avoid endpoint that is chosen only when no other of its distance has room; may be null
+   * @param maySpill whether endpoints of other zones may be chosen
+   */
+  Optional<EndpointState> pick(
+      Collection<EndpointState> endpoints, String avoid, boolean maySpill, long nowNanos) {
+    List<EndpointState> usable = usable(endpoints, nowNanos);
+    for (EndpointShare.Distance d : EndpointShare.Distance.values()) {
+      if (d != EndpointShare.Distance.SAME_ZONE && !maySpill && hasNear(usable)) {
+        break;
+      }
+      Optional<EndpointState> found = pickAt(d, usable, avoid, nowNanos);
+      if (found.isPresent()) {
+        return found;
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Leaves out suspended endpoints, unless all are. */
+  private List<EndpointState> usable(Collection<EndpointState> endpoints, long nowNanos) {
+    List<EndpointState> open =
+        endpoints.stream().filter(e -> rules.acceptsWork(e.share())).toList();
+    List<EndpointState> healthy = open.stream().filter(e -> !e.isSuspended(nowNanos)).toList();
+    return healthy.isEmpty() ? open : healthy;
+  }
+
+  private static boolean hasNear(List<EndpointState> endpoints) {
+    return endpoints.stream()
+        .anyMatch(e -> e.share().distance() == EndpointShare.Distance.SAME_ZONE);
+  }
+
+  private Optional<EndpointState> pickAt(
+      EndpointShare.Distance distance, List<EndpointState> usable, String avoid, long nowNanos) {
+    List<EndpointState> free =
+        usable.stream()
+            .filter(e -> e.share().distance() == distance)
+            .filter(e -> e.hasRoom(remote(e), nowNanos))
+            .toList();
+    List<EndpointState> preferred =
+        free.stream().filter(e -> !e.share().name().equals(avoid)).toList();
+    return leastOfSample(preferred.isEmpty() ? free : preferred);
+  }
+
+  private Optional<EndpointState> leastOfSample(List<EndpointState> free) {
+    EndpointState best = null;
+    double bestScore = Double.MAX_VALUE;
+    int n = Math.min(samples, free.size());
+    for (int i = 0; i < n; i++) {
+      EndpointState e = free.get(random.nextInt(free.size()));
+      double score = e.score(remote(e));
+      if (score < bestScore) {
+        best = e;
+        bestScore = score;
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  private int remote(EndpointState e) {
+    return remoteInFlight.applyAsInt(e.share().name());
+  }
+}
--- /dev/null
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/request/EndpointShare.java
@@ -0,0 +1,62 @@
+package io.cactusspring.core.request;
+
+import io.cactusspring.core.model.EndpointInfo;
+
+/**
+ * An endpoint and the part of it that is this entry host's own.
+ *
+ * @param distance how far it is
+ * @param ownSlots slots that this entry host may always use; 0 in another zone
+ * @param ownConnections connections that this entry host may hold open
+ * @since 0.1
+ */
+public record EndpointShare(
+    EndpointInfo info, Distance distance, int ownSlots, int ownConnections) {
+  /** Nearness of an endpoint's zone. */
+  public enum Distance {
+    SAME_ZONE,
+    SAME_REGION,
+    OTHER_REGION
+  }
+
+  private static final int FOREIGN_CONNECTIONS_DIVISOR = 4;
+
+  /**
+   * Divides an endpoint among the entry hosts. A quarter of its connections is kept for entry hosts
+   * of other zones.
+   *
+   * @param sharing entry hosts of the endpoint's zone
+   * @param foreign entry hosts of all other zones
+   */
+  public static EndpointShare of(EndpointInfo info, Distance distance, int sharing, int foreign) {
+    int forForeign = foreign == 0 ? 0 : info.connections() / FOREIGN_CONNECTIONS_DIVISOR;
+    if (distance == Distance.SAME_ZONE) {
+      int slots = part(info.slots(), sharing);
+      int connections = part(info.connections() - forForeign, sharing);
+      return new EndpointShare(info, distance, slots, connections);
+    }
+    return new EndpointShare(info, distance, 0, part(forForeign, foreign));
+  }
+
+  public String name() {
+    return info.name();
+  }
+
+  /** Returns a copy that takes no new work. */
+  EndpointShare asLeaving() {
+    EndpointInfo left =
+        new EndpointInfo(
+            info.name(),
+            info.zone(),
+            info.service(),
+            info.address(),
+            info.slots(),
+            info.connections(),
+            true);
+    return new EndpointShare(left, distance, ownSlots, ownConnections);
+  }
+
+  private static int part(int whole, int holders) {
+    return Math.max(1, whole / Math.max(1, holders));
+  }
+}
--- /dev/null
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/request/EndpointState.java
@@ -0,0 +1,117 @@
+package io.cactusspring.core.request;
+
+/** What this entry host knows of one endpoint. */
+final class EndpointState {
+  private static final long FULL_BASE_NANOS = 2_000_000;
+  private static final long FULL_MAX_NANOS = 1_000_000_000;
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
+  private final RequestSettings settings;
+  private final LatencyAverage latency = new LatencyAverage();
+  private final RetryBudget retries;
+  private EndpointShare share;
+  private int inFlight;
+  private int failuresInRow;
+  private int notRunInRow;
+  private long suspendedUntilNanos;
+  private long fullUntilNanos;
+
+  EndpointState(EndpointShare share, RequestSettings settings, long nowNanos) {
+    this.share = share;
+    this.settings = settings;
+    this.retries = new RetryBudget(settings.retryRatio(), settings.retryReserve(), nowNanos);
+    this.suspendedUntilNanos = nowNanos;
+    this.fullUntilNanos = nowNanos;
+  }
+
+  EndpointShare share() {
+    return share;
+  }
+
+  void setShare(EndpointShare value) {
+    share = value;
+  }
+
+  int inFlight() {
+    return inFlight;
+  }
+
+  RetryBudget retries() {
+    return retries;
+  }
+
+  long latencyNanos() {
+    return latency.nanos();
+  }
+
+  /**
+   * Whether a further request fits: into the own slots, or into those that hints show to be free.
+   */
+  boolean hasRoom(int remoteInFlight, long nowNanos) {
+    if (nowNanos - fullUntilNanos < 0 || inFlight >= share.ownConnections()) {
+      return false;
+    }
+    return inFlight < share.ownSlots() || inFlight + remoteInFlight < share.info().slots();
+  }
+
+  /** Whether it failed lately; after the suspension one request at a time tries it. */
+  boolean isSuspended(long nowNanos) {
+    if (failuresInRow < settings.suspendAfterFailures()) {
+      return false;
+    }
+    return nowNanos - suspendedUntilNanos < 0 || inFlight > 0;
+  }
+
+  /** Cost of choosing it; the least is chosen. */
+  double score(int remoteInFlight) {
+    double occupied = (inFlight + remoteInFlight + 1) / (double) share.info().slots();
+    return occupied * Math.max(NANOS_PER_MILLI / 10, latency.nanos());
+  }
+
+  void sent() {
+    inFlight++;
+  }
+
+  void ended(AttemptOutcome outcome, long tookNanos, long nowNanos) {
+    inFlight--;
+    switch (outcome) {
+      case AttemptOutcome.Answered a -> answered(tookNanos);
+      case AttemptOutcome.NotRun n -> notRun(nowNanos);
+      case AttemptOutcome.NotSent n -> notSent(nowNanos);
+      case AttemptOutcome.Failed f -> {
+        latency.add(tookNanos);
+        failed(nowNanos);
+      }
+    }
+  }
+
+  private void answered(long tookNanos) {
+    latency.add(tookNanos);
+    failuresInRow = 0;
+    notRunInRow = 0;
+  }
+
+  private void notRun(long nowNanos) {
+    notRunInRow++;
+    leaveAlone(notRunInRow, nowNanos);
+  }
+
+  private void notSent(long nowNanos) {
+    failed(nowNanos);
+    leaveAlone(failuresInRow, nowNanos);
+  }
+
+  private void leaveAlone(int times, long nowNanos) {
+    fullUntilNanos = nowNanos + Backoff.boundNanos(FULL_BASE_NANOS, FULL_MAX_NANOS, times);
+  }
+
+  private void failed(long nowNanos) {
+    failuresInRow++;
+    int over = failuresInRow - settings.suspendAfterFailures() + 1;
+    if (over > 0) {
+      long base = settings.suspendMillis() * NANOS_PER_MILLI;
+      long max = settings.maxSuspendMillis() * NANOS_PER_MILLI;
+      suspendedUntilNanos = nowNanos + Backoff.boundNanos(base, max, over);
+    }
+  }
+}
--- /dev/null
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/request/LatencyAverage.java
@@ -0,0 +1,17 @@
+package io.cactusspring.core.request;
+
+/** Moving average of durations, each new one with the same weight. */
+final class LatencyAverage {
+  private static final double NEW_WEIGHT = 0.1;
+
+  private double nanos = -1;
+
+  void add(long sampleNanos) {
+    nanos = nanos < 0 ? sampleNanos : nanos + NEW_WEIGHT * (sampleNanos - nanos);
+  }
+
+  /** Average in nanoseconds; 0 before the first sample. */
+  long nanos() {
+    return nanos < 0 ? 0 : (long) nanos;
+  }
+}
--- /dev/null
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/request/StandardRules.java
@@ -0,0 +1,41 @@
+package io.cactusspring.core.request;
+
+/** The rules in force. */
+class StandardRules implements RequestRules {
+  static final StandardRules INSTANCE = new StandardRules();
+
+  @Override
+  public boolean mayResend(boolean idempotent, AttemptOutcome outcome) {
+    return switch (outcome) {
+      case AttemptOutcome.Answered a -> false;
+      case AttemptOutcome.NotRun n -> true;
+      case AttemptOutcome.NotSent n -> true;
+      case AttemptOutcome.Failed f -> idempotent;
+    };
+  }
+
+  @Override
+  public boolean mayHaveRun(AttemptOutcome outcome) {
+    return switch (outcome) {
+      case AttemptOutcome.Answered a -> true;
+      case AttemptOutcome.NotRun n -> false;
+      case AttemptOutcome.NotSent n -> false;
+      case AttemptOutcome.Failed f -> true;
+    };
+  }
+
+  @Override
+  public boolean isCurrent(int reportedAttempt, int currentAttempt) {
+    return reportedAttempt == currentAttempt;
+  }
+
+  @Override
+  public boolean acceptsWork(EndpointShare endpoint) {
+    return !endpoint.info().leaving();
+  }
+
+  @Override
+  public boolean mayGoWithoutUnit() {
+    return false;
+  }
+}
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/http/Filters.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/http/Filters.java
@@ -55,6 +55,7 @@
   /** Takes the caller's request id, or chooses one, and sets it on the answer. */
   public Handler<RoutingContext> requestId() {
     return ctx -> {
+      Requests.setArrivalNanos(ctx, System.nanoTime());
       String given = ctx.request().getHeader(REQUEST_ID_HEADER);
       String id = given == null ? UUID.randomUUID().toString() : given;
       if (!REQUEST_ID.matcher(id).matches()) {
@@ -134,7 +135,9 @@
 
   /** Reads the body whole, up to a number of bytes. */
   public Handler<RoutingContext> body(long maxBytes) {
-    return BodyHandler.create(false).setBodyLimit(maxBytes);
+    BodyHandler reader = BodyHandler.create(false).setBodyLimit(maxBytes);
+    // Vert.x Web insists that a BodyHandler stands first; the chain reads no body of a stranger.
+    return reader::handle;
   }
 
   /** Turns failures of the filters and handlers into refusals. */
--- /dev/null
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/http/RefusalException.java
@@ -0,0 +1,21 @@
+package io.cactusspring.daemon.http;
+
+/**
+ * Carries a refusal out of a check.
+ *
+ * @since 0.1
+ */
+public final class RefusalException extends Exception {
+  private static final long serialVersionUID = 1L;
+
+  private final transient Refusal refusal;
+
+  public RefusalException(Refusal refusal) {
+    super(refusal.message(), null, false, false);
+    this.refusal = refusal;
+  }
+
+  public Refusal refusal() {
+    return refusal;
+  }
+}
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/http/Requests.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/http/Requests.java
@@ -10,6 +10,7 @@
  */
 public final class Requests {
   private static final String ID = "cactusspring.requestId";
+  private static final String ARRIVAL = "cactusspring.arrivalNanos";
   private static final String IDENTITY = "cactusspring.identity";
 
   private Requests() {}
@@ -25,6 +26,16 @@
     return i == null ? new Identity.Anonymous() : i;
   }
 
+  /** Monotonic time at which the request's head was read. */
+  public static long arrivalNanos(RoutingContext ctx) {
+    Long nanos = ctx.get(ARRIVAL);
+    return nanos == null ? System.nanoTime() : nanos;
+  }
+
+  static void setArrivalNanos(RoutingContext ctx, long nanos) {
+    ctx.put(ARRIVAL, nanos);
+  }
+
   static void setId(RoutingContext ctx, String id) {
     ctx.put(ID, id);
   }
--- /dev/null
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/request/InFlightIds.java
@@ -0,0 +1,39 @@
+package io.cactusspring.daemon.request;
+
+import io.cactusspring.core.request.RequestSpec;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * Ids of the requests in hand, so that a non-idempotent request that is sent twice at once runs
+ * once. Safe for use by several threads.
+ */
+final class InFlightIds {
+  private record Key(String team, String id) {}
+
+  private record Use(boolean idempotent, int count) {}
+
+  private final Map<Key, Use> uses = new ConcurrentHashMap<>();
+
+  /** Enters a request; false when its id is in hand and one of the two is not idempotent. */
+  boolean tryEnter(RequestSpec spec) {
+    boolean[] entered = new boolean[1];
+    uses.compute(
+        key(spec),
+        (k, u) -> {
+          entered[0] = u == null || (u.idempotent() && spec.idempotent());
+          int count = u == null ? 1 : u.count() + 1;
+          return entered[0] ? new Use(spec.idempotent(), count) : u;
+        });
+    return entered[0];
+  }
+
+  void leave(RequestSpec spec) {
+    uses.computeIfPresent(
+        key(spec), (k, u) -> u.count() == 1 ? null : new Use(u.idempotent(), u.count() - 1));
+  }
+
+  private static Key key(RequestSpec spec) {
+    return new Key(spec.team(), spec.id());
+  }
+}
--- /dev/null
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/request/PendingRequest.java
@@ -0,0 +1,53 @@
+package io.cactusspring.daemon.request;
+
+import io.cactusspring.core.request.RequestSpec;
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.ext.web.RoutingContext;
+
+/** A request that has no final answer yet, with what the decisions do not need. */
+final class PendingRequest {
+  private final RequestSpec spec;
+  private final RoutingContext routing;
+  private final Context context;
+  private final Buffer body;
+  private volatile ExecutorAnswer answer;
+
+  PendingRequest(RequestSpec spec, RoutingContext routing, Context context, Buffer body) {
+    this.spec = spec;
+    this.routing = routing;
+    this.context = context;
+    this.body = body;
+  }
+
+  RequestSpec spec() {
+    return spec;
+  }
+
+  RoutingContext routing() {
+    return routing;
+  }
+
+  Buffer body() {
+    return body;
+  }
+
+  /** Answer of the last attempt; null before. */
+  ExecutorAnswer answer() {
+    return answer;
+  }
+
+  void setAnswer(ExecutorAnswer value) {
+    answer = value;
+  }
+
+  /** Runs a step on the event loop that the request came in on. */
+  void onEventLoop(Runnable step) {
+    if (Vertx.currentContext() == context) {
+      step.run();
+    } else {
+      context.runOnContext(v -> step.run());
+    }
+  }
+}
--- /dev/null
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/request/package-info.java
@@ -0,0 +1,2 @@
+/** Serving of callers' requests by executors. */
+package io.cactusspring.daemon.request;
--- /dev/null
+++ b/cactusspring-daemon/src/test/java/io/cactusspring/daemon/request/FakeExecutor.java
@@ -0,0 +1,72 @@
+package io.cactusspring.daemon.request;
+
+import io.vertx.core.Handler;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+
+/** An executor that does with each request what a test says. */
+final class FakeExecutor {
+  final List<String> begun = new CopyOnWriteArrayList<>();
+  private final HttpServer server;
+  private volatile Handler<HttpServerRequest> behaviour = FakeExecutor::echo;
+
+  FakeExecutor(Vertx vertx) throws Exception {
+    server =
+        vertx
+            .createHttpServer()
+            .requestHandler(this::handle)
+            .listen(0, "127.0.0.1")
+            .toCompletionStage()
+            .toCompletableFuture()
+            .get(10, TimeUnit.SECONDS);
+  }
+
+  int port() {
+    return server.actualPort();
+  }
+
+  FakeExecutor behave(Handler<HttpServerRequest> value) {
+    behaviour = value;
+    return this;
+  }
+
+  static void echo(HttpServerRequest request) {
+    request
+        .body()
+        .onSuccess(
+            b ->
+                request
+                    .response()
+                    .putHeader("x-request-id", request.getHeader("x-request-id"))
+                    .end(b));
+  }
+
+  static void echoAfterMillis(Vertx vertx, HttpServerRequest request, long millis) {
+    request.pause();
+    vertx.setTimer(
+        millis,
+        t -> {
+          echo(request);
+          request.resume();
+        });
+  }
+
+  static void notRun(HttpServerRequest request) {
+    request.response().setStatusCode(503).putHeader("x-not-run", "true").end();
+  }
+
+  static void stayingSilent(HttpServerRequest request) {}
+
+  static void fail(HttpServerRequest request) {
+    request.response().setStatusCode(500).end();
+  }
+
+  private void handle(HttpServerRequest request) {
+    begun.add(request.getHeader("x-request-id"));
+    behaviour.handle(request);
+  }
+}
