Fuzz the promises to callers against an oracle

Cause: what must always hold for requests needs a proof. Change: histories of arrivals, answers, crossed and late answers, failures, leaving endpoints, changed limits and gone callers drive the router; an oracle knows what truly ran. Each promise has a mutation that the fuzz catches.

--- a/cactusspring-core/src/main/java/io/cactusspring/core/request/RequestRules.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/request/RequestRules.java
@@ -15,6 +15,9 @@
   /** Whether an end that is reported for one attempt concerns the current one. */
   boolean isCurrent(int reportedAttempt, int currentAttempt);
 
+  /** Whether an answer that echoes one request id answers the request of another. */
+  boolean isEcho(String requestId, String echoedId);
+
   /** Whether an endpoint may get new work. */
   boolean acceptsWork(EndpointShare endpoint);
 
--- a/cactusspring-core/src/main/java/io/cactusspring/core/request/StandardRules.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/request/StandardRules.java
@@ -29,6 +29,11 @@
     return reportedAttempt == currentAttempt;
   }
 
+  @Override
+  public boolean isEcho(String requestId, String echoedId) {
+    return requestId.equals(echoedId);
+  }
+
   @Override
   public boolean acceptsWork(EndpointShare endpoint) {
     return !endpoint.info().leaving();
--- /dev/null
+++ b/cactusspring-core/src/test/java/io/cactusspring/core/request/RequestPromisesFuzzTest.java
@@ -0,0 +1,139 @@
+package io.cactusspring.core.request;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.fail;
+
+import java.util.List;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.Tuple;
+
+/** Stateful fuzz of the decisions on requests; each promise has a mutation that breaks it. */
+class RequestPromisesFuzzTest {
+  private static final int HISTORIES = 400;
+  private static final int LENGTH = 150;
+
+  @Property(tries = 1_000, seed = "20251204")
+  void promisesHoldInEveryHistory(@ForAll("histories") List<Step> history) {
+    new RouterWorld(RequestRules.standard()).run(history);
+  }
+
+  @Example
+  void promisesHoldInTheHistoriesThatCatchTheMutations() {
+    for (long seed = 0; seed < HISTORIES; seed++) {
+      new RouterWorld(RequestRules.standard()).run(Step.history(seed, LENGTH));
+    }
+  }
+
+  @Example
+  void resendingWhatMayHaveRunIsCaught() {
+    assertCaught(
+        "ran twice",
+        new StandardRules() {
+          @Override
+          public boolean mayResend(boolean idempotent, AttemptOutcome outcome) {
+            return !(outcome instanceof AttemptOutcome.Answered);
+          }
+        });
+  }
+
+  @Example
+  void callingAFailureNotRunIsCaught() {
+    assertCaught(
+        "was called not run and ran",
+        new StandardRules() {
+          @Override
+          public boolean mayHaveRun(AttemptOutcome outcome) {
+            return false;
+          }
+        });
+  }
+
+  @Example
+  void takingALateReportForTheCurrentAttemptIsCaught() {
+    assertCaught(
+        "got the answer of",
+        new StandardRules() {
+          @Override
+          public boolean isCurrent(int reportedAttempt, int currentAttempt) {
+            return true;
+          }
+        });
+  }
+
+  @Example
+  void passingOnACrossedAnswerIsCaught() {
+    assertCaught(
+        "got the answer of",
+        new StandardRules() {
+          @Override
+          public boolean isEcho(String requestId, String echoedId) {
+            return true;
+          }
+        });
+  }
+
+  @Example
+  void sendingToALeavingEndpointIsCaught() {
+    assertCaught(
+        "new work for leaving",
+        new StandardRules() {
+          @Override
+          public boolean acceptsWork(EndpointShare endpoint) {
+            return true;
+          }
+        });
+  }
+
+  @Example
+  void goingWithoutAUnitIsCaught() {
+    assertCaught(
+        "above its limit",
+        new StandardRules() {
+          @Override
+          public boolean mayGoWithoutUnit() {
+            return true;
+          }
+        });
+  }
+
+  @Example
+  void shuttingDownAtOnceIsCaught() {
+    Violation v =
+        assertThrows(
+            Violation.class,
+            () ->
+                new RouterWorld(RequestRules.standard()).runAndStopAtOnce(Step.history(1, LENGTH)));
+    assertThat(v).hasMessageThat().contains("cut off without an answer");
+  }
+
+  @Provide
+  Arbitrary<List<Step>> histories() {
+    Arbitrary<Integer> number = Arbitraries.integers().between(0, 999);
+    Arbitrary<Step.Kind> kind =
+        Arbitraries.frequencyOf(
+            Tuple.of(1, Arbitraries.of(Step.Kind.OFFER)),
+            Tuple.of(1, Arbitraries.of(Step.Kind.class)));
+    return Combinators.combine(kind, number, number).as(Step::new).list().ofMaxSize(200);
+  }
+
+  private static void assertCaught(String violation, RequestRules mutation) {
+    for (long seed = 0; seed < HISTORIES; seed++) {
+      RouterWorld world = new RouterWorld(mutation);
+      List<Step> history = Step.history(seed, LENGTH);
+      try {
+        world.run(history);
+      } catch (Violation v) {
+        assertThat(v).hasMessageThat().contains(violation);
+        return;
+      }
+    }
+    fail("no history caught the mutation");
+  }
+}
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/request/Attempt.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/request/Attempt.java
@@ -1,6 +1,8 @@
 package io.cactusspring.daemon.request;
 
+import io.cactusspring.core.request.AnswerHead;
 import io.cactusspring.core.request.AttemptOutcome;
+import io.cactusspring.core.request.RequestRules;
 import io.vertx.core.AsyncResult;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -20,8 +22,6 @@
   private static final String DEADLINE_HEADER = "x-deadline-millis";
   private static final String ATTEMPT_HEADER = "x-attempt";
   private static final String NOT_RUN_HEADER = "x-not-run";
-  private static final int OK = 200;
-  private static final int UNAVAILABLE = 503;
 
   private final Vertx vertx;
   private final AttemptSpec spec;
@@ -74,12 +74,11 @@
       return;
     }
     HttpClientResponse response = head.result();
-    if (response.statusCode() == OK && hasKnownLength(response) && isEchoed(response)) {
-      response.body().onComplete(b -> onBody(response, b));
-    } else if (isNotRun(response)) {
-      response.end().onComplete(x -> finish(AttemptResult.of(new AttemptOutcome.NotRun())));
-    } else {
-      finish(AttemptResult.failed());
+    switch (headOf(response).judge(RequestRules.standard(), spec.requestId(), maxAnswerBytes)) {
+      case ANSWER -> response.body().onComplete(b -> onBody(response, b));
+      case NOT_RUN ->
+          response.end().onComplete(x -> finish(AttemptResult.of(new AttemptOutcome.NotRun())));
+      case FAILED -> finish(AttemptResult.failed());
     }
   }
 
@@ -103,9 +102,12 @@
     result.complete(r);
   }
 
-  private boolean hasKnownLength(HttpClientResponse response) {
-    long length = contentLength(response);
-    return length >= 0 && length <= maxAnswerBytes;
+  private static AnswerHead headOf(HttpClientResponse response) {
+    return new AnswerHead(
+        response.statusCode(),
+        response.getHeader(REQUEST_ID_HEADER),
+        contentLength(response),
+        "true".equals(response.getHeader(NOT_RUN_HEADER)));
   }
 
   private static long contentLength(HttpClientResponse response) {
@@ -116,15 +118,4 @@
       return -1;
     }
   }
-
-  private boolean isEchoed(HttpClientResponse response) {
-    return spec.requestId().equals(response.getHeader(REQUEST_ID_HEADER));
-  }
-
-  private boolean isNotRun(HttpClientResponse response) {
-    String id = response.getHeader(REQUEST_ID_HEADER);
-    return response.statusCode() == UNAVAILABLE
-        && "true".equals(response.getHeader(NOT_RUN_HEADER))
-        && (id == null || id.equals(spec.requestId()));
-  }
 }
