Add the command-line tool for callers and operators

Callers and operators need the wire contract without writing HTTP by hand. Arguments become typed commands, which one runner carries out over the entry hosts given, tried in order: a call goes to the next host only where that is safe (idempotent, same id, or never sent). Exit codes tell refused, not run, outcome unknown, bad input, unreachable, failed, conflict and not finished apart.

--- /dev/null
+++ b/cactusspring-cli/src/main/java/io/cactusspring/cli/CliException.java
@@ -0,0 +1,25 @@
+package io.cactusspring.cli;
+
+/**
+ * A command ended without its result.
+ *
+ * @since 0.1
+ */
+public final class CliException extends Exception {
+  private static final long serialVersionUID = 1L;
+
+  private final ExitCode exitCode;
+
+  public CliException(ExitCode exitCode, String message) {
+    this(exitCode, message, null);
+  }
+
+  public CliException(ExitCode exitCode, String message, Throwable cause) {
+    super(message, cause);
+    this.exitCode = exitCode;
+  }
+
+  public ExitCode exitCode() {
+    return exitCode;
+  }
+}
--- /dev/null
+++ b/cactusspring-cli/src/main/java/io/cactusspring/cli/client/Call.java
@@ -0,0 +1,110 @@
+package io.cactusspring.cli.client;
+
+import io.cactusspring.core.model.Arguments;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * One call to an entry host.
+ *
+ * <pre>{@code
+ * Call call = Call.get("/v1/status").build();
+ * }</pre>
+ *
+ * @param timeoutMillis longest wait for the whole answer of one host
+ * @since 0.1
+ */
+public record Call(
+    Method method,
+    String path,
+    List<Header> headers,
+    byte[] body,
+    Resend resend,
+    long timeoutMillis) {
+  private static final long TIMEOUT_MILLIS = 10_000;
+
+  /** HTTP methods in use. */
+  public enum Method {
+    GET,
+    POST
+  }
+
+  /** When the call may go to the next host. */
+  public enum Resend {
+    /** Doing it twice is the same as once. */
+    ALWAYS,
+    /** Only while it is certain that no host has received it. */
+    UNSENT,
+    /** It is meant for one host. */
+    NEVER
+  }
+
+  /** A header of the call. */
+  public record Header(String name, String value) {}
+
+  public Call {
+    headers = List.copyOf(headers);
+    body = body.clone();
+    Arguments.checkRange("timeoutMillis", timeoutMillis, 1, Integer.MAX_VALUE);
+  }
+
+  @Override
+  public byte[] body() {
+    return body.clone();
+  }
+
+  /** Starts a call that may be sent to any host and again. */
+  public static Builder get(String path) {
+    return new Builder(Method.GET, path, Resend.ALWAYS);
+  }
+
+  /** Starts a call that goes to the next host only while none has received it. */
+  public static Builder post(String path) {
+    return new Builder(Method.POST, path, Resend.UNSENT);
+  }
+
+  /** Builds a {@link Call}. */
+  public static final class Builder {
+    private final Method method;
+    private final String path;
+    private final List<Header> headers = new ArrayList<>();
+    private byte[] body = {};
+    private Resend resend;
+    private long timeoutMillis = TIMEOUT_MILLIS;
+
+    private Builder(Method method, String path, Resend resend) {
+      this.method = method;
+      this.path = path;
+      this.resend = resend;
+    }
+
+    public Builder header(String name, String value) {
+      headers.add(new Header(name, value));
+      return this;
+    }
+
+    public Builder json(byte[] value) {
+      body = value.clone();
+      return header("content-type", "application/json");
+    }
+
+    public Builder body(byte[] value) {
+      body = value.clone();
+      return header("content-type", "application/octet-stream");
+    }
+
+    public Builder resend(Resend value) {
+      resend = value;
+      return this;
+    }
+
+    public Builder timeoutMillis(long value) {
+      timeoutMillis = value;
+      return this;
+    }
+
+    public Call build() {
+      return new Call(method, path, headers, body, resend, timeoutMillis);
+    }
+  }
+}
--- /dev/null
+++ b/cactusspring-cli/src/main/java/io/cactusspring/cli/client/package-info.java
@@ -0,0 +1,2 @@
+/** Calls to entry hosts over HTTP. */
+package io.cactusspring.cli.client;
--- /dev/null
+++ b/cactusspring-cli/src/main/java/io/cactusspring/cli/command/Refusals.java
@@ -0,0 +1,66 @@
+package io.cactusspring.cli.command;
+
+import io.cactusspring.cli.CliException;
+import io.cactusspring.cli.ExitCode;
+import io.cactusspring.cli.client.ClientException;
+import io.cactusspring.cli.wire.Refusal;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/** What a refusal or a missing answer means for the exit code and the message. */
+final class Refusals {
+  private static final int TOO_MANY_REQUESTS = 429;
+  private static final int FIRST_SERVER_ERROR = 500;
+  private static final Set<String> CONFLICTS = Set.of("note-conflict", "submission-conflict");
+
+  private Refusals() {}
+
+  static CliException exception(Refusal refusal, int status) {
+    return new CliException(exitCode(refusal, status), message(refusal));
+  }
+
+  static CliException exception(ClientException e) {
+    return e.sent()
+        ? new CliException(ExitCode.OUTCOME_UNKNOWN, "no answer: " + e.getMessage(), e)
+        : new CliException(ExitCode.UNREACHABLE, "unreachable: " + e.getMessage(), e);
+  }
+
+  private static ExitCode exitCode(Refusal refusal, int status) {
+    if (CONFLICTS.contains(refusal.reason())) {
+      return ExitCode.CONFLICT;
+    }
+    boolean later = status == TOO_MANY_REQUESTS || status >= FIRST_SERVER_ERROR;
+    if (!later) {
+      return ExitCode.REFUSED;
+    }
+    return switch (String.valueOf(refusal.ran())) {
+      case "NO" -> ExitCode.NOT_RUN;
+      case "YES" -> ExitCode.FAILED;
+      default -> ExitCode.OUTCOME_UNKNOWN;
+    };
+  }
+
+  private static String message(Refusal r) {
+    StringBuilder text = new StringBuilder(r.reason());
+    if (r.message() != null && !r.message().isEmpty()) {
+      text.append(": ").append(r.message());
+    }
+    text.append(r.conflicts().stream().map(Refusals::line).collect(Collectors.joining()));
+    text.append(
+        r.problems().stream()
+            .map(p -> "\n  " + p.asText(p.toString()))
+            .collect(Collectors.joining()));
+    if (r.retryAfterMillis() > 0) {
+      text.append(" (try again in ").append(r.retryAfterMillis()).append(" ms)");
+    }
+    if (r.requestId() != null) {
+      text.append(" [request ").append(r.requestId()).append(']');
+    }
+    return text.toString();
+  }
+
+  private static String line(Refusal.Conflict c) {
+    return "\n  %s: based on revision %d, but %s changed it at revision %d with note %s"
+        .formatted(c.item(), c.basedOn(), c.operator(), c.revision(), c.note());
+  }
+}
--- /dev/null
+++ b/cactusspring-cli/src/main/java/io/cactusspring/cli/command/StatusCommands.java
@@ -0,0 +1,117 @@
+package io.cactusspring.cli.command;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.cactusspring.cli.CliException;
+import io.cactusspring.cli.ExitCode;
+import io.cactusspring.cli.client.Call;
+import io.cactusspring.cli.client.Call.Resend;
+import io.cactusspring.cli.output.Result;
+import io.cactusspring.cli.output.Table;
+import io.cactusspring.cli.wire.ConfigurationView;
+import io.cactusspring.cli.wire.HostStatus;
+import io.cactusspring.core.model.Resources;
+import java.util.ArrayList;
+import java.util.List;
+
+/** What entry hosts know of teams, keys, workers and waiting runs. */
+final class StatusCommands {
+  private static final double MILLI = 1_000.0;
+
+  private final Connection connection;
+
+  StatusCommands(Connection connection) {
+    this.connection = connection;
+  }
+
+  Result status() throws CliException {
+    HostStatus s = fetch();
+    Table peers = Table.of("PEER", "REVISION", "HEARD MS AGO");
+    s.peers().forEach(p -> peers.row(p.name(), p.revision(), p.heardMillisAgo()));
+    String text =
+        "%s of zone %s, incarnation %s: %s\nrevision %d, log read up to %d, heard %d ms ago\nowns %s"
+            .formatted(
+                s.host(),
+                s.zone(),
+                s.incarnation(),
+                s.ready() ? "ready" : "not ready",
+                s.revision(),
+                s.nextOffset(),
+                s.logAgeMillis(),
+                s.ownedShards().isEmpty() ? "no shard" : String.join(", ", s.ownedShards()));
+    return Result.ok(s, s.peers().isEmpty() ? text : text + "\n" + peers);
+  }
+
+  Result teams() throws CliException {
+    List<HostStatus.Team> teams = fetch().teams();
+    Table table = Table.of("TEAM", "SHARE", "MAX RUNNING", "RUNNING", "BUDGET", "WAITING");
+    teams.forEach(
+        t -> table.row(t.name(), t.share(), t.maxRunning(), t.running(), t.budget(), t.waiting()));
+    return Result.ok(teams, table.toString());
+  }
+
+  Result workers() throws CliException {
+    List<HostStatus.Worker> workers = fetch().workers();
+    Table table =
+        Table.of("WORKER", "SHARD", "STATE", "TASKS", "CPUS", "MEMORY MIB", "ACCELERATORS");
+    workers.forEach(w -> addRow(table, w));
+    return Result.ok(workers, table.toString());
+  }
+
+  private static void addRow(Table table, HostStatus.Worker w) {
+    Resources used = w.committed();
+    Resources total = w.total();
+    table.row(
+        w.name(),
+        w.shard(),
+        w.state(),
+        w.tasks(),
+        "%.1f/%.1f".formatted(used.milliProcessors() / MILLI, total.milliProcessors() / MILLI),
+        used.memoryMib() + "/" + total.memoryMib(),
+        used.accelerators() + "/" + total.accelerators());
+  }
+
+  Result queue() throws CliException {
+    List<HostStatus.Waiting> queue = fetch().queue();
+    Table table = Table.of("RUN", "TEAM", "WAITS FOR");
+    queue.forEach(w -> table.row(w.run(), w.team(), w.reason()));
+    return Result.ok(queue, table.toString());
+  }
+
+  Result config(Command.Config c) throws CliException {
+    ConfigurationView view =
+        connection.read(Call.get("/v1/configuration"), ConfigurationView.class);
+    List<ConfigurationView.Item> items = c.kind().map(view::ofKind).orElse(view.items());
+    Table table = Table.of("ITEM", "REVISION", "OPERATOR", "NOTE", "FIELDS");
+    items.forEach(i -> table.row(i.path(), i.revision(), i.operator(), i.note(), fields(i.item())));
+    return Result.ok(items, table + "\nrevision " + view.revision());
+  }
+
+  private static String fields(JsonNode item) {
+    List<String> fields = new ArrayList<>();
+    for (var e : item.properties()) {
+      boolean shown = !e.getKey().equals("kind") && !e.getKey().equals("name");
+      if (shown && !e.getValue().isNull()) {
+        fields.add(e.getKey() + "=" + e.getValue());
+      }
+    }
+    return String.join(" ", fields);
+  }
+
+  Result drain() throws CliException {
+    int hosts = connection.urls().size();
+    if (hosts != 1) {
+      throw new CliException(
+          ExitCode.BAD_INPUT, "drain is for one entry host; " + hosts + " given, expected one");
+    }
+    connection.send(Call.post("/v1/drain").json(new byte[0]).resend(Resend.NEVER));
+    String host = connection.urls().getFirst().toString();
+    return Result.ok(new Draining(host), host + " is draining");
+  }
+
+  /** Result of a drain in JSON. */
+  record Draining(String draining) {}
+
+  private HostStatus fetch() throws CliException {
+    return connection.read(Call.get("/v1/status"), HostStatus.class);
+  }
+}
--- /dev/null
+++ b/cactusspring-cli/src/main/java/io/cactusspring/cli/command/SubmissionCommands.java
@@ -0,0 +1,134 @@
+package io.cactusspring.cli.command;
+
+import io.cactusspring.cli.CliException;
+import io.cactusspring.cli.ExitCode;
+import io.cactusspring.cli.client.Call;
+import io.cactusspring.cli.output.Progress;
+import io.cactusspring.cli.output.Result;
+import io.cactusspring.cli.output.Table;
+import io.cactusspring.cli.wire.SubmissionStatus;
+import io.cactusspring.cli.wire.SubmissionStatus.RunStatus;
+import io.cactusspring.core.model.Outcome;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+
+/** Questions about a submission. */
+final class SubmissionCommands {
+  private static final int MAX_ROWS = 20;
+
+  private final Connection connection;
+  private final Progress progress;
+
+  SubmissionCommands(Connection connection, Progress progress) {
+    this.connection = connection;
+    this.progress = progress;
+  }
+
+  Result outcome(Command.OutcomeOf o) throws CliException {
+    return result(fetch(o.id()));
+  }
+
+  Result watch(Command.Watch w) throws CliException {
+    long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(w.timeoutMillis());
+    try {
+      while (true) {
+        Optional<SubmissionStatus> status = tryFetch(w.id());
+        boolean late = System.nanoTime() - end >= 0;
+        if (status.isPresent() && (late || status.get().finished())) {
+          return result(status.get());
+        }
+        if (late) {
+          return result(fetch(w.id()));
+        }
+        progress.show(
+            status.map(SubmissionCommands::line).orElse("no entry host answers; waiting"));
+        TimeUnit.MILLISECONDS.sleep(w.intervalMillis());
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new CliException(ExitCode.NOT_FINISHED, "interrupted", e);
+    } finally {
+      progress.clear();
+    }
+  }
+
+  /** A wait outlasts an outage: empty while no host can answer. */
+  private Optional<SubmissionStatus> tryFetch(String id) throws CliException {
+    try {
+      return Optional.of(fetch(id));
+    } catch (CliException e) {
+      return switch (e.exitCode()) {
+        case UNREACHABLE, OUTCOME_UNKNOWN, NOT_RUN -> Optional.empty();
+        default -> throw e;
+      };
+    }
+  }
+
+  Result explain(Command.Explain e) throws CliException {
+    String submission = submissionOf(e.id());
+    SubmissionStatus s = fetch(submission);
+    if (s.finished()) {
+      return Result.ok(new Explanation(e.id(), "ended"), e.id() + " does not wait: it has ended");
+    }
+    String reason =
+        s.waiting() == null || s.waiting().isEmpty() ? "nothing waits, its runs run" : s.waiting();
+    return Result.ok(new Explanation(e.id(), reason), e.id() + ": " + reason);
+  }
+
+  /** Result of an explanation in JSON. */
+  record Explanation(String id, String reason) {}
+
+  private static String submissionOf(String id) {
+    int hash = id.indexOf('#');
+    return hash < 0 ? id : id.substring(0, hash);
+  }
+
+  private SubmissionStatus fetch(String id) throws CliException {
+    return connection.read(Call.get("/v1/submissions/" + submissionOf(id)), SubmissionStatus.class);
+  }
+
+  private static Result result(SubmissionStatus s) {
+    return new Result(exitCode(s), s, text(s));
+  }
+
+  /** The worst that is true of any run decides. */
+  private static ExitCode exitCode(SubmissionStatus s) {
+    if (!s.finished()) {
+      return ExitCode.NOT_FINISHED;
+    }
+    if (s.count(Outcome.UNKNOWN) > 0) {
+      return ExitCode.OUTCOME_UNKNOWN;
+    }
+    if (s.count(Outcome.FAILED) > 0 || s.count(Outcome.CANCELLED) > 0) {
+      return ExitCode.FAILED;
+    }
+    return s.count(Outcome.INFEASIBLE) > 0 ? ExitCode.NOT_RUN : ExitCode.OK;
+  }
+
+  private static String text(SubmissionStatus s) {
+    String waiting = s.finished() || s.waiting() == null ? "" : "\nwaits: " + s.waiting();
+    List<RunStatus> shown =
+        s.runs().stream().filter(r -> !"SUCCEEDED".equals(r.outcome())).toList();
+    if (shown.isEmpty()) {
+      return line(s) + waiting;
+    }
+    Table table = Table.of("RUN", "STATE", "ATTEMPT", "WORKER", "OUTCOME");
+    shown.stream()
+        .limit(MAX_ROWS)
+        .forEach(r -> table.row(r.run(), r.state(), r.attempt(), r.worker(), r.outcome()));
+    int more = shown.size() - MAX_ROWS;
+    return line(s) + waiting + "\n" + table + (more > 0 ? "\nand " + more + " more" : "");
+  }
+
+  private static String line(SubmissionStatus s) {
+    String counts =
+        s.counts().entrySet().stream()
+            .map(e -> e.getKey() + " " + e.getValue())
+            .collect(Collectors.joining(", "));
+    String cancelled = s.cancelled() ? ", cancelled" : "";
+    return "%s of %s: %d of %d ended (%s)%s"
+        .formatted(s.id(), s.team(), s.ended(), s.total(), counts, cancelled);
+  }
+}
--- /dev/null
+++ b/cactusspring-cli/src/main/java/io/cactusspring/cli/note/KeyText.java
@@ -0,0 +1,57 @@
+package io.cactusspring.cli.note;
+
+import io.cactusspring.cli.CliException;
+import io.cactusspring.cli.ExitCode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/**
+ * A key as its holder keeps it, written {@code NAME.SECRET}.
+ *
+ * @since 0.1
+ */
+public record KeyText(String name, String secret) {
+  /**
+   * Parses {@code NAME.SECRET}; the last dot separates the two.
+   *
+   * @param source where the text came from, for the message
+   * @throws CliException if the text has another form; the message does not repeat it
+   */
+  public static KeyText parse(String text, String source) throws CliException {
+    String t = text.strip();
+    int dot = t.lastIndexOf('.');
+    if (dot <= 0 || dot == t.length() - 1 || t.chars().anyMatch(Character::isWhitespace)) {
+      throw new CliException(
+          ExitCode.BAD_INPUT, source + " holds no key; expected one line NAME.SECRET");
+    }
+    return new KeyText(t.substring(0, dot), t.substring(dot + 1));
+  }
+
+  /**
+   * Reads a key file.
+   *
+   * @throws CliException if the file cannot be read or holds no key
+   */
+  public static KeyText read(Path file) throws CliException {
+    return parse(readText(file), file.toString());
+  }
+
+  static String readText(Path file) throws CliException {
+    try {
+      return Files.readString(file);
+    } catch (IOException e) {
+      throw new CliException(ExitCode.BAD_INPUT, file + " cannot be read: " + e, e);
+    }
+  }
+
+  /** Value of the header {@code Authorization}. */
+  public String authorization() {
+    return "Bearer " + name + "." + secret;
+  }
+
+  @Override
+  public String toString() {
+    return "KeyText[name=" + name + "]";
+  }
+}
--- /dev/null
+++ b/cactusspring-cli/src/main/java/io/cactusspring/cli/note/package-info.java
@@ -0,0 +1,2 @@
+/** Release notes in files, and keys. */
+package io.cactusspring.cli.note;
--- /dev/null
+++ b/cactusspring-cli/src/main/java/io/cactusspring/cli/output/Result.java
@@ -0,0 +1,25 @@
+package io.cactusspring.cli.output;
+
+import io.cactusspring.cli.ExitCode;
+import io.cactusspring.cli.wire.Json;
+
+/**
+ * What a command prints in either format, and how the tool exits.
+ *
+ * @param json printed with {@code --output json}
+ * @param text printed otherwise
+ * @since 0.1
+ */
+public record Result(ExitCode exitCode, Object json, String text) {
+  public static Result ok(Object json, String text) {
+    return new Result(ExitCode.OK, json, text);
+  }
+
+  /** Returns what to print in a format. */
+  public String print(OutputFormat format) {
+    return switch (format) {
+      case JSON -> Json.pretty(json);
+      case TABLE -> text;
+    };
+  }
+}
--- a/cactusspring-cli/src/main/java/io/cactusspring/cli/package-info.java
+++ b/cactusspring-cli/src/main/java/io/cactusspring/cli/package-info.java
@@ -1,2 +1,8 @@
-/** Placeholder. */
+/**
+ * The command-line tool for callers and operators.
+ *
+ * <p>{@link io.cactusspring.cli.command.CommandLine} turns arguments into a typed command, which
+ * {@link io.cactusspring.cli.command.CommandRunner} carries out through {@link
+ * io.cactusspring.cli.client.EntryHosts}.
+ */
 package io.cactusspring.cli;
--- /dev/null
+++ b/cactusspring-cli/src/main/java/io/cactusspring/cli/wire/SubmissionAccepted.java
@@ -0,0 +1,9 @@
+package io.cactusspring.cli.wire;
+
+/**
+ * Answer to a submission.
+ *
+ * @param home shard that places its runs
+ * @since 0.1
+ */
+public record SubmissionAccepted(String id, boolean accepted, String home) {}
