--- a/cactusspring-cli/src/main/java/io/cactusspring/cli/note/KeyText.java
+++ b/cactusspring-cli/src/main/java/io/cactusspring/cli/note/KeyText.java
@@ -2,6 +2,9 @@
 
 import io.cactusspring.cli.CliException;
 import io.cactusspring.cli.ExitCode;
+import io.cactusspring.core.security.AuthenticationException;
+import io.cactusspring.core.security.Keys;
+import io.cactusspring.core.security.PresentedKey;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -19,13 +22,13 @@
    * @throws CliException if the text has another form; the message does not repeat it
    */
   public static KeyText parse(String text, String source) throws CliException {
-    String t = text.strip();
-    int dot = t.lastIndexOf('.');
-    if (dot <= 0 || dot == t.length() - 1 || t.chars().anyMatch(Character::isWhitespace)) {
+    try {
+      PresentedKey key = Keys.parse(text.strip());
+      return new KeyText(key.name(), key.secret());
+    } catch (AuthenticationException e) {
       throw new CliException(
-          ExitCode.BAD_INPUT, source + " holds no key; expected one line NAME.SECRET");
+          ExitCode.BAD_INPUT, source + " holds no key; expected one line NAME.SECRET", e);
     }
-    return new KeyText(t.substring(0, dot), t.substring(dot + 1));
   }
 
   /**
--- a/cactusspring-cli/src/main/java/io/cactusspring/cli/note/SecretHash.java
+++ b/cactusspring-cli/src/main/java/io/cactusspring/cli/note/SecretHash.java
@@ -1,8 +1,6 @@
 package io.cactusspring.cli.note;
 
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
+import io.cactusspring.core.security.Keys;
 import java.security.SecureRandom;
 import java.util.Base64;
 import java.util.HexFormat;
@@ -21,7 +19,8 @@
   static SecretHash of(String secret) {
     byte[] salt = new byte[SALT_BYTES];
     RANDOM.nextBytes(salt);
-    return new SecretHash(HexFormat.of().formatHex(salt), hash(salt, secret));
+    String text = HexFormat.of().formatHex(salt);
+    return new SecretHash(text, Keys.hash(text, secret));
   }
 
   /** Returns a new secret without dots. */
@@ -30,14 +29,4 @@
     RANDOM.nextBytes(secret);
     return Base64.getUrlEncoder().withoutPadding().encodeToString(secret);
   }
-
-  private static String hash(byte[] salt, String secret) {
-    try {
-      MessageDigest digest = MessageDigest.getInstance("SHA-256");
-      digest.update(salt);
-      return HexFormat.of().formatHex(digest.digest(secret.getBytes(StandardCharsets.UTF_8)));
-    } catch (NoSuchAlgorithmException e) {
-      throw new IllegalStateException("SHA-256 is missing from the Java runtime", e);
-    }
-  }
 }
