List a note's problems once and name items that are gone in conflicts

The daemon repeats the problems of a note in its message, and a conflict about an item that is not there has no operator; the tool printed the former twice and "null" for the latter.

--- a/cactusspring-cli/src/main/java/io/cactusspring/cli/command/Refusals.java
+++ b/cactusspring-cli/src/main/java/io/cactusspring/cli/command/Refusals.java
@@ -41,15 +41,8 @@
   }
 
   private static String message(Refusal r) {
-    StringBuilder text = new StringBuilder(r.reason());
-    if (r.message() != null && !r.message().isEmpty()) {
-      text.append(": ").append(r.message());
-    }
-    text.append(r.conflicts().stream().map(Refusals::line).collect(Collectors.joining()));
-    text.append(
-        r.problems().stream()
-            .map(p -> "\n  " + p.asText(p.toString()))
-            .collect(Collectors.joining()));
+    StringBuilder text = new StringBuilder(r.reason()).append(details(r));
+    r.conflicts().forEach(c -> text.append(line(c)));
     if (r.retryAfterMillis() > 0) {
       text.append(" (try again in ").append(r.retryAfterMillis()).append(" ms)");
     }
@@ -59,8 +52,21 @@
     return text.toString();
   }
 
+  /** The problems of a note, one a line, or the message. */
+  private static String details(Refusal r) {
+    if (!r.problems().isEmpty()) {
+      return r.problems().stream().map(p -> "\n  " + p).collect(Collectors.joining());
+    }
+    return r.message() == null || r.message().isEmpty() ? "" : ": " + r.message();
+  }
+
   private static String line(Refusal.Conflict c) {
-    return "\n  %s: based on revision %d, but %s changed it at revision %d with note %s"
-        .formatted(c.item(), c.basedOn(), c.operator(), c.revision(), c.note());
+    String start = "\n  %s: based on revision %d, but ".formatted(c.item(), c.basedOn());
+    if (c.revision() == 0) {
+      return start + "it is not there";
+    }
+    return start
+        + "%s changed it at revision %d with note %s"
+            .formatted(c.operator(), c.revision(), c.note());
   }
 }
--- a/cactusspring-cli/src/main/java/io/cactusspring/cli/command/StatusCommands.java
+++ b/cactusspring-cli/src/main/java/io/cactusspring/cli/command/StatusCommands.java
@@ -10,12 +10,14 @@
 import io.cactusspring.cli.wire.ConfigurationView;
 import io.cactusspring.cli.wire.HostStatus;
 import io.cactusspring.core.model.Resources;
-import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /** What entry hosts know of teams, keys, workers and waiting runs. */
 final class StatusCommands {
   private static final double MILLI = 1_000.0;
+  private static final Set<String> UNSHOWN_FIELDS = Set.of("kind", "name", "salt", "hash");
 
   private final Connection connection;
 
@@ -87,14 +89,10 @@
   }
 
   private static String fields(JsonNode item) {
-    List<String> fields = new ArrayList<>();
-    for (var e : item.properties()) {
-      boolean shown = !e.getKey().equals("kind") && !e.getKey().equals("name");
-      if (shown && !e.getValue().isNull()) {
-        fields.add(e.getKey() + "=" + e.getValue());
-      }
-    }
-    return String.join(" ", fields);
+    return item.properties().stream()
+        .filter(e -> !UNSHOWN_FIELDS.contains(e.getKey()) && !e.getValue().isNull())
+        .map(e -> e.getKey() + "=" + e.getValue())
+        .collect(Collectors.joining(" "));
   }
 
   Result drain() throws CliException {
--- a/cactusspring-cli/src/main/java/io/cactusspring/cli/wire/Refusal.java
+++ b/cactusspring-cli/src/main/java/io/cactusspring/cli/wire/Refusal.java
@@ -1,6 +1,5 @@
 package io.cactusspring.cli.wire;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import java.util.List;
 
 /**
@@ -19,7 +18,7 @@
     long retryAfterMillis,
     String requestId,
     List<Conflict> conflicts,
-    List<JsonNode> problems) {
+    List<String> problems) {
   private static final int MAX_TEXT_CHARS = 200;
 
   public Refusal {
--- a/cactusspring-cli/src/test/java/io/cactusspring/cli/OperatorCommandsTest.java
+++ b/cactusspring-cli/src/test/java/io/cactusspring/cli/OperatorCommandsTest.java
@@ -26,7 +26,7 @@
         {"path":"team/counter","revision":12,"note":"n0","operator":"ops2",
          "item":{"kind":"team","name":"counter","share":4,"maxRunning":200,"open":false}},
         {"path":"key/k1","revision":3,"note":"n0","operator":"ops",
-         "item":{"kind":"key","name":"k1","team":"counter","operator":false}}]}
+         "item":{"kind":"key","name":"k1","team":"counter","operator":false,"salt":"","hash":""}}]}
       """;
   private static final String NOTE =
       """
@@ -99,6 +99,27 @@
             "team/counter: based on revision 12, but ops2 changed it at revision 15 with note n9");
   }
 
+  @Test
+  void problemsOfANoteAreListedOnce() {
+    host.on(
+        NOTES,
+        422,
+        "{\"reason\":\"note-invalid\",\"message\":\"no team x\",\"problems\":[\"no team x\"]}");
+    assertThat(run("note", "apply", note.toString())).isEqualTo(ExitCode.REFUSED);
+    assertThat(tool.err().strip()).isEqualTo("cactusspring: note-invalid\n  no team x");
+  }
+
+  @Test
+  void conflictAboutAnItemThatIsNotThereSaysSo() {
+    host.on(
+        NOTES,
+        409,
+        "{\"reason\":\"note-conflict\",\"conflicts\":"
+            + "[{\"item\":\"key/k1\",\"basedOn\":3,\"revision\":0}]}");
+    assertThat(run("note", "apply", note.toString())).isEqualTo(ExitCode.CONFLICT);
+    assertThat(tool.err()).contains("key/k1: based on revision 3, but it is not there");
+  }
+
   @Test
   void lostAnswerToANotePrintsTheIdToSendItAgainBy() {
     host.disconnectOn(NOTES);
@@ -160,6 +181,7 @@
     assertThat(run("keys")).isEqualTo(ExitCode.OK);
     assertThat(tool.out()).containsMatch("key/k1 +3 +ops +n0");
     assertThat(tool.out()).doesNotContain("team/counter");
+    assertThat(tool.out()).doesNotContain("salt");
   }
 
   @Test
