--- /dev/null
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/port/TlsFiles.java
@@ -0,0 +1,24 @@
+package io.cactusspring.daemon.port;
+
+import io.cactusspring.daemon.settings.TlsSettings;
+import io.vertx.core.http.ClientAuth;
+import io.vertx.core.net.PemKeyCertOptions;
+import io.vertx.core.net.PemTrustOptions;
+import java.util.Optional;
+
+/** The files of one TLS port as options; they are read when the port opens. */
+final class TlsFiles {
+  static final ClientAuth CLIENT_AUTH = ClientAuth.REQUIRED;
+
+  private TlsFiles() {}
+
+  static PemKeyCertOptions keyCert(TlsSettings tls) {
+    return new PemKeyCertOptions()
+        .setCertPath(tls.certificate().toString())
+        .setKeyPath(tls.key().toString());
+  }
+
+  static Optional<PemTrustOptions> trust(TlsSettings tls) {
+    return tls.authorities().map(f -> new PemTrustOptions().addCertPath(f.toString()));
+  }
+}
--- /dev/null
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/port/package-info.java
@@ -0,0 +1,2 @@
+/** Limits and TLS of the ports on which this entry host listens. */
+package io.cactusspring.daemon.port;
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/settings/DaemonSettings.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/settings/DaemonSettings.java
@@ -144,10 +144,6 @@
     return (int) number(SettingsField.PACKING_WEIGHT);
   }
 
-  public int maxBodyBytes() {
-    return (int) number(SettingsField.MAX_BODY_BYTES);
-  }
-
   public int maxHeaderBytes() {
     return (int) number(SettingsField.MAX_HEADER_BYTES);
   }
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/settings/SettingsField.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/settings/SettingsField.java
@@ -94,8 +94,6 @@
       100,
       50,
       "Weight of dense packing in placement, against waiting times."),
-  MAX_BODY_BYTES(
-      "maxBodyBytes", "bytes", 1_024, 16_777_216, 1_048_576, "Largest body of a request."),
   MAX_HEADER_BYTES(
       "maxHeaderBytes", "bytes", 1_024, 65_536, 8_192, "Largest headers of a request."),
   MAX_CONNECTIONS(
--- /dev/null
+++ b/cactusspring-daemon/src/test/java/io/cactusspring/daemon/port/CallerPortTest.java
@@ -0,0 +1,122 @@
+package io.cactusspring.daemon.port;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.cactusspring.daemon.settings.DaemonSettings;
+import io.cactusspring.daemon.settings.SettingsField;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.net.NetSocket;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class CallerPortTest {
+  private static final long WAIT_SECONDS = 20;
+  private static final String SHORT_REQUEST = "GET / HTTP/1.1\r\nhost: h\r\n";
+
+  private final Vertx vertx = Vertx.vertx();
+  private final SimpleMeterRegistry registry = new SimpleMeterRegistry();
+
+  @AfterEach
+  void close() throws Exception {
+    await(vertx.close());
+  }
+
+  @Test
+  void connectionOverTheLimitIsClosedAndCounted() throws Exception {
+    int port = listen(PortSettings.builder().number(SettingsField.MAX_CONNECTIONS, 8).build());
+    for (int i = 0; i < 8; i++) {
+      assertThat(answer(connect(port), SHORT_REQUEST + "\r\n")).startsWith("HTTP/1.1 200");
+    }
+    awaitClosed(connect(port));
+    assertThat(closed("over-limit")).isEqualTo(1);
+  }
+
+  @Test
+  void senderThatDoesNotFinishItsHeadersIsClosed() throws Exception {
+    int port = listen(quick());
+    NetSocket socket = connect(port);
+    Future<Void> closed = closed(socket);
+    socket.write(SHORT_REQUEST);
+    await(closed);
+    assertThat(closed("slow-sender")).isEqualTo(1);
+  }
+
+  @Test
+  void senderThatDoesNotFinishItsBodyIsClosed() throws Exception {
+    int port = listen(quick());
+    NetSocket socket = connect(port);
+    Future<Void> closed = closed(socket);
+    socket.write("POST /wait HTTP/1.1\r\nhost: h\r\ncontent-length: 10\r\n\r\nabc");
+    await(closed);
+    assertThat(closed("slow-sender")).isEqualTo(1);
+  }
+
+  @Test
+  void callerThatWaitsLongForItsAnswerIsNotClosed() throws Exception {
+    int port = listen(quick());
+    String request = "POST /late HTTP/1.1\r\nhost: h\r\ncontent-length: 3\r\n\r\nabc";
+    assertThat(answer(connect(port), request)).startsWith("HTTP/1.1 200");
+    assertThat(closed("slow-sender")).isEqualTo(0);
+  }
+
+  @Test
+  void headersOverTheLimitAreRefused() throws Exception {
+    int port = listen(PortSettings.builder().number(SettingsField.MAX_HEADER_BYTES, 1_024).build());
+    String large = "x-large: " + "a".repeat(2_000) + "\r\n\r\n";
+    assertThat(answer(connect(port), SHORT_REQUEST + large)).startsWith("HTTP/1.1 431");
+  }
+
+  private static DaemonSettings quick() {
+    return PortSettings.builder().number(SettingsField.READ_TIMEOUT_MILLIS, 100).build();
+  }
+
+  /** Answers at once, after several read timeouts, or once the body has arrived. */
+  private int listen(DaemonSettings settings) throws Exception {
+    HttpServer server =
+        new CallerPort(vertx, settings, registry)
+            .server(
+                r -> {
+                  switch (r.path()) {
+                    case "/late" ->
+                        vertx.setTimer(4 * settings.readTimeoutMillis(), t -> r.response().end());
+                    case "/wait" -> r.body().onSuccess(b -> r.response().end());
+                    default -> r.response().end();
+                  }
+                });
+    return await(server.listen(0, "127.0.0.1")).actualPort();
+  }
+
+  private NetSocket connect(int port) throws Exception {
+    return await(vertx.createNetClient().connect(port, "127.0.0.1"));
+  }
+
+  private static String answer(NetSocket socket, String request) throws Exception {
+    Promise<String> answer = Promise.promise();
+    socket.handler(b -> answer.tryComplete(b.toString()));
+    socket.write(request);
+    return await(answer.future());
+  }
+
+  private static Future<Void> closed(NetSocket socket) {
+    Promise<Void> closed = Promise.promise();
+    socket.closeHandler(x -> closed.tryComplete());
+    return closed.future();
+  }
+
+  private static void awaitClosed(NetSocket socket) throws Exception {
+    await(closed(socket));
+  }
+
+  private double closed(String reason) {
+    return registry.get("cactusspring.connections.closed").tag("reason", reason).counter().count();
+  }
+
+  private static <T> T await(Future<T> future) throws Exception {
+    return future.toCompletionStage().toCompletableFuture().get(WAIT_SECONDS, TimeUnit.SECONDS);
+  }
+}
