--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/CallerServer.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/CallerServer.java
@@ -3,6 +3,8 @@
 import io.cactusspring.daemon.http.CellView;
 import io.cactusspring.daemon.http.Filters;
 import io.cactusspring.daemon.http.RefusalWriter;
+import io.cactusspring.daemon.port.CallerPort;
+import io.cactusspring.daemon.port.CertificateReload;
 import io.cactusspring.daemon.request.RequestService;
 import io.cactusspring.daemon.settings.DaemonSettings;
 import io.cactusspring.daemon.work.NoteApi;
@@ -13,7 +15,6 @@
 import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
-import io.vertx.core.http.HttpServerOptions;
 import io.vertx.ext.web.Route;
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
@@ -22,9 +23,8 @@
 /** The port for callers, operators, the balancer and Prometheus. */
 final class CallerServer {
   private static final int ACCEPTED = 202;
-  private static final int MAX_HEADER_BYTES = 16_384;
-  private static final int IDLE_SECONDS = 150;
 
+  private final Vertx vertx;
   private final DaemonSettings settings;
   private final Apis apis;
   private final HttpServer server;
@@ -43,17 +43,21 @@
   CallerServer(Vertx vertx, DaemonSettings settings, Apis apis) {
     this.settings = settings;
     this.apis = apis;
-    HttpServerOptions options =
-        new HttpServerOptions().setMaxHeaderSize(MAX_HEADER_BYTES).setIdleTimeout(IDLE_SECONDS);
-    this.server = vertx.createHttpServer(options).requestHandler(router(vertx));
+    this.vertx = vertx;
+    this.server = new CallerPort(vertx, settings, apis.registry()).server(router(vertx));
   }
 
   Future<Void> listen() {
     return server
         .listen(settings.callerAddress().port(), settings.callerAddress().host())
+        .onSuccess(s -> reloadCertificates())
         .mapEmpty();
   }
 
+  private void reloadCertificates() {
+    settings.callerTls().ifPresent(t -> CertificateReload.ofCallers(vertx, t, server).start());
+  }
+
   Future<Void> close() {
     return server.close();
   }
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/Daemon.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/Daemon.java
@@ -148,7 +148,7 @@
                 this::endpointLoads,
                 peerLogs,
                 hints));
-    mesh = new PeerMesh(vertx, context, clock, hello(), settings.peers(), entryHost);
+    mesh = new PeerMesh(vertx, context, clock, hello(), settings, entryHost);
     peerLogs.use(mesh);
     RefusalWriter refusals = new RefusalWriter(registry);
     ReadBack readBack = new ReadBack(cell, log, context);
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/peers/PeerMesh.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/peers/PeerMesh.java
@@ -3,8 +3,10 @@
 import io.cactusspring.daemon.cell.MonotonicClock;
 import io.cactusspring.daemon.log.Event;
 import io.cactusspring.daemon.log.EventLog;
+import io.cactusspring.daemon.port.CertificateReload;
+import io.cactusspring.daemon.port.PeerPort;
 import io.cactusspring.daemon.settings.Address;
-import io.cactusspring.daemon.settings.PeerSettings;
+import io.cactusspring.daemon.settings.DaemonSettings;
 import io.cactusspring.protocol.gen.AppendReply;
 import io.cactusspring.protocol.gen.AppendRequest;
 import io.cactusspring.protocol.gen.Heartbeat;
@@ -17,11 +19,8 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetClient;
-import io.vertx.core.net.NetClientOptions;
 import io.vertx.core.net.NetServer;
-import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.NetSocket;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -36,9 +35,10 @@
  */
 public final class PeerMesh {
   private static final EventLog LOG = EventLog.of(PeerMesh.class);
-  private static final int CONNECT_MILLIS = 1_000;
   private static final long REPLY_MILLIS = 2_000;
 
+  private final Vertx vertx;
+  private final DaemonSettings settings;
   private final Context context;
   private final PeerHandler handler;
   private final Hello self;
@@ -55,22 +55,33 @@
       Context context,
       MonotonicClock clock,
       Hello self,
-      Collection<PeerSettings> peers,
+      DaemonSettings settings,
       PeerHandler handler) {
+    this.vertx = vertx;
+    this.settings = settings;
     this.context = context;
     this.handler = handler;
     this.self = self;
-    this.client =
-        vertx.createNetClient(
-            new NetClientOptions().setConnectTimeout(CONNECT_MILLIS).setTcpNoDelay(true));
-    this.server = vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true));
-    peers.forEach(
-        p -> links.put(p.name(), new PeerLink(p, client, clock, PeerMessage.hello(self))));
+    this.client = vertx.createNetClient(PeerPort.client(settings));
+    this.server = vertx.createNetServer(PeerPort.server(settings));
+    settings
+        .peers()
+        .forEach(p -> links.put(p.name(), new PeerLink(p, client, clock, PeerMessage.hello(self))));
   }
 
   /** Starts to accept peers' connections. */
   public Future<Void> listen(Address address) {
-    return server.connectHandler(this::accept).listen(address.port(), address.host()).mapEmpty();
+    return server
+        .connectHandler(this::accept)
+        .listen(address.port(), address.host())
+        .onSuccess(s -> reloadCertificates())
+        .mapEmpty();
+  }
+
+  private void reloadCertificates() {
+    settings
+        .peerTls()
+        .ifPresent(t -> CertificateReload.ofPeers(vertx, t, server, client).start());
   }
 
   /** Sends a heartbeat to every peer. */
