--- /dev/null
+++ b/cactusspring-process-tests/src/test/java/io/cactusspring/processtests/Cell.java
@@ -0,0 +1,216 @@
+package io.cactusspring.processtests;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+/** A running cell: stand-ins and entry hosts as processes on loopback. */
+final class Cell implements AutoCloseable {
+  private static final Path BIN = Path.of("..", "bin").toAbsolutePath().normalize();
+
+  private final CellLayout layout;
+  private final Path directory;
+  private final List<ManagedProcess> processes = new ArrayList<>();
+  private final List<EntryHost> entryHosts = new ArrayList<>();
+
+  private Cell(CellLayout layout, Path directory) {
+    this.layout = layout;
+    this.directory = directory;
+  }
+
+  /** Starts a cell and waits until its first note is in force everywhere. */
+  static Cell start(List<String> zones, int hostsPerZone, int workers, int executors)
+      throws Exception {
+    return start(zones, hostsPerZone, workers, executors, List.of());
+  }
+
+  /**
+   * Starts a cell whose entry hosts find the executors at other addresses, behind relays.
+   *
+   * @param relays one relay for each executor, or none
+   */
+  static Cell start(
+      List<String> zones, int hostsPerZone, int workers, int executors, List<Relay> relays)
+      throws Exception {
+    CellLayout sized = new CellLayout(zones, hostsPerZone, workers, executors, 0);
+    CellLayout layout =
+        new CellLayout(
+            zones, hostsPerZone, workers, executors, FreePorts.consecutive(sized.portCount()));
+    Cell cell = new Cell(layout, Files.createTempDirectory("cactusspring-test"));
+    try {
+      cell.startAll(relays);
+      return cell;
+    } catch (Exception | AssertionError e) {
+      cell.close();
+      throw e;
+    }
+  }
+
+  CellLayout layout() {
+    return layout;
+  }
+
+  List<EntryHost> entryHosts() {
+    return Collections.unmodifiableList(entryHosts);
+  }
+
+  /** Returns the entry host that owns the shard. */
+  EntryHost ownerOf(String shard) throws Exception {
+    List<EntryHost> owners = new ArrayList<>();
+    Await.until(
+        "an owner of " + shard,
+        () -> {
+          owners.clear();
+          for (EntryHost host : entryHosts) {
+            if (host.status("ops").ownedShards().contains(shard)) {
+              owners.add(host);
+            }
+          }
+          return owners.size() == 1;
+        });
+    return owners.get(0);
+  }
+
+  void switchLog(String switches) throws Exception {
+    Http.post(layout.logAddress(), "/admin", switches);
+  }
+
+  void changeHost(String name, String change) throws Exception {
+    Http.post(layout.hostsAddress(), "/admin/hosts/" + name, change);
+  }
+
+  void switchExecutors(String switches) throws Exception {
+    for (int i = 0; i < layout.executors(); i++) {
+      Http.post(layout.executorAddress(i), "/admin", switches);
+    }
+  }
+
+  /** Returns what the workers saw, all of them together. */
+  WorkerHistory workerHistory() throws Exception {
+    List<TaskEvent> events = new ArrayList<>();
+    List<WorkerHistory.Violations> violations = new ArrayList<>();
+    for (int i = 0; i < layout.workers(); i++) {
+      String address = layout.workerAddress(i);
+      events.addAll(Http.get(address, "/admin/history").asListOf(TaskEvent.class));
+      violations.add(Http.get(address, "/admin/violations").as(WorkerHistory.Violations.class));
+    }
+    return new WorkerHistory(events, violations);
+  }
+
+  /** Returns the executions that began, on all executors together. */
+  List<Execution> executions() throws Exception {
+    List<Execution> executions = new ArrayList<>();
+    for (int i = 0; i < layout.executors(); i++) {
+      executions.addAll(executionsOf(i));
+    }
+    return executions;
+  }
+
+  List<Execution> executionsOf(int executor) throws Exception {
+    return Http.get(layout.executorAddress(executor), "/admin/history").asListOf(Execution.class);
+  }
+
+  @Override
+  public void close() {
+    processes.forEach(ManagedProcess::close);
+    try (Stream<Path> files = Files.walk(directory)) {
+      files.sorted(Comparator.reverseOrder()).forEach(Cell::delete);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private void startAll(List<Relay> relays) throws Exception {
+    for (int i = 0; i < relays.size(); i++) {
+      relays.get(i).forwardTo(layout.firstPort() + 2 + layout.workers() + i);
+    }
+    startStandIns(relays);
+    for (int i = 0; i < layout.entryHosts(); i++) {
+      entryHosts.add(startEntryHost(i));
+    }
+    for (EntryHost host : entryHosts) {
+      Await.until(host.name() + " is ready; " + host.process().output(), host::isReady);
+    }
+    Http.Answer answer = entryHosts.get(0).apply(layout.firstNote(), "boot");
+    if (answer.status() != 200) {
+      throw new AssertionError("first note: " + answer);
+    }
+    for (EntryHost host : entryHosts) {
+      Await.until("first note in force on " + host.name(), () -> knowsNote(host));
+    }
+  }
+
+  private static boolean knowsNote(EntryHost host) throws Exception {
+    return !host.configuration("ops").items().isEmpty();
+  }
+
+  private void startStandIns(List<Relay> relays) throws Exception {
+    List<String> addresses =
+        relays.isEmpty()
+            ? IntStream.range(0, layout.executors()).mapToObj(layout::executorAddress).toList()
+            : relays.stream().map(Relay::address).toList();
+    Path hosts = directory.resolve("hosts.json");
+    Files.writeString(hosts, layout.hostsFile(addresses));
+    List<ManagedProcess> started =
+        List.of(
+            standIn("log", "--listen", layout.logAddress()),
+            standIn("hosts", "--listen", layout.hostsAddress(), "--file", hosts.toString()),
+            standIn(
+                "worker",
+                "--listen",
+                layout.workerAddress(0),
+                "--count",
+                Integer.toString(layout.workers()),
+                "--cpu",
+                Long.toString(CellLayout.WORKER_MILLI_PROCESSORS),
+                "--memory",
+                Long.toString(CellLayout.WORKER_MEMORY_MIB)),
+            standIn(
+                "executor",
+                "--listen",
+                layout.executorAddress(0),
+                "--name",
+                "x",
+                "--count",
+                Integer.toString(layout.executors())));
+    for (ManagedProcess process : started) {
+      Await.until(process.name(), () -> process.output().contains("listening on"));
+    }
+  }
+
+  private ManagedProcess standIn(String kind, String... options) throws IOException {
+    List<String> command = new ArrayList<>(List.of(BIN.resolve("standin").toString(), kind));
+    command.addAll(List.of(options));
+    return launch(kind, command);
+  }
+
+  private EntryHost startEntryHost(int index) throws IOException {
+    String name = layout.entryName(index);
+    Path settings = directory.resolve(name + ".json");
+    Files.writeString(settings, layout.settingsFile(index, layout.logAddress()));
+    List<String> command =
+        List.of(BIN.resolve("cactusspringd").toString(), "--settings", settings.toString());
+    return new EntryHost(name, layout.callerAddress(index), launch(name, command));
+  }
+
+  private ManagedProcess launch(String name, List<String> command) throws IOException {
+    ManagedProcess process = ManagedProcess.start(name, directory, command);
+    processes.add(process);
+    return process;
+  }
+
+  private static void delete(Path path) {
+    try {
+      Files.delete(path);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+}
--- /dev/null
+++ b/cactusspring-process-tests/src/test/java/io/cactusspring/processtests/FreePorts.java
@@ -0,0 +1,36 @@
+package io.cactusspring.processtests;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.Random;
+import java.util.stream.IntStream;
+
+/** Hands out loopback ports below the range that outgoing connections use. */
+final class FreePorts {
+  private static final int LOWEST = 10_000;
+  private static final int SPAN = 20_000;
+  private static final int TRIES = 200;
+  private static final Random RANDOM = new Random();
+
+  private FreePorts() {}
+
+  /** Returns the first of consecutive ports that are free. */
+  static int consecutive(int count) throws IOException {
+    for (int i = 0; i < TRIES; i++) {
+      int first = LOWEST + RANDOM.nextInt(SPAN);
+      if (IntStream.range(first, first + count).allMatch(FreePorts::isFree)) {
+        return first;
+      }
+    }
+    throw new IOException("no " + count + " consecutive free ports");
+  }
+
+  private static boolean isFree(int port) {
+    try (ServerSocket unused = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+      return true;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/cactusspring-process-tests/src/test/java/io/cactusspring/processtests/Http.java
@@ -0,0 +1,65 @@
+package io.cactusspring.processtests;
+
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.time.Duration;
+import java.util.List;
+
+/** Calls a process on loopback and reads typed answers. */
+final class Http {
+  private static final Duration TIMEOUT = Duration.ofSeconds(40);
+  private static final JsonMapper MAPPER =
+      JsonMapper.builder().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES).build();
+  private static final HttpClient CLIENT =
+      HttpClient.newBuilder()
+          .version(HttpClient.Version.HTTP_1_1)
+          .connectTimeout(Duration.ofSeconds(5))
+          .build();
+
+  private Http() {}
+
+  /** A status and a body. */
+  record Answer(int status, String body) {
+    <T> T as(Class<T> type) throws IOException {
+      return MAPPER.readValue(body, type);
+    }
+
+    <T> List<T> asListOf(Class<T> type) throws IOException {
+      return MAPPER.readerForListOf(type).readValue(body);
+    }
+  }
+
+  static Answer get(String address, String path, String... headers)
+      throws IOException, InterruptedException {
+    return send(request(address, path, headers).GET());
+  }
+
+  static Answer post(String address, String path, String body, String... headers)
+      throws IOException, InterruptedException {
+    return send(request(address, path, headers).POST(BodyPublishers.ofString(body)));
+  }
+
+  static Answer postJson(String address, String path, Object body, String... headers)
+      throws IOException, InterruptedException {
+    HttpRequest.Builder request =
+        request(address, path, headers).header("content-type", "application/json");
+    return send(request.POST(BodyPublishers.ofString(MAPPER.writeValueAsString(body))));
+  }
+
+  private static HttpRequest.Builder request(String address, String path, String... headers) {
+    HttpRequest.Builder request =
+        HttpRequest.newBuilder(URI.create("http://" + address + path)).timeout(TIMEOUT);
+    return headers.length == 0 ? request : request.headers(headers);
+  }
+
+  private static Answer send(HttpRequest.Builder request) throws IOException, InterruptedException {
+    var response = CLIENT.send(request.build(), BodyHandlers.ofString());
+    return new Answer(response.statusCode(), response.body());
+  }
+}
--- /dev/null
+++ b/cactusspring-process-tests/src/test/java/io/cactusspring/processtests/PausedOwnerTest.java
@@ -0,0 +1,77 @@
+package io.cactusspring.processtests;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import io.cactusspring.core.model.Submission;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class PausedOwnerTest {
+  private static final String SHARD = "riga-a/0";
+  private static final int TASKS = 6;
+  private static final long TASK_MILLIS = 300;
+  private static final long LONG_TASK_MILLIS = 8_000;
+
+  @Test
+  void ownerThatWakesAfterATakeoverStartsNothingTwice() throws Exception {
+    try (Cell cell = Cell.start(List.of("riga-a"), 3, 4, 1)) {
+      EntryHost owner = cell.ownerOf(SHARD);
+      List<EntryHost> others =
+          cell.entryHosts().stream().filter(host -> !host.equals(owner)).toList();
+      List<Submission> accepted = new ArrayList<>();
+      accepted.add(submit(others.get(0), Work.idempotent("long", TASKS, LONG_TASK_MILLIS)));
+      accepted.add(submit(owner, Work.once("single", TASKS, TASK_MILLIS)));
+      owner.process().pause();
+      try {
+        accepted.add(submit(others.get(1), Work.idempotent("paused", TASKS, TASK_MILLIS)));
+        Await.until("another owner", () -> isOwned(others));
+        accepted.add(submit(others.get(0), Work.once("taken", TASKS, TASK_MILLIS)));
+      } finally {
+        owner.process().resume();
+      }
+      for (int i = 0; i < cell.entryHosts().size(); i++) {
+        EntryHost host = cell.entryHosts().get(i);
+        accepted.add(submit(host, Work.idempotent("woken-" + i, TASKS, TASK_MILLIS)));
+      }
+      for (Submission submission : accepted) {
+        Await.until(
+            submission.id() + " ends", () -> others.get(0).hasEnded(submission.id(), Work.KEY));
+      }
+      WorkerHistory history = cell.workerHistory();
+      history.assertSafe();
+      accepted.forEach(submission -> assertOnce(history, submission));
+      assertThat(owner.process().isAlive()).isTrue();
+    }
+  }
+
+  private static boolean isOwned(List<EntryHost> hosts) throws Exception {
+    for (EntryHost host : hosts) {
+      if (host.status("ops").ownedShards().contains(SHARD)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private static Submission submit(EntryHost host, Submission submission) throws Exception {
+    Http.Answer answer = host.submit(submission, Work.KEY);
+    assertWithMessage("answer to " + submission.id() + ": " + answer)
+        .that(answer.status())
+        .isEqualTo(202);
+    return submission;
+  }
+
+  private static void assertOnce(WorkerHistory history, Submission submission) {
+    if (submission.task().idempotent()) {
+      assertWithMessage("successes of " + submission.id())
+          .that(history.successesOf(submission.id()))
+          .isEqualTo(submission.tasks());
+    } else {
+      assertWithMessage("starts of " + submission.id())
+          .that(history.startsOf(submission.id()))
+          .isAtMost(submission.tasks());
+    }
+  }
+}
--- /dev/null
+++ b/cactusspring-process-tests/src/test/java/io/cactusspring/processtests/RequestChecks.java
@@ -0,0 +1,40 @@
+package io.cactusspring.processtests;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/** Checks what was answered against what the executors saw. */
+final class RequestChecks {
+  private RequestChecks() {}
+
+  /** Asserts that each good answer belongs to its request, ran, and each "not run" did not run. */
+  static void assertTrue(Collection<RequestLoad.Sent> sent, List<Execution> executions) {
+    Set<String> executed = executions.stream().map(Execution::request).collect(Collectors.toSet());
+    List<RequestLoad.Sent> good = sent.stream().filter(RequestLoad.Sent::isGood).toList();
+    assertWithMessage("answers of another request")
+        .that(good.stream().filter(s -> !s.isOwnAnswer()).toList())
+        .isEmpty();
+    assertThat(executed)
+        .containsAtLeastElementsIn(good.stream().map(RequestLoad.Sent::id).toList());
+    assertWithMessage("refused as not run, and yet they ran")
+        .that(
+            sent.stream().filter(s -> s.isRefusedAsNotRun() && executed.contains(s.id())).toList())
+        .isEmpty();
+  }
+
+  /** Asserts that no request was executed twice. */
+  static void assertAtMostOnce(List<Execution> executions) {
+    Map<String, Long> counts =
+        executions.stream()
+            .collect(Collectors.groupingBy(Execution::request, Collectors.counting()));
+    assertWithMessage("executed more than once")
+        .that(counts.entrySet().stream().filter(e -> e.getValue() > 1).toList())
+        .isEmpty();
+  }
+}
--- /dev/null
+++ b/cactusspring-process-tests/src/test/java/io/cactusspring/processtests/RequestLoad.java
@@ -0,0 +1,92 @@
+package io.cactusspring.processtests;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Sends requests to entry hosts in turn until it is stopped, and keeps what came of each. */
+final class RequestLoad {
+  private static final String KEY = "counter-key";
+
+  private final String prefix;
+  private final List<EntryHost> hosts;
+  private final boolean idempotent;
+  private final AtomicInteger number = new AtomicInteger();
+  private final Queue<Sent> sent = new ConcurrentLinkedQueue<>();
+  private final List<Thread> threads = new ArrayList<>();
+  private volatile boolean stopped;
+
+  private RequestLoad(String prefix, List<EntryHost> hosts, boolean idempotent) {
+    this.prefix = prefix;
+    this.hosts = hosts;
+    this.idempotent = idempotent;
+  }
+
+  /**
+   * A request and what came of it.
+   *
+   * @param answer null when the connection failed
+   */
+  record Sent(String id, EntryHost host, Http.Answer answer) {
+    boolean isGood() {
+      return answer != null && answer.status() == 200;
+    }
+
+    boolean isRefusedAsNotRun() {
+      return answer != null && answer.body().contains("\"ran\":\"NO\"");
+    }
+
+    boolean isOwnAnswer() {
+      return answer.body().contains("\"request\":\"" + id + "\"")
+          && answer.body().contains("\"echo\":\"body of " + id + "\"");
+    }
+  }
+
+  /** Starts senders, each with one open request at a time. */
+  static RequestLoad start(String prefix, List<EntryHost> hosts, boolean idempotent, int senders) {
+    RequestLoad load = new RequestLoad(prefix, List.copyOf(hosts), idempotent);
+    for (int i = 0; i < senders; i++) {
+      load.threads.add(Thread.ofVirtual().start(load::sendUntilStopped));
+    }
+    return load;
+  }
+
+  /** Waits until that many more requests to the hosts were answered well. */
+  void awaitGood(int count, List<EntryHost> from) throws Exception {
+    long target = goodFrom(from) + count;
+    Await.until(count + " more good answers", () -> goodFrom(from) >= target);
+  }
+
+  /** Stops the senders and returns all that was sent. */
+  List<Sent> stop() throws InterruptedException {
+    stopped = true;
+    for (Thread thread : threads) {
+      thread.join();
+    }
+    return List.copyOf(sent);
+  }
+
+  private long goodFrom(List<EntryHost> from) {
+    return sent.stream().filter(s -> s.isGood() && from.contains(s.host())).count();
+  }
+
+  private void sendUntilStopped() {
+    while (!stopped) {
+      int n = number.getAndIncrement();
+      send(prefix + n, hosts.get(n % hosts.size()));
+    }
+  }
+
+  private void send(String id, EntryHost host) {
+    try {
+      sent.add(new Sent(id, host, host.request(id, idempotent, KEY)));
+    } catch (IOException e) {
+      sent.add(new Sent(id, host, null));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/cactusspring-process-tests/src/test/java/io/cactusspring/processtests/WithdrawalTest.java
@@ -0,0 +1,73 @@
+package io.cactusspring.processtests;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import io.cactusspring.core.model.Change;
+import io.cactusspring.core.model.ReleaseNote;
+import java.util.List;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+
+class WithdrawalTest {
+  private static final int OK = 200;
+  private static final int UNAUTHORIZED = 401;
+  private static final int REQUESTS = 40;
+
+  private static Cell cell;
+
+  @BeforeAll
+  static void startCell() throws Exception {
+    cell = Cell.start(List.of("riga-a", "riga-b"), 1, 2, 4);
+  }
+
+  @AfterAll
+  static void stopCell() {
+    cell.close();
+  }
+
+  @Test
+  void withdrawnKeyIsRefusedEverywhereAndItsRequestsDoNotRun() throws Exception {
+    EntryHost first = cell.entryHosts().get(0);
+    assertThat(first.request("late-before", true, "late-key").status()).isEqualTo(OK);
+    long revision =
+        first.configuration("ops").items().stream()
+            .filter(item -> item.path().equals("key/late-key"))
+            .findFirst()
+            .orElseThrow()
+            .revision();
+    ReleaseNote note =
+        new ReleaseNote(
+            "withdraw-late", "ops", List.of(new Change.Withdraw("key/late-key", revision)));
+    assertThat(first.apply(note, "ops").status()).isEqualTo(OK);
+    for (EntryHost host : cell.entryHosts()) {
+      Await.until(
+          "refused at " + host.name(),
+          () -> host.request("probe", true, "late-key").status() == UNAUTHORIZED);
+      Http.Answer answer = host.request("late-after", true, "late-key");
+      assertThat(answer.status()).isEqualTo(UNAUTHORIZED);
+      assertThat(answer.body()).contains("\"ran\":\"NO\"");
+    }
+    assertThat(cell.executions().stream().map(Execution::request).toList())
+        .doesNotContain("late-after");
+  }
+
+  @Test
+  void leavingEndpointReceivesNothingNew() throws Exception {
+    cell.changeHost("x0", "{\"leaving\":true}");
+    Await.until("the endpoint receives nothing", WithdrawalTest::receivesNothing);
+    assertWithMessage("after it received nothing once").that(receivesNothing()).isTrue();
+  }
+
+  /** Sends requests to all entry hosts and returns whether none of them reached the endpoint. */
+  private static boolean receivesNothing() throws Exception {
+    int before = cell.executionsOf(0).size();
+    for (int i = 0; i < REQUESTS; i++) {
+      EntryHost host = cell.entryHosts().get(i % cell.entryHosts().size());
+      Http.Answer answer = host.request("leave-" + System.nanoTime(), true, "counter-key");
+      assertWithMessage("request while it leaves: " + answer).that(answer.status()).isEqualTo(OK);
+    }
+    return cell.executionsOf(0).size() == before;
+  }
+}
