--- a/bin/quickstart.d/steps.sh
+++ b/bin/quickstart.d/steps.sh
@@ -101,7 +101,7 @@
   step "1 a release note is accepted and in force on every entry host"
   write_first_note
   local answer
-  answer=$(cactusspring boot note apply "$work/first.json" --output json)
+  answer=$(cactusspring boot note apply "$work/first.json" --output json | tr -d ' \n')
   check_contains 'answer to the note' "$answer" '"accepted":true'
   HTTP_BODY=$answer
   local revision
@@ -199,18 +199,20 @@
 
 step_batch() {
   step "3 a batch runs once and its outcome is read at another entry host"
-  submission nightly plans false 5 300 false >"$work/nightly.json"
-  check_contains 'answer to the batch' "$(cactusspring plans submit "$work/nightly.json")" nightly
+  local batch=(--tasks 5 --cpus 1 --memory 512 --expected 300)
+  check_contains 'answer to the batch' "$(cactusspring plans submit --id nightly --once "${batch[@]}")" \
+    'accepted nightly'
+  check_contains 'batch watched' "$(cactusspring plans watch nightly --timeout 20000)" 'SUCCEEDED 5'
   await 20 'batch succeeds' counts_are "${entry_addresses[5]}" nightly plans '"SUCCEEDED":5'
   check_equal 'starts of the batch' "$(starts_of nightly)" 5
-  http POST "${entry_addresses[3]}" /v1/submissions "$(cat "$work/nightly.json")" "$(as plans)"
+  http POST "${entry_addresses[3]}" /v1/submissions \
+    "$(submission nightly plans false 5 300 false)" "$(as plans)"
   check_equal 'the same submission again' "$HTTP_STATUS" 202
   http POST "${entry_addresses[3]}" /v1/submissions \
     "$(submission nightly plans false 6 300 false)" "$(as plans)"
   check_refused 'another submission of that id' 409 submission-conflict
   check_equal 'starts of the batch after' "$(starts_of nightly)" 5
-  submission waste plans false 2 600000 true >"$work/waste.json"
-  cactusspring plans submit "$work/waste.json" >/dev/null
+  cactusspring plans submit --id waste --tasks 2 --expected 600000 >/dev/null
   check_contains 'cancel' "$(cactusspring plans cancel waste)" waste
   await 20 'cancelled' counts_are "${entry_addresses[2]}" waste plans '"CANCELLED":2'
   end_step
@@ -218,9 +220,8 @@
 
 step_gang() {
   step "4 a gang starts whole, and one that can never fit starts no task"
-  http POST "${entry_addresses[0]}" /v1/submissions \
-    "$(submission moulds plans true 4 300 true)" "$(as plans)"
-  check_equal 'status of the gang' "$HTTP_STATUS" 202
+  check_contains 'answer to the gang' \
+    "$(cactusspring plans gang --id moulds --tasks 4 --cpus 1 --expected 300)" 'accepted moulds'
   await 20 'gang succeeds' counts_are "${entry_addresses[4]}" moulds plans '"SUCCEEDED":4'
   local huge
   huge=$(submission giant plans true 3 300 true)
@@ -275,7 +276,7 @@
   printf '{"id":"withdraw-late","operator":"ops","changes":[{"change":"withdraw","item":"key/late","basedOn":%d}]}' \
     "$(json_field revision)" >"$work/withdraw.json"
   check_contains 'answer to the note' \
-    "$(cactusspring ops note apply "$work/withdraw.json" --output json)" '"accepted":true'
+    "$(cactusspring ops note apply "$work/withdraw.json")" accepted
   for i in "${!entry_addresses[@]}"; do
     await 10 "key refused at ${entry_names[$i]}" is_refused_at "${entry_addresses[$i]}"
   done
