--- a/cactusspring-core/src/test/java/io/cactusspring/core/placement/PlacementFuzzTest.java
+++ b/cactusspring-core/src/test/java/io/cactusspring/core/placement/PlacementFuzzTest.java
@@ -6,10 +6,10 @@
 import java.util.List;
 import java.util.stream.LongStream;
 import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
-import org.junit.jupiter.api.Test;
 
 class PlacementFuzzTest {
   private static final int MUTATION_TRIES = 300;
@@ -26,24 +26,25 @@
 
   private static void assertCaught(PlacementRules mutation) {
     assertThrows(
-        Throwable.class,
+        AssertionError.class,
         () ->
             LongStream.range(0, MUTATION_TRIES)
                 .forEach(s -> new PlacementHistory(mutation).play(PlacementSteps.sample(s))));
   }
 
-  @Test
-  void mutationThatIgnoresMemoryIsCaught() {
+  @Example
+  void mutationThatIgnoresProcessorsIsCaught() {
     assertCaught(
         new PlacementRules() {
           @Override
           boolean fits(Resources need, Resources room) {
-            return need.milliProcessors() <= room.milliProcessors();
+            return need.memoryMib() <= room.memoryMib()
+                && need.accelerators() <= room.accelerators();
           }
         });
   }
 
-  @Test
+  @Example
   void mutationThatExceedsBudgetsIsCaught() {
     assertCaught(
         new PlacementRules() {
@@ -54,7 +55,7 @@
         });
   }
 
-  @Test
+  @Example
   void mutationThatStartsPartOfAGangIsCaught() {
     assertCaught(
         new PlacementRules() {
@@ -65,7 +66,7 @@
         });
   }
 
-  @Test
+  @Example
   void mutationThatQueuesARunningRunIsCaught() {
     assertCaught(
         new PlacementRules() {
@@ -76,7 +77,7 @@
         });
   }
 
-  @Test
+  @Example
   void mutationThatUsesLeavingWorkersIsCaught() {
     assertCaught(
         new PlacementRules() {
--- a/cactusspring-core/src/test/java/io/cactusspring/core/placement/PlacementHistory.java
+++ b/cactusspring-core/src/test/java/io/cactusspring/core/placement/PlacementHistory.java
@@ -75,7 +75,7 @@
 
   private void addWorker(PlacementStep.AddWorker step) {
     Resources total =
-        new Resources(step.processors() * 1_000L, step.processors() * 2_048L, step.accelerators());
+        new Resources(step.processors() * 1_000L, step.memory() * 1_024L, step.accelerators());
     String name = "w" + step.worker();
     String rack = "r" + step.worker() % 2;
     WorkerInfo info =
@@ -116,7 +116,7 @@
     TaskSpec spec =
         TaskSpec.builder(
                 new Resources(
-                    step.processors() * 1_000L, step.processors() * 1_500L, step.accelerators()))
+                    step.processors() * 900L, step.memory() * 1_024L, step.accelerators()))
             .expectedMillis(1_000)
             .urgency(Urgency.values()[step.urgency() % Urgency.values().length])
             .checkpointable(step.checkpointable())
@@ -178,7 +178,8 @@
     TaskId id = task.task();
     placer.release(id, step.reason(), nowMillis);
     oracle.ended(id, step.reason());
-    if (step.reason() != ReleaseReason.SUCCEEDED && !task.inGang()) {
+    boolean waits = oracle.waiting.containsKey(id.run());
+    if (step.reason() != ReleaseReason.SUCCEEDED && !task.inGang() && !waits) {
       enqueue(
           new PendingRun(id.run(), id.attempt() + 1, task.team(), task.spec(), task.service(), 1));
     }
--- a/cactusspring-core/src/test/java/io/cactusspring/core/placement/PlacementStep.java
+++ b/cactusspring-core/src/test/java/io/cactusspring/core/placement/PlacementStep.java
@@ -2,14 +2,15 @@
 
 /** One step of a random history; indexes are taken modulo what there is. */
 sealed interface PlacementStep {
-  record AddWorker(int worker, int processors, int accelerators, boolean leaving)
+  record AddWorker(int worker, int processors, int memory, int accelerators, boolean leaving)
       implements PlacementStep {}
 
   record Reach(int worker, boolean reachable) implements PlacementStep {}
 
   record RemoveWorker(int worker) implements PlacementStep {}
 
-  record Enqueue(int team, int processors, int accelerators, int urgency, boolean checkpointable)
+  record Enqueue(
+      int team, int processors, int memory, int accelerators, int urgency, boolean checkpointable)
       implements PlacementStep {}
 
   record EnqueueGang(int team, int processors, int size) implements PlacementStep {}
--- a/cactusspring-core/src/test/java/io/cactusspring/core/placement/PlacementSteps.java
+++ b/cactusspring-core/src/test/java/io/cactusspring/core/placement/PlacementSteps.java
@@ -48,7 +48,7 @@
   }
 
   private static Arbitrary<PlacementStep> addWorker() {
-    return Combinators.combine(ints(0, WORKERS), ints(1, 12), ints(0, 2), oneIn(8))
+    return Combinators.combine(ints(0, WORKERS), ints(1, 12), ints(1, 12), ints(0, 2), oneIn(8))
         .as(PlacementStep.AddWorker::new);
   }
 
@@ -57,8 +57,8 @@
   }
 
   private static Arbitrary<PlacementStep> enqueue() {
-    return Combinators.combine(ints(0, 2), ints(1, 6), oneIn(5), ints(0, 2), oneIn(2))
-        .as((t, p, a, u, c) -> new PlacementStep.Enqueue(t, p, a ? 1 : 0, u, c));
+    return Combinators.combine(ints(0, 2), ints(1, 6), ints(1, 6), oneIn(5), ints(0, 2), oneIn(2))
+        .as((t, p, m, a, u, c) -> new PlacementStep.Enqueue(t, p, m, a ? 1 : 0, u, c));
   }
 
   private static Arbitrary<PlacementStep> enqueueGang() {
