--- /dev/null
+++ b/cactusspring-benchmarks/src/main/java/io/cactusspring/benchmarks/cell/UsageMeter.java
@@ -0,0 +1,69 @@
+package io.cactusspring.benchmarks.cell;
+
+import io.cactusspring.core.model.Resources;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Averages over time what is in use and by whom, while work waits. */
+final class UsageMeter {
+  private final Site site;
+  private final Resources total;
+  private final Map<String, Resources> usedByTeam = new HashMap<>();
+  private final Map<String, Double> dominantByTeam = new HashMap<>();
+  private Resources used = Resources.NONE;
+  private double processorMillis;
+  private double memoryMillis;
+  private long fullMillis;
+  private long lastMillis;
+
+  UsageMeter(Site site) {
+    this.site = site;
+    this.total = site.total();
+  }
+
+  void started(String team, Resources size) {
+    used = used.plus(size);
+    usedByTeam.merge(team, size, Resources::plus);
+  }
+
+  void ended(String team, Resources size) {
+    used = used.minus(size);
+    usedByTeam.computeIfPresent(team, (k, amount) -> amount.minus(size));
+  }
+
+  /** Counts the time since the last call if work waited meanwhile. */
+  void advance(long nowMillis, boolean counts) {
+    long millis = nowMillis - lastMillis;
+    lastMillis = nowMillis;
+    if (!counts || millis == 0) {
+      return;
+    }
+    fullMillis += millis;
+    processorMillis += millis * ratio(used.milliProcessors(), total.milliProcessors());
+    memoryMillis += millis * ratio(used.memoryMib(), total.memoryMib());
+    usedByTeam.forEach(
+        (team, amount) ->
+            dominantByTeam.merge(team, millis * amount.dominantShareOf(total), Double::sum));
+  }
+
+  private static double ratio(long part, long whole) {
+    return (double) part / whole;
+  }
+
+  double packing() {
+    return fullMillis == 0 ? Double.NaN : Math.max(processorMillis, memoryMillis) / fullMillis;
+  }
+
+  double shareDistance() {
+    double all = dominantByTeam.values().stream().mapToDouble(d -> d).sum();
+    double shares = site.shares().values().stream().mapToDouble(s -> s).sum();
+    return site.shares().entrySet().stream()
+        .mapToDouble(
+            e -> {
+              double due = e.getValue() / shares;
+              return Math.abs(dominantByTeam.getOrDefault(e.getKey(), 0.0) / all - due) / due;
+            })
+        .max()
+        .orElse(Double.NaN);
+  }
+}
--- a/cactusspring-core/src/main/java/io/cactusspring/core/shard/ShardOwner.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/shard/ShardOwner.java
@@ -131,10 +131,7 @@
       case StateChange.WorkAccepted c when c.home().equals(shard) ->
           addAll(c.submission(), nowMillis);
       case StateChange.WorkMoved c when c.to().equals(shard) ->
-          c.runs().stream()
-              .map(RunId::workload)
-              .distinct()
-              .forEach(w -> addAll(w, nowMillis));
+          c.runs().stream().map(RunId::workload).distinct().forEach(w -> addAll(w, nowMillis));
       case StateChange.WorkMoved c when c.from().equals(shard) -> c.runs().forEach(this::movedAway);
       case StateChange.WorkCancelled c -> reconcile(e -> e.run.workload().equals(c.submission()));
       case StateChange.ReplicasChanged c -> replicasChanged(c.service(), nowMillis);
@@ -169,14 +166,12 @@
    *
    * @param sentAtMillis when the sync was sent
    */
-  public void syncAnswered(
-      String worker, WorkerReport report, long sentAtMillis, long nowMillis) {
+  public void syncAnswered(String worker, WorkerReport report, long sentAtMillis, long nowMillis) {
     WorkerLink link = links.get(worker);
     if (link == null) {
       return;
     }
-    boolean restarted =
-        link.incarnation != null && !link.incarnation.equals(report.incarnation());
+    boolean restarted = link.incarnation != null && !link.incarnation.equals(report.incarnation());
     link.incarnation = report.incarnation();
     link.syncing = false;
     link.failedSyncs = 0;
@@ -279,12 +274,9 @@
     }
     List<RunEntry> members = gang(entry.run.workload());
     long live =
-        state.runs(entry.run.workload()).stream()
-            .filter(v -> v.state() != RunState.ENDED)
-            .count();
+        state.runs(entry.run.workload()).stream().filter(v -> v.state() != RunState.ENDED).count();
     boolean allWait =
-        members.size() == live
-            && members.stream().allMatch(m -> m.phase == RunEntry.Phase.WAITING);
+        members.size() == live && members.stream().allMatch(m -> m.phase == RunEntry.Phase.WAITING);
     if (allWait) {
       members.forEach(m -> placer.remove(m.run));
       members.forEach(m -> placer.enqueue(m.pending(members.size()), nowMillis));
@@ -375,9 +367,7 @@
   // Placement and starts.
 
   private void place(long nowMillis) {
-    placer
-        .decide(nowMillis, MAX_DECISIONS_PER_TICK, this::budget)
-        .forEach(this::decided);
+    placer.decide(nowMillis, MAX_DECISIONS_PER_TICK, this::budget).forEach(this::decided);
   }
 
   /** Units of a team's limit that the placer may use in this shard. */
@@ -703,11 +693,7 @@
 
   /** Ends tasks that the worker neither runs nor has ended. */
   private void endMissing(
-      WorkerLink link,
-      WorkerReport report,
-      long sentAtMillis,
-      boolean restarted,
-      long nowMillis) {
+      WorkerLink link, WorkerReport report, long sentAtMillis, boolean restarted, long nowMillis) {
     var listed =
         Stream.concat(
                 report.running().stream().map(WorkerReport.Running::task),
@@ -827,8 +813,7 @@
       return;
     }
     forget(entry);
-    boolean pending =
-        state.run(entry.run).map(v -> v.state() == RunState.PENDING).orElse(false);
+    boolean pending = state.run(entry.run).map(v -> v.state() == RunState.PENDING).orElse(false);
     if (pending) {
       waitAgain(entry, nowMillis);
     } else {
@@ -837,9 +822,7 @@
   }
 
   private void forget(RunEntry entry) {
-    Optional.ofNullable(entry.worker)
-        .map(links::get)
-        .ifPresent(l -> l.forget.add(entry.task()));
+    Optional.ofNullable(entry.worker).map(links::get).ifPresent(l -> l.forget.add(entry.task()));
   }
 
   private void waitAgain(RunEntry entry, long nowMillis) {
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/Daemon.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/Daemon.java
@@ -97,8 +97,7 @@
     authority = new Authority(membership, zonePeers());
     PeerTable peers = new PeerTable(clock.millis());
     settings.peers().forEach(p -> peers.add(p.name(), p.zone()));
-    ClaimPolicy claims =
-        new ClaimPolicy(settings.name(), incarnation, settings.zone(), membership);
+    ClaimPolicy claims = new ClaimPolicy(settings.name(), incarnation, settings.zone(), membership);
     PeerLogs peerLogs = new PeerLogs(clock);
     Hints hints = new Hints();
     long timeout = settings.callTimeoutMillis();
@@ -127,8 +126,7 @@
                 ownerSettings(),
                 policy()));
     RequestLoads loads = new RequestLoads();
-    budgets =
-        new BudgetController(cell, shards, log, hints, clock, settings.name(), loads);
+    budgets = new BudgetController(cell, shards, log, hints, clock, settings.name(), loads);
     snapshots = new SnapshotController(cell, log, shards, settings.snapshotEveryRecords());
     view = new HostView(settings, cell, log, hosts, budgets, hints, clock);
     requests = new RequestService(vertx, RequestSettings.builder().build(), view, registry);
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/control/BudgetController.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/control/BudgetController.java
@@ -63,8 +63,7 @@
   }
 
   /** An account of this host with the units of a team that it holds, uses and lacks. */
-  private record Holding(
-      BudgetAccount account, int budget, int running, int waiting) {
+  private record Holding(BudgetAccount account, int budget, int running, int waiting) {
     int spare() {
       return Math.max(0, budget - running - waiting);
     }
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/control/EntryHost.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/control/EntryHost.java
@@ -110,8 +110,7 @@
     }
     return cell.locked(
         () -> {
-          peers.heard(
-              peer, incarnation, heartbeat.getNextOffset(), heartbeat.isDraining(), now);
+          peers.heard(peer, incarnation, heartbeat.getNextOffset(), heartbeat.isDraining(), now);
           if (heartbeat.isPromise() && acknowledgedSentAtMillis >= 0 && inZone(peer)) {
             authority.promised(peer, acknowledgedSentAtMillis);
           }
@@ -131,9 +130,7 @@
       reply.setSnapshotNextOffset(snapshot.nextOffset());
     }
     reply.setRecords(
-        kept.orElse(List.of()).stream()
-            .map(e -> new OffsetRecord(e.offset(), e.data()))
-            .toList());
+        kept.orElse(List.of()).stream().map(e -> new OffsetRecord(e.offset(), e.data())).toList());
     reply.setLogAgeMillis(logAge());
     reply.setNextOffset(cell.nextOffset());
     return reply;
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/control/HomeChoice.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/control/HomeChoice.java
@@ -16,8 +16,8 @@
 import java.util.TreeMap;
 
 /**
- * Chooses the home shard of a submission: one whose workers can hold it, with the most room, in this
- * zone where all else is equal.
+ * Chooses the home shard of a submission: one whose workers can hold it, with the most room, in
+ * this zone where all else is equal.
  *
  * @since 0.1
  */
@@ -66,8 +66,7 @@
     Map<ShardId, ShardLoad> loads = new TreeMap<>();
     cell.configuration()
         .shards()
-        .forEach(
-            s -> hints.shard(s.toString(), clock.millis()).ifPresent(l -> loads.put(s, l)));
+        .forEach(s -> hints.shard(s.toString(), clock.millis()).ifPresent(l -> loads.put(s, l)));
     return cell.locked(
         () -> {
           shards.owners().forEach(o -> loads.put(o.shard(), ShardLoads.of(o)));
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/control/LogController.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/control/LogController.java
@@ -15,8 +15,8 @@
 import java.util.List;
 
 /**
- * Replays the platform's log into the cell and appends to it, through a peer where the log cannot be
- * reached from here. Runs on the control context.
+ * Replays the platform's log into the cell and appends to it, through a peer where the log cannot
+ * be reached from here. Runs on the control context.
  *
  * @since 0.1
  */
@@ -191,9 +191,7 @@
 
   private void take(RecordsReply reply, long sentAtMillis) {
     if (reply.isSetSnapshot()) {
-      restore(
-          new Cell.Snapshot(reply.getSnapshot(), reply.getSnapshotNextOffset()),
-          "a peer");
+      restore(new Cell.Snapshot(reply.getSnapshot(), reply.getSnapshotNextOffset()), "a peer");
     }
     cell.apply(
         reply.getRecords().stream()
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/control/ShardController.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/control/ShardController.java
@@ -26,7 +26,6 @@
 import io.cactusspring.daemon.platform.WorkerAgent;
 import io.vertx.core.Context;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
@@ -177,8 +176,7 @@
     long now = clock.millis();
     boolean mayStart = authority.mayStart(now) && !draining;
     noteAuthority(mayStart, now);
-    Permission permission =
-        new Permission(mayStart, authority.mayRenew(now), log.available());
+    Permission permission = new Permission(mayStart, authority.mayRenew(now), log.available());
     owners.values().forEach(o -> decide(o, now, permission, actions));
     if (log.caughtUp() && log.available() && !draining) {
       claim(now, actions);
@@ -219,12 +217,9 @@
     }
     owner.workersListed(workers(owner.shard()), nowMillis);
     Map<String, WorkerInfo> byName =
-        hosts.workers().stream()
-            .collect(Collectors.toMap(WorkerInfo::name, w -> w, (a, b) -> b));
+        hosts.workers().stream().collect(Collectors.toMap(WorkerInfo::name, w -> w, (a, b) -> b));
     List<LogRecord> records = new ArrayList<>();
-    owner
-        .tick(nowMillis, permission)
-        .forEach(c -> collect(owner, c, byName, records, actions));
+    owner.tick(nowMillis, permission).forEach(c -> collect(owner, c, byName, records, actions));
     if (!records.isEmpty()) {
       actions.add(() -> log.append(records));
     }
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/control/SnapshotController.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/control/SnapshotController.java
@@ -50,8 +50,7 @@
 
   /** Writes a snapshot if it is this host's turn and one is due. */
   public void tick() {
-    boolean due =
-        cell.locked(() -> !writing && cell.nextOffset() - newestCovers >= everyRecords);
+    boolean due = cell.locked(() -> !writing && cell.nextOffset() - newestCovers >= everyRecords);
     if (due && log.available() && isWriter()) {
       write();
     }
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/package-info.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/package-info.java
@@ -1,2 +1,4 @@
-/** The daemon that runs on every entry host; {@link io.cactusspring.daemon.Cactusspringd} starts it. */
+/**
+ * The daemon that runs on every entry host; {@link io.cactusspring.daemon.Cactusspringd} starts it.
+ */
 package io.cactusspring.daemon;
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/work/NoteApi.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/work/NoteApi.java
@@ -130,7 +130,9 @@
               ctx,
               Refusal.of(
                       RefusalReason.LOG_UNAVAILABLE,
-                      "note " + note.id() + " was sent and not read back; it may still take effect."
+                      "note "
+                          + note.id()
+                          + " was sent and not read back; it may still take effect."
                           + " Send it again with the same id")
                   .withRan(Ran.UNKNOWN)
                   .withRetryAfterMillis(RETRY_MILLIS));
@@ -152,8 +154,7 @@
         switch (resolution) {
           case Resolution.Conflict c ->
               refused(ctx, RefusalReason.NOTE_CONFLICT, c.conflicts(), null);
-          case Resolution.Invalid i ->
-              refused(ctx, RefusalReason.NOTE_INVALID, null, i.problems());
+          case Resolution.Invalid i -> refused(ctx, RefusalReason.NOTE_INVALID, null, i.problems());
           case Resolution.Accepted a -> throw new IllegalArgumentException("note is accepted");
         };
     LOG.event(Event.NOTE_REFUSED, note.id(), note.operator(), body.message());
@@ -181,7 +182,10 @@
               ctx,
               OK,
               new Checked(
-                  note.id(), true, before.revision(), differences(before, a.configuration(), note)));
+                  note.id(),
+                  true,
+                  before.revision(),
+                  differences(before, a.configuration(), note)));
       case Resolution r -> refuse(ctx, note, r);
     }
   }
@@ -189,10 +193,7 @@
   private static List<Difference> differences(
       Configuration before, Configuration after, ReleaseNote note) {
     return note.changes().stream()
-        .map(
-            c ->
-                new Difference(
-                    c.path(), kind(c), item(before, c.path()), item(after, c.path())))
+        .map(c -> new Difference(c.path(), kind(c), item(before, c.path()), item(after, c.path())))
         .toList();
   }
 
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/work/StatusApi.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/work/StatusApi.java
@@ -137,8 +137,7 @@
   }
 
   private static WorkerStatus worker(ShardId shard, WorkerView w) {
-    return new WorkerStatus(
-        w.name(), shard, w.state().name(), w.total(), w.committed(), w.tasks());
+    return new WorkerStatus(w.name(), shard, w.state().name(), w.total(), w.committed(), w.tasks());
   }
 
   private TeamStatus team(ConfigItem.Team team) {
@@ -157,10 +156,7 @@
   }
 
   private static List<QueueRow> queue(ClusterState state, List<ShardOwner> owners) {
-    return owners.stream()
-        .flatMap(o -> queue(state, o))
-        .limit(MAX_QUEUE_ROWS)
-        .toList();
+    return owners.stream().flatMap(o -> queue(state, o)).limit(MAX_QUEUE_ROWS).toList();
   }
 
   private static Stream<QueueRow> queue(ClusterState state, ShardOwner owner) {
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/work/WorkApi.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/work/WorkApi.java
@@ -151,8 +151,7 @@
     }
   }
 
-  private Submission submission(RoutingContext ctx, SubmitBody body)
-      throws Bodies.BodyException {
+  private Submission submission(RoutingContext ctx, SubmitBody body) throws Bodies.BodyException {
     String id = body.id() == null ? "s-" + UUID.randomUUID() : body.id();
     try {
       return new Submission(id, team(ctx, body), body.gang(), body.tasks(), body.task());
@@ -195,8 +194,7 @@
   private void append(RoutingContext ctx, Submission submission, ShardId home) {
     String id = submission.id();
     readBack
-        .append(
-            new LogRecord.WorkSubmitted(submission, home), s -> s.submission(id).isPresent())
+        .append(new LogRecord.WorkSubmitted(submission, home), s -> s.submission(id).isPresent())
         .onSuccess(o -> sent(ctx, submission, o));
   }
 
@@ -215,8 +213,7 @@
   private void voidSubmission(RoutingContext ctx, Submission submission) {
     String id = submission.id();
     Future<LogOutcome> settled =
-        readBack.append(
-            new LogRecord.SubmissionVoided(id), s -> s.submission(id).isPresent());
+        readBack.append(new LogRecord.SubmissionVoided(id), s -> s.submission(id).isPresent());
     settled.onSuccess(
         o -> {
           if (o == LogOutcome.READ) {
@@ -233,8 +230,7 @@
 
   private void answer(RoutingContext ctx, Submission submission, SubmissionView view) {
     if (!view.accepted()) {
-      refuseForNow(
-          ctx, RefusalReason.LOG_UNAVAILABLE, "not accepted: " + view.reason());
+      refuseForNow(ctx, RefusalReason.LOG_UNAVAILABLE, "not accepted: " + view.reason());
       return;
     }
     if (!submission.equals(view.submission())) {
