--- a/cactusspring-core/src/main/java/io/cactusspring/core/shard/ShardOwner.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/shard/ShardOwner.java
@@ -615,7 +615,7 @@
       observe(running, nowMillis);
       return;
     }
-    if (entry != null && entry.phase == RunEntry.Phase.HELD) {
+    if (isUnrecorded(entry, running.task())) {
       adoptUnrecorded(link, entry, running.task());
       return;
     }
@@ -628,6 +628,11 @@
     }
   }
 
+  /** Whether a held run's attempt is one that the log does not know, not even as ended. */
+  private static boolean isUnrecorded(RunEntry entry, TaskId task) {
+    return entry != null && entry.phase == RunEntry.Phase.HELD && task.attempt() > entry.attempt;
+  }
+
   /** Takes over a task that the replaced owner started while it could not reach the log. */
   private void adoptUnrecorded(WorkerLink link, RunEntry entry, TaskId task) {
     entry.attempt = task.attempt();
@@ -665,10 +670,12 @@
   private void sawEnded(WorkerLink link, WorkerReport.Ended ended, long nowMillis) {
     TaskId task = ended.task();
     RunEntry entry = runs.get(task.run());
-    if (entry != null && entry.phase == RunEntry.Phase.HELD) {
+    if (isUnrecorded(entry, task)) {
       adoptUnrecorded(link, entry, task);
     }
-    if (entry == null || entry.attempt != task.attempt() || !link.worker.equals(entry.worker)) {
+    boolean isCurrent =
+        entry != null && entry.attempt == task.attempt() && link.worker.equals(entry.worker);
+    if (!isCurrent || entry.phase == RunEntry.Phase.HELD) {
       link.forget.add(task);
       return;
     }
@@ -807,9 +814,11 @@
   private void endRead(LogRecord.End end, long nowMillis) {
     ledger.endRead(end.task());
     RunEntry entry = runs.get(end.task().run());
-    if (entry == null
-        || entry.phase != RunEntry.Phase.ENDING
-        || entry.attempt != end.task().attempt()) {
+    if (entry == null) {
+      return;
+    }
+    if (entry.phase != RunEntry.Phase.ENDING || entry.attempt != end.task().attempt()) {
+      reconcile(entry);
       return;
     }
     forget(entry);
@@ -818,9 +827,20 @@
       waitAgain(entry, nowMillis);
     } else {
       runs.remove(entry.run);
+      if (entry.view.gangSize() > 1) {
+        startRestOfGang(entry, nowMillis);
+      }
     }
   }
 
+  /** Queues members that wait for others of their gang, which now has one member less. */
+  private void startRestOfGang(RunEntry ended, long nowMillis) {
+    gang(ended.run.workload()).stream()
+        .filter(e -> e.phase == RunEntry.Phase.WAITING)
+        .findFirst()
+        .ifPresent(e -> enqueue(e, nowMillis));
+  }
+
   private void forget(RunEntry entry) {
     Optional.ofNullable(entry.worker).map(links::get).ifPresent(l -> l.forget.add(entry.task()));
   }
