--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/Daemon.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/Daemon.java
@@ -5,6 +5,7 @@
 import io.cactusspring.core.membership.MembershipSettings;
 import io.cactusspring.core.membership.PeerTable;
 import io.cactusspring.core.placement.PlacementPolicy;
+import io.cactusspring.core.request.RequestSettings;
 import io.cactusspring.core.shard.OwnerSettings;
 import io.cactusspring.daemon.cell.Cell;
 import io.cactusspring.daemon.cell.MonotonicClock;
@@ -26,7 +27,7 @@
 import io.cactusspring.daemon.platform.HttpWorkerAgent;
 import io.cactusspring.daemon.platform.JsonClient;
 import io.cactusspring.daemon.request.RequestService;
-import io.cactusspring.daemon.request.RequestSettings;
+
 import io.cactusspring.daemon.settings.DaemonSettings;
 import io.cactusspring.daemon.work.NoteApi;
 import io.cactusspring.daemon.work.ReadBack;
@@ -146,7 +147,7 @@
                 this::endpointLoads,
                 peerLogs,
                 hints));
-    mesh = new PeerMesh(vertx, context, clock, hello(), settings.peers(), entryHost);
+    mesh = new PeerMesh(vertx, context, clock, hello(), settings, entryHost);
     peerLogs.use(mesh);
     RefusalWriter refusals = new RefusalWriter(registry);
     ReadBack readBack = new ReadBack(cell, log, context);
--- /dev/null
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/http/Requests.java
@@ -0,0 +1,46 @@
+package io.cactusspring.daemon.http;
+
+import io.cactusspring.core.security.Identity;
+import io.vertx.ext.web.RoutingContext;
+
+/**
+ * Typed access to what the filters learned about a request.
+ *
+ * @since 0.1
+ */
+public final class Requests {
+  private static final String ID = "cactusspring.requestId";
+  private static final String ARRIVAL = "cactusspring.arrivalNanos";
+  private static final String IDENTITY = "cactusspring.identity";
+
+  private Requests() {}
+
+  /** Id of the request; null before the filter that sets it. */
+  public static String id(RoutingContext ctx) {
+    return ctx.get(ID);
+  }
+
+  /** Caller of the request; anonymous before the filter that authenticates. */
+  public static Identity identity(RoutingContext ctx) {
+    Identity i = ctx.get(IDENTITY);
+    return i == null ? new Identity.Anonymous() : i;
+  }
+
+  /** Monotonic time at which the request's head was read. */
+  public static long arrivalNanos(RoutingContext ctx) {
+    Long nanos = ctx.get(ARRIVAL);
+    return nanos == null ? System.nanoTime() : nanos;
+  }
+
+  static void setArrivalNanos(RoutingContext ctx, long nanos) {
+    ctx.put(ARRIVAL, nanos);
+  }
+
+  static void setId(RoutingContext ctx, String id) {
+    ctx.put(ID, id);
+  }
+
+  static void setIdentity(RoutingContext ctx, Identity identity) {
+    ctx.put(IDENTITY, identity);
+  }
+}
