--- a/cactusspring-core/src/main/java/io/cactusspring/core/shard/EndLedger.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/shard/EndLedger.java
@@ -88,7 +88,9 @@
   List<LogRecord> due(long nowMillis) {
     List<LogRecord.End> recorded = takeDue(ends, t -> !starts.containsKey(t), nowMillis);
     List<LogRecord.End> unrecorded = takeDue(ends, starts::containsKey, nowMillis);
-    List<LogRecord.Placement> placed = takeDue(starts, t -> true, nowMillis);
+    boolean anyStart = starts.values().stream().anyMatch(p -> p.due(nowMillis));
+    List<LogRecord.Placement> placed =
+        anyStart ? starts.values().stream().map(p -> p.send(nowMillis)).toList() : List.of();
     List<LogRecord> records = new ArrayList<>();
     if (!recorded.isEmpty()) {
       records.add(new LogRecord.RunsEnded(shard, epoch, recorded));
--- a/cactusspring-core/src/main/java/io/cactusspring/core/shard/ShardOwner.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/shard/ShardOwner.java
@@ -179,7 +179,7 @@
     placer.setReachable(worker, true);
     report.running().forEach(r -> sawRunning(link, r, nowMillis));
     report.ended().forEach(e -> sawEnded(link, e, nowMillis));
-    forgetGone(link, report);
+    forgetGone(link, report, nowMillis);
     endMissing(link, report, sentAtMillis, restarted, nowMillis);
   }
 
@@ -269,14 +269,16 @@
   /** Queues a waiting run for placement; the members of a gang only when all of them wait. */
   private void enqueue(RunEntry entry, long nowMillis) {
     if (entry.view.gangSize() == 1) {
-      placer.enqueue(entry.pending(1), nowMillis);
+      enqueueSingle(entry, nowMillis);
       return;
     }
     List<RunEntry> members = gang(entry.run.workload());
     long live =
         state.runs(entry.run.workload()).stream().filter(v -> v.state() != RunState.ENDED).count();
     boolean allWait =
-        members.size() == live && members.stream().allMatch(m -> m.phase == RunEntry.Phase.WAITING);
+        members.size() == live
+            && members.stream().allMatch(m -> m.phase == RunEntry.Phase.WAITING)
+            && members.stream().noneMatch(m -> hasStray(m.run));
     if (allWait) {
       members.forEach(m -> placer.remove(m.run));
       members.forEach(m -> placer.enqueue(m.pending(members.size()), nowMillis));
@@ -285,6 +287,13 @@
     }
   }
 
+  private void enqueueSingle(RunEntry entry, long nowMillis) {
+    if (!hasStray(entry.run)) {
+      placer.remove(entry.run);
+      placer.enqueue(entry.pending(1), nowMillis);
+    }
+  }
+
   private List<RunEntry> gang(String workload) {
     return runs.values().stream().filter(e -> e.run.workload().equals(workload)).toList();
   }
@@ -301,7 +310,14 @@
     List<RunEntry> held =
         runs.values().stream().filter(e -> e.phase == RunEntry.Phase.HELD).toList();
     held.forEach(this::unhold);
-    held.stream().filter(e -> runs.containsKey(e.run)).forEach(e -> enqueue(e, nowMillis));
+    held.stream()
+        .filter(e -> runs.containsKey(e.run) && !backoff.waits(e.run))
+        .forEach(e -> enqueue(e, nowMillis));
+  }
+
+  private void hold(RunEntry entry) {
+    entry.phase = RunEntry.Phase.HELD;
+    count(entry.view.team(), 1);
   }
 
   private void unhold(RunEntry entry) {
@@ -615,8 +631,7 @@
       observe(running, nowMillis);
       return;
     }
-    if (isUnrecorded(entry, running.task())) {
-      adoptUnrecorded(link, entry, running.task());
+    if (takeOver(link, entry, running.task(), nowMillis)) {
       return;
     }
     stray(link, running);
@@ -628,9 +643,28 @@
     }
   }
 
-  /** Whether a held run's attempt is one that the log does not know, not even as ended. */
-  private static boolean isUnrecorded(RunEntry entry, TaskId task) {
-    return entry != null && entry.phase == RunEntry.Phase.HELD && task.attempt() > entry.attempt;
+  /** Takes over an attempt that the log does not know; returns whether it did. */
+  private boolean takeOver(WorkerLink link, RunEntry entry, TaskId task, long nowMillis) {
+    if (entry == null || task.attempt() <= entry.attempt) {
+      return false;
+    }
+    if (entry.phase == RunEntry.Phase.HELD) {
+      adoptUnrecorded(link, entry, task);
+      return true;
+    }
+    boolean isAssumed = entry.onWorker() && !entry.confirmed && entry.startSentAtMillis == 0;
+    if (isAssumed) {
+      adoptNewer(link, entry, task, nowMillis);
+    }
+    return isAssumed;
+  }
+
+  /** The replaced owner saw the recorded attempt end, and started the next one without the log. */
+  private void adoptNewer(WorkerLink link, RunEntry entry, TaskId task, long nowMillis) {
+    release(entry, ReleaseReason.LAPSED, nowMillis);
+    ledger.end(new LogRecord.End(entry.task(), null));
+    hold(entry);
+    adoptUnrecorded(link, entry, task);
   }
 
   /** Takes over a task that the replaced owner started while it could not reach the log. */
@@ -658,6 +692,7 @@
             TaskSpec.builder(running.resources()).build(),
             link.worker,
             false);
+    unqueue(running.task().run());
     placer.commit(stray);
     link.strays.put(running.task(), stray);
     link.urgent = true;
@@ -670,9 +705,7 @@
   private void sawEnded(WorkerLink link, WorkerReport.Ended ended, long nowMillis) {
     TaskId task = ended.task();
     RunEntry entry = runs.get(task.run());
-    if (isUnrecorded(entry, task)) {
-      adoptUnrecorded(link, entry, task);
-    }
+    takeOver(link, entry, task, nowMillis);
     boolean isCurrent =
         entry != null && entry.attempt == task.attempt() && link.worker.equals(entry.worker);
     if (!isCurrent || entry.phase == RunEntry.Phase.HELD) {
@@ -684,18 +717,33 @@
     }
   }
 
-  private void forgetGone(WorkerLink link, WorkerReport report) {
+  private void forgetGone(WorkerLink link, WorkerReport report, long nowMillis) {
     var running =
         report.running().stream().map(WorkerReport.Running::task).collect(Collectors.toSet());
     var ended = report.ended().stream().map(WorkerReport.Ended::task).collect(Collectors.toSet());
     link.forget.retainAll(ended);
     List<TaskId> gone = link.strays.keySet().stream().filter(t -> !running.contains(t)).toList();
-    gone.forEach(t -> releaseStray(link, t));
+    gone.forEach(t -> releaseStray(link, t, nowMillis));
   }
 
-  private void releaseStray(WorkerLink link, TaskId task) {
+  private void releaseStray(WorkerLink link, TaskId task, long nowMillis) {
     link.strays.remove(task);
-    placer.release(task, ReleaseReason.STOPPED, 0);
+    placer.release(task, ReleaseReason.STOPPED, nowMillis);
+    requeue(task.run(), nowMillis);
+  }
+
+  /** Takes a run out of the queue while a stray attempt of it is being stopped. */
+  private void unqueue(RunId run) {
+    Optional.ofNullable(runs.get(run)).filter(e -> e.phase == RunEntry.Phase.WAITING).stream()
+        .flatMap(e -> gang(run.workload()).stream())
+        .filter(e -> e.view.gangSize() > 1 || e.run.equals(run))
+        .forEach(e -> placer.remove(e.run));
+  }
+
+  private boolean hasStray(RunId run) {
+    return links.values().stream()
+        .flatMap(l -> l.strays.keySet().stream())
+        .anyMatch(t -> t.run().equals(run));
   }
 
   /** Ends tasks that the worker neither runs nor has ended. */
@@ -846,8 +894,12 @@
   }
 
   private void waitAgain(RunEntry entry, long nowMillis) {
-    entry.phase = RunEntry.Phase.WAITING;
     entry.stop = RunEntry.StopReason.NONE;
+    if (holding && entry.idempotent()) {
+      hold(entry);
+      return;
+    }
+    entry.phase = RunEntry.Phase.WAITING;
     if (!backoff.waits(entry.run)) {
       enqueue(entry, nowMillis);
     }
--- a/cactusspring-core/src/main/java/io/cactusspring/core/state/RunRules.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/state/RunRules.java
@@ -92,7 +92,7 @@
       return false;
     }
     boolean isNext = p.task().attempt() > w.attempt(i);
-    return isNext && w.home(i).equals(shard) && namesWholeGang(w, named);
+    return isNext && w.home(i).equals(shard) && leavesNoMemberWaiting(w, named);
   }
 
   /** A replica that has ended may be wanted again; its next attempt needs a number not yet used. */
@@ -112,8 +112,13 @@
     return w.home(r.index()).equals(from) && namesWholeGang(w, named);
   }
 
-  /** A gang starts and moves whole: every member that is live has to be pending and named. */
-  boolean namesWholeGang(Workload w, Set<RunId> named) {
+  /** A gang starts whole: a member that does not start with the others has started already. */
+  boolean leavesNoMemberWaiting(Workload w, Set<RunId> named) {
+    return !w.gang || w.indexes(RunState.PENDING).allMatch(i -> named.contains(w.run(i)));
+  }
+
+  /** A gang moves whole: every member that is live has to be pending and named. */
+  private static boolean namesWholeGang(Workload w, Set<RunId> named) {
     return !w.gang
         || IntStream.range(0, w.size())
             .filter(w::isLive)
--- a/cactusspring-core/src/test/java/io/cactusspring/core/state/ReplayTest.java
+++ b/cactusspring-core/src/test/java/io/cactusspring/core/state/ReplayTest.java
@@ -297,7 +297,7 @@
     }
 
     @Override
-    boolean namesWholeGang(Workload w, Set<RunId> named) {
+    boolean leavesNoMemberWaiting(Workload w, Set<RunId> named) {
       return true;
     }
   }
