--- a/cactusspring-core/src/main/java/io/cactusspring/core/shard/EndLedger.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/shard/EndLedger.java
@@ -67,6 +67,11 @@
     return end != null && end.value.outcome() == null;
   }
 
+  /** Returns whether the start of an attempt waits for the log. */
+  boolean startUnread(TaskId task) {
+    return starts.containsKey(task);
+  }
+
   /** Drops what can no longer take effect, because replay is past it. */
   void prune(ClusterState state) {
     starts.keySet().removeIf(t -> state.run(t.run()).map(v -> startIsPast(v, t)).orElse(true));
--- a/cactusspring-core/src/main/java/io/cactusspring/core/shard/RunEntry.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/shard/RunEntry.java
@@ -46,6 +46,9 @@
   /** Whether the worker has said that the task runs. */
   boolean confirmed;
 
+  /** When the worker first said so. */
+  long confirmedAtMillis;
+
   /** Time after which the lease has certainly lapsed. */
   long lapsesAtMillis;
 
--- a/cactusspring-core/src/main/java/io/cactusspring/core/shard/ShardOwner.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/shard/ShardOwner.java
@@ -155,7 +155,7 @@
       return;
     }
     switch (answer) {
-      case STARTED -> confirm(entry);
+      case STARTED -> confirm(entry, nowMillis);
       case NOT_RUN, FENCED -> endNotRun(entry, ReleaseReason.START_FAILED, nowMillis);
       case UNKNOWN -> links.get(entry.worker).urgent = true;
     }
@@ -221,6 +221,7 @@
     }
     if (permission.logAvailable()) {
       dropEndedElsewhere();
+      restartUnrecorded(nowMillis);
       ledger.due(nowMillis).forEach(r -> commands.add(new OwnerCommand.Append(r)));
     } else {
       restartWithoutLog(nowMillis);
@@ -473,9 +474,12 @@
     entry.phase = RunEntry.Phase.READY;
   }
 
-  private void confirm(RunEntry entry) {
+  private void confirm(RunEntry entry, long nowMillis) {
     entry.phase = RunEntry.Phase.RUNNING;
-    entry.confirmed = true;
+    if (!entry.confirmed) {
+      entry.confirmed = true;
+      entry.confirmedAtMillis = nowMillis;
+    }
   }
 
   // Limits, cancellation and preemption.
@@ -627,7 +631,7 @@
       if (!entry.confirmed) {
         link.urgent = true;
       }
-      confirm(entry);
+      confirm(entry, nowMillis);
       observe(running, nowMillis);
       return;
     }
@@ -649,7 +653,7 @@
       return false;
     }
     if (entry.phase == RunEntry.Phase.HELD) {
-      adoptUnrecorded(link, entry, task);
+      adoptUnrecorded(link, entry, task, nowMillis);
       return true;
     }
     boolean isAssumed = entry.onWorker() && !entry.confirmed && entry.startSentAtMillis == 0;
@@ -664,16 +668,16 @@
     release(entry, ReleaseReason.LAPSED, nowMillis);
     ledger.end(new LogRecord.End(entry.task(), null));
     hold(entry);
-    adoptUnrecorded(link, entry, task);
+    adoptUnrecorded(link, entry, task, nowMillis);
   }
 
   /** Takes over a task that the replaced owner started while it could not reach the log. */
-  private void adoptUnrecorded(WorkerLink link, RunEntry entry, TaskId task) {
+  private void adoptUnrecorded(WorkerLink link, RunEntry entry, TaskId task, long nowMillis) {
     entry.attempt = task.attempt();
     entry.worker = link.worker;
     count(entry.view.team(), -1);
     commit(link, entry);
-    confirm(entry);
+    confirm(entry, nowMillis);
     link.urgent = true;
     if (isOver(entry.run)) {
       entry.stop = RunEntry.StopReason.CANCELLED;
@@ -761,12 +765,16 @@
         .forEach(e -> endMissing(e, restarted, nowMillis));
   }
 
-  /** Whether a start call that preceded the sync has certainly been handled or lost. */
+  /**
+   * Whether the sync was certainly handled after the task's start: the worker's word on the start
+   * came before the sync was sent, or the start call can no longer be handled.
+   */
   private boolean callsDone(RunEntry entry, long syncSentAtMillis) {
-    if (entry.phase == RunEntry.Phase.RUNNING) {
-      return entry.startSentAtMillis < syncSentAtMillis;
+    if (entry.confirmed) {
+      return entry.confirmedAtMillis < syncSentAtMillis;
     }
-    return entry.startSentAtMillis + settings.callTimeoutMillis() < syncSentAtMillis;
+    boolean isAdopted = entry.startSentAtMillis == 0;
+    return isAdopted || entry.startSentAtMillis + settings.callTimeoutMillis() < syncSentAtMillis;
   }
 
   private void endMissing(RunEntry entry, boolean restarted, long nowMillis) {
@@ -927,9 +935,18 @@
 
   /** Lets idempotent runs wait again at once while the log cannot take the record of their end. */
   private void restartWithoutLog(long nowMillis) {
+    restart(e -> true, nowMillis);
+  }
+
+  /** Lets idempotent runs wait again for whose last attempt the log holds no start. */
+  private void restartUnrecorded(long nowMillis) {
+    restart(e -> ledger.startUnread(e.task()), nowMillis);
+  }
+
+  private void restart(Predicate<RunEntry> which, long nowMillis) {
     runs.values().stream()
         .filter(e -> e.phase == RunEntry.Phase.ENDING && e.idempotent())
-        .filter(e -> ledger.pendsAgain(e.task()))
+        .filter(e -> ledger.pendsAgain(e.task()) && which.test(e))
         .toList()
         .forEach(e -> waitAgain(e, nowMillis));
   }
--- a/cactusspring-core/src/test/java/io/cactusspring/core/fuzz/Fuzz.java
+++ b/cactusspring-core/src/test/java/io/cactusspring/core/fuzz/Fuzz.java
@@ -6,6 +6,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import net.jqwik.api.RandomGenerator;
 import net.jqwik.api.Shrinkable;
 
@@ -87,6 +88,16 @@
     }
   }
 
+  /** Returns the first violation of the first sequence that has one, unshrunk. */
+  Optional<String> firstViolation(int tries) {
+    Random random = new Random(seed);
+    RandomGenerator<List<Command>> generator = Command.sequences().generator(GENERATOR_SIZE);
+    return Stream.generate(() -> generator.next(random).value())
+        .limit(tries)
+        .flatMap(steps -> violations(steps).stream())
+        .findFirst();
+  }
+
   private List<Command> shrink(Shrinkable<List<Command>> failing) {
     Shrinkable<List<Command>> best = failing;
     int left = MAX_SHRINKS;
