Set socket handlers before a connection's first event in the port tests

Change: the handlers are set on the socket's own thread, in the connect. Conclusion: the checks are as strict as before.

--- a/cactusspring-daemon/src/test/java/io/cactusspring/daemon/port/CallerPortTest.java
+++ b/cactusspring-daemon/src/test/java/io/cactusspring/daemon/port/CallerPortTest.java
@@ -32,7 +32,7 @@
     for (int i = 0; i < 8; i++) {
       assertThat(answer(connect(port), SHORT_REQUEST + "\r\n")).startsWith("HTTP/1.1 200");
     }
-    awaitClosed(connect(port));
+    await(vertx.createNetClient().connect(port, "127.0.0.1").compose(CallerPortTest::closed));
     assertThat(closed("over-limit")).isEqualTo(1);
   }
 
@@ -108,10 +108,6 @@
     return closed.future();
   }
 
-  private static void awaitClosed(NetSocket socket) throws Exception {
-    await(closed(socket));
-  }
-
   private double closed(String reason) {
     return registry.get("cactusspring.connections.closed").tag("reason", reason).counter().count();
   }
--- a/cactusspring-daemon/src/test/java/io/cactusspring/daemon/port/TlsPortTest.java
+++ b/cactusspring-daemon/src/test/java/io/cactusspring/daemon/port/TlsPortTest.java
@@ -170,14 +170,21 @@
 
   /** Says something and returns the answer; fails when the connection closes without one. */
   private String reply(NetServer server, NetClientOptions options) throws Exception {
-    NetSocket socket =
-        await(vertx.createNetClient(options).connect(server.actualPort(), "127.0.0.1"));
+    return await(
+        vertx
+            .createNetClient(options)
+            .connect(server.actualPort(), "127.0.0.1")
+            .compose(TlsPortTest::sayHello));
+  }
+
+  /** Called on the socket's own thread, so that no event passes before the handlers are set. */
+  private static Future<String> sayHello(NetSocket socket) {
     Promise<String> reply = Promise.promise();
     socket.handler(b -> reply.tryComplete(b.toString()));
     socket.exceptionHandler(reply::tryFail);
     socket.closeHandler(x -> reply.tryFail("closed"));
     socket.write("hello");
-    return await(reply.future());
+    return reply.future();
   }
 
   private static PemTrustOptions trust(X509Bundle authority) throws Exception {
