--- a/bin/quickstart.d/cluster.sh
+++ b/bin/quickstart.d/cluster.sh
@@ -48,6 +48,7 @@
   "$@" >"$work/$name.out" 2>&1 &
   pid_of[$name]=$!
   pids+=("$!")
+  disown "$!"
 }
 
 stop_all() {
--- a/bin/quickstart.d/steps.sh
+++ b/bin/quickstart.d/steps.sh
@@ -227,7 +227,8 @@
   huge=$(submission giant plans true 3 300 true)
   huge=${huge/'"milliProcessors":1000'/'"milliProcessors":900000'}
   http POST "${entry_addresses[0]}" /v1/submissions "$huge" "$(as plans)"
-  await 20 'told that it can never run' counts_are "${entry_addresses[4]}" giant plans '"INFEASIBLE":3'
+  check_refused 'a gang that can never fit' 422 invalid-value
+  check_contains 'a gang that can never fit' "$HTTP_BODY" '"ran":"NO"'
   check_equal 'starts of the gang that never fits' "$(starts_of giant)" 0
   end_step
 }
