--- a/cactusspring-core/src/main/java/io/cactusspring/core/membership/ClaimPolicy.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/membership/ClaimPolicy.java
@@ -8,9 +8,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Stream;
 import java.util.zip.CRC32;
 
@@ -24,13 +26,23 @@
  * @since 0.1
  */
 public final class ClaimPolicy {
+  /** Takeover times that pass before a shard is claimed back from a host that is not heard. */
+  private static final int RECLAIM_FACTOR = 3;
+
+  private static final long NOT_DATED = Long.MIN_VALUE;
+
   private final String self;
   private final String incarnation;
   private final AvailabilityZone zone;
   private final MembershipSettings settings;
   private final Map<ShardId, Outstanding> outstanding = new HashMap<>();
+  private final Set<ShardId> owned = new HashSet<>();
+  private final Map<ShardId, Loss> losses = new HashMap<>();
   private long lastClaimOffset;
 
+  /** A claim of another host that superseded this host's own. */
+  private record Loss(long epoch, long seenAtMillis) {}
+
   /** A claim that was sent and has not been read back. */
   private record Outstanding(long supersedes, long sentAtMillis) {}
 
@@ -57,6 +69,10 @@
     outstanding.remove(shard);
     if (isMine(claim)) {
       lastClaimOffset = Math.max(lastClaimOffset, claim.epoch());
+      owned.add(shard);
+      losses.remove(shard);
+    } else if (owned.remove(shard)) {
+      losses.put(shard, new Loss(claim.epoch(), NOT_DATED));
     }
   }
 
@@ -89,11 +105,12 @@
       return false;
     }
     Optional<Claim> claim = state.claim(shard);
-    boolean free = claim.map(c -> isAbandoned(c, peers, nowMillis)).orElse(true);
+    boolean free = claim.map(c -> isAbandoned(shard, c, peers, nowMillis)).orElse(true);
     return free && isFirstChoice(shard, peers, nowMillis);
   }
 
-  private boolean isAbandoned(Claim claim, PeerTable peers, long nowMillis) {
+  private boolean isAbandoned(
+      ShardId shard, Claim claim, PeerTable peers, long nowMillis) {
     if (isMine(claim)) {
       return false;
     }
@@ -106,7 +123,24 @@
     }
     boolean replaced =
         owner.get().incarnation().map(i -> !i.equals(claim.incarnation())).orElse(false);
-    return replaced || owner.get().draining() || !isLive(owner.get(), nowMillis);
+    boolean silent = !isLive(owner.get(), nowMillis) && !lostLately(shard, claim, nowMillis);
+    return replaced || owner.get().draining() || silent;
+  }
+
+  /**
+   * Whether this host lost the shard to that claim a short while ago. A host that hears nobody would
+   * else claim back what its peers have just taken over, again and again.
+   */
+  private boolean lostLately(ShardId shard, Claim claim, long nowMillis) {
+    Loss loss = losses.get(shard);
+    if (loss == null || loss.epoch() != claim.epoch()) {
+      return false;
+    }
+    if (loss.seenAtMillis() == NOT_DATED) {
+      losses.put(shard, new Loss(loss.epoch(), nowMillis));
+      return true;
+    }
+    return nowMillis - loss.seenAtMillis() <= RECLAIM_FACTOR * settings.takeoverMillis();
   }
 
   private boolean isLive(PeerTable.Peer peer, long nowMillis) {
--- a/cactusspring-core/src/main/java/io/cactusspring/core/shard/ShardOwner.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/shard/ShardOwner.java
@@ -679,6 +679,9 @@
   private void adoptUnrecorded(WorkerLink link, RunEntry entry, TaskId task, long nowMillis) {
     entry.attempt = task.attempt();
     entry.worker = link.worker;
+    entry.startSentAtMillis = 0;
+    entry.confirmed = false;
+    entry.lapsesAtMillis = nowMillis + settings.takeoverLapseMillis();
     count(entry.view.team(), -1);
     commit(link, entry);
     confirm(entry, nowMillis);
