Sync a worker when one of its tasks should have ended

Cause: ends were only seen by the periodic sync, up to 3 s late, so capacity and team budgets stayed taken by tasks that were over. Change: an owner syncs a worker once when a task's declared run time is over; the test of killed hosts reads outcomes where the API gives them.

--- a/cactusspring-core/src/main/java/io/cactusspring/core/shard/RunEntry.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/shard/RunEntry.java
@@ -33,6 +33,9 @@
     GANG_BROKEN
   }
 
+  /** Allowance for the start call and for the worker's own timer. */
+  private static final long END_MARGIN_MILLIS = 20;
+
   final RunId run;
   final RunView view;
   Phase phase;
@@ -68,6 +71,14 @@
     return view.spec().idempotent();
   }
 
+  /** When a task started by this owner should have ended; never for one without end. */
+  long expectedEndMillis() {
+    long declared = view.spec().expectedMillis();
+    return declared == 0 || startSentAtMillis == 0
+        ? Long.MAX_VALUE
+        : startSentAtMillis + declared + END_MARGIN_MILLIS;
+  }
+
   boolean onWorker() {
     return phase == Phase.STARTING || phase == Phase.RUNNING;
   }
--- a/cactusspring-core/src/main/java/io/cactusspring/core/shard/WorkerLink.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/shard/WorkerLink.java
@@ -12,6 +12,9 @@
   /** Syncs that may fail in a row before the owner stops renewing and only probes. */
   private static final int MAX_FAILED_SYNCS = 2;
 
+  /** Shortest time between two syncs that only look for ends. */
+  private static final long MIN_SYNC_MILLIS = 100;
+
   final String worker;
   final Map<TaskId, RunEntry> tasks = new LinkedHashMap<>();
   final Set<TaskId> forget = new TreeSet<>();
@@ -38,6 +41,19 @@
     if (syncing) {
       return false;
     }
-    return urgent && failedSyncs == 0 || nowMillis - syncSentAtMillis >= syncMillis;
+    if (nowMillis - syncSentAtMillis >= syncMillis) {
+      return true;
+    }
+    return failedSyncs == 0 && (urgent || endExpected(nowMillis));
+  }
+
+  /** Whether a task should have ended since the last sync, by its declared run time. */
+  private boolean endExpected(long nowMillis) {
+    if (nowMillis - syncSentAtMillis < MIN_SYNC_MILLIS) {
+      return false;
+    }
+    return tasks.values().stream()
+        .mapToLong(RunEntry::expectedEndMillis)
+        .anyMatch(end -> end > syncSentAtMillis && end <= nowMillis);
   }
 }
--- a/cactusspring-process-tests/src/test/java/io/cactusspring/processtests/SubmissionView.java
+++ b/cactusspring-process-tests/src/test/java/io/cactusspring/processtests/SubmissionView.java
@@ -8,6 +8,10 @@
   /** What it tells about one of its runs. */
   record RunView(String run, String state, int attempt, String worker, String outcome) {}
 
+  long endedAs(String outcome) {
+    return runs.stream().filter(r -> outcome.equals(r.outcome())).count();
+  }
+
   long inState(String state) {
     return runs.stream().filter(r -> r.state().equals(state)).count();
   }
