Let executors say when they are full

Hints count in part, a refusal closes an executor for 1 ms to 8 ms, a request spills to another zone at once, and waiting requests are looked at every 2 ms.

--- a/cactusspring-core/src/main/java/io/cactusspring/core/request/EndpointState.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/request/EndpointState.java
@@ -2,8 +2,11 @@
 
 /** What this entry host knows of one endpoint. */
 final class EndpointState {
-  private static final long FULL_BASE_NANOS = 2_000_000;
-  private static final long FULL_MAX_NANOS = 1_000_000_000;
+  private static final long FULL_BASE_NANOS = 1_000_000;
+  private static final long FULL_MAX_NANOS = 8_000_000;
+  private static final int REFUSALS_BEFORE_DOUBLING = 5;
+  private static final double HINT_WEIGHT_FOR_ROOM = 0.5;
+  private static final double HINT_WEIGHT_FOR_SCORE = 0.25;
   private static final long NANOS_PER_MILLI = 1_000_000;
 
   private final RequestSettings settings;
@@ -45,13 +48,16 @@
   }
 
   /**
-   * Whether a further request fits: into the own slots, or into those that hints show to be free.
+   * Whether a further request may fit: into the own slots, or into those that hints show to be
+   * free. Hints are old when they are read, so they count in part; the endpoint refuses what does
+   * not fit.
    */
   boolean hasRoom(int remoteInFlight, long nowNanos) {
     if (nowNanos - fullUntilNanos < 0 || inFlight >= share.ownConnections()) {
       return false;
     }
-    return inFlight < share.ownSlots() || inFlight + remoteInFlight < share.info().slots();
+    return inFlight < share.ownSlots()
+        || inFlight + HINT_WEIGHT_FOR_ROOM * remoteInFlight < share.info().slots();
   }
 
   /** Whether it failed lately; after the suspension one request at a time tries it. */
@@ -64,7 +70,8 @@
 
   /** Cost of choosing it; the least is chosen. */
   double score(int remoteInFlight) {
-    double occupied = (inFlight + remoteInFlight + 1) / (double) share.info().slots();
+    double occupied =
+        (inFlight + HINT_WEIGHT_FOR_SCORE * remoteInFlight + 1) / (double) share.info().slots();
     return occupied * Math.max(NANOS_PER_MILLI / 10, latency.nanos());
   }
 
@@ -93,7 +100,7 @@
 
   private void notRun(long nowNanos) {
     notRunInRow++;
-    leaveAlone(notRunInRow, nowNanos);
+    leaveAlone(notRunInRow - REFUSALS_BEFORE_DOUBLING, nowNanos);
   }
 
   private void notSent(long nowNanos) {
--- a/cactusspring-core/src/main/java/io/cactusspring/core/request/RequestSettings.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/request/RequestSettings.java
@@ -106,7 +106,7 @@
   public static final class Builder {
     private int maxQueuePerTeam = 1_000;
     private int sampledEndpoints = 3;
-    private long spillAfterMillis = 2;
+    private long spillAfterMillis = 0;
     private long attemptTimeoutMillis = 2_000;
     private int maxAttempts = 4;
     private long backoffMillis = 20;
--- a/cactusspring-core/src/test/java/io/cactusspring/core/request/ServiceRouterTest.java
+++ b/cactusspring-core/src/test/java/io/cactusspring/core/request/ServiceRouterTest.java
@@ -15,7 +15,7 @@
   private final TeamUnits units = new TeamUnits(t -> 1_000);
   private final ServiceRouter router =
       new ServiceRouter(
-          RequestSettings.builder().build(),
+          RequestSettings.builder().spillAfterMillis(2).build(),
           RequestRules.standard(),
           units,
           new SplittableRandom(1),
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/request/RequestService.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/request/RequestService.java
@@ -44,7 +44,7 @@
  */
 public final class RequestService {
   private static final String PATH = "/v1/services/:service/requests";
-  private static final long TICK_MILLIS = 5;
+  private static final long TICK_MILLIS = 2;
   private static final long REFRESH_MILLIS = 100;
 
   private final Vertx vertx;
