--- a/cactusspring-core/src/main/java/io/cactusspring/core/config/Configuration.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/config/Configuration.java
@@ -88,6 +88,11 @@
     return zones().stream().flatMap(Configuration::shardsOf).sorted().toList();
   }
 
+  /** Number of shards of a zone; 0 if there is no such zone. */
+  public int shardsOf(String zone) {
+    return find("zone/" + zone, ConfigItem.Zone.class).map(ConfigItem.Zone::shards).orElse(0);
+  }
+
   /** Every account among which the teams' limits are split, in order. */
   public List<BudgetAccount> accounts() {
     Stream<BudgetAccount> shards = shards().stream().map(BudgetAccount::of);
@@ -99,6 +104,21 @@
     return Stream.concat(shards, hosts).sorted().distinct().toList();
   }
 
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof Configuration c && revision == c.revision && items.equals(c.items);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * Long.hashCode(revision) + items.hashCode();
+  }
+
+  @Override
+  public String toString() {
+    return "revision " + revision + " " + items.keySet();
+  }
+
   private static Stream<ShardId> shardsOf(ConfigItem.Zone zone) {
     AvailabilityZone z = new AvailabilityZone(zone.name());
     return IntStream.range(0, zone.shards()).mapToObj(i -> new ShardId(z, i));
