Keep the connection of a refused caller

Cause: a refusal before the body was read closed the connection, so each cost its caller a new one, and a reset could overtake the refusal (not seen in 20 tries of 1 MiB). Change: the rest of the body is read and forgotten for up to 2 s. A caller that left in the middle of its body is neither refused nor logged as a failure, and does not hold up a drain.

--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/http/Filters.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/http/Filters.java
@@ -143,6 +143,9 @@
   /** Turns failures of the filters and handlers into refusals. */
   public Handler<RoutingContext> failures() {
     return ctx -> {
+      if (ctx.response().closed()) {
+        return; // The caller is gone; there is nobody to refuse.
+      }
       switch (ctx.statusCode()) {
         case PAYLOAD_TOO_LARGE -> refuse(ctx, RefusalReason.BODY_TOO_LARGE, "body is too large");
         case NOT_FOUND, METHOD_NOT_ALLOWED ->
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/http/RefusalWriter.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/http/RefusalWriter.java
@@ -4,8 +4,10 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.MeterRegistry;
+import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpHeaders;
+import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.ext.web.RoutingContext;
 import java.util.EnumMap;
@@ -19,6 +21,7 @@
 public final class RefusalWriter {
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final long MILLIS_PER_SECOND = 1_000;
+  private static final long DISCARD_MILLIS = 2_000;
 
   private final Map<RefusalReason, Counter> counters = new EnumMap<>(RefusalReason.class);
 
@@ -46,14 +49,25 @@
       response.putHeader("retry-after", Long.toString(seconds(r.retryAfterMillis())));
     }
     if (!ctx.request().isEnded()) {
-      // The rest of the body is not read, so the connection cannot carry another request.
-      response.putHeader(HttpHeaders.CONNECTION, HttpHeaders.CLOSE);
-      response.end(encode(r)).onComplete(x -> ctx.request().connection().close());
-      return;
+      discardBody(ctx);
     }
     response.end(encode(r));
   }
 
+  /**
+   * Reads the rest of the body and forgets it. Closing at once would reset the connection, and the
+   * refusal with it; a sender that takes long is cut off.
+   */
+  private static void discardBody(RoutingContext ctx) {
+    HttpServerRequest request = ctx.request();
+    Vertx vertx = ctx.vertx();
+    long timer = vertx.setTimer(DISCARD_MILLIS, t -> request.connection().close());
+    request.exceptionHandler(e -> vertx.cancelTimer(timer));
+    request.endHandler(v -> vertx.cancelTimer(timer));
+    request.handler(b -> {});
+    request.resume();
+  }
+
   /** Counts a refusal that is written elsewhere, because its body has more fields. */
   public void count(RefusalReason reason) {
     counters.get(reason).increment();
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/request/RequestService.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/request/RequestService.java
@@ -94,6 +94,11 @@
         .failureHandler(filters.failures());
   }
 
+  /** Requests that are being read, served or answered. */
+  public int open() {
+    return active.get();
+  }
+
   /** Units of a team's limit that requests hold on this entry host. */
   public int inFlight(String team) {
     return units.held(team);
--- a/cactusspring-daemon/src/test/java/io/cactusspring/daemon/request/FakeExecutor.java
+++ b/cactusspring-daemon/src/test/java/io/cactusspring/daemon/request/FakeExecutor.java
@@ -2,15 +2,18 @@
 
 import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** An executor that does with each request what a test says. */
 final class FakeExecutor {
   final List<String> begun = new CopyOnWriteArrayList<>();
+  final AtomicInteger connections = new AtomicInteger();
   private final HttpServer server;
   private volatile Handler<HttpServerRequest> behaviour = FakeExecutor::echo;
 
@@ -18,6 +21,7 @@
     server =
         vertx
             .createHttpServer()
+            .connectionHandler(this::connected)
             .requestHandler(this::handle)
             .listen(0, "127.0.0.1")
             .toCompletionStage()
@@ -65,6 +69,11 @@
     request.response().setStatusCode(500).end();
   }
 
+  private void connected(HttpConnection connection) {
+    connections.incrementAndGet();
+    connection.closeHandler(v -> connections.decrementAndGet());
+  }
+
   private void handle(HttpServerRequest request) {
     begun.add(request.getHeader("x-request-id"));
     behaviour.handle(request);
--- a/cactusspring-daemon/src/test/java/io/cactusspring/daemon/request/RequestServiceTest.java
+++ b/cactusspring-daemon/src/test/java/io/cactusspring/daemon/request/RequestServiceTest.java
@@ -15,6 +15,7 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.json.JsonObject;
+import io.vertx.core.net.NetSocket;
 import io.vertx.ext.web.Router;
 import java.util.HashMap;
 import java.util.List;
@@ -29,6 +30,8 @@
 
 @Timeout(60)
 class RequestServiceTest {
+  private static final String PATH = "/v1/services/ordering/requests";
+
   record Answer(int status, String body, Map<String, String> headers) {
     JsonObject refusal() {
       return new JsonObject(body);
@@ -294,6 +297,78 @@
     assertThat(await(slow).body()).isEqualTo("pomade");
   }
 
+  @Test
+  void refusalReachesACallerThatStillSendsALargeBody() throws Exception {
+    cell.addEndpoint("x1", new FakeExecutor(vertx).port());
+    for (int i = 0; i < 20; i++) {
+      Map<String, String> stranger = Map.of("authorization", "Bearer k1.wrong");
+      Answer a = await(call("r" + i, "x".repeat(1 << 20), stranger));
+      assertRefused(a, 401, "unknown-key", "NO");
+    }
+  }
+
+  @Test
+  void drainDoesNotWaitForACallerThatLeftInTheMiddleOfItsBody() throws Exception {
+    cell.addEndpoint("x1", new FakeExecutor(vertx).port());
+    NetSocket socket = await(vertx.createNetClient().connect(server.actualPort(), "127.0.0.1"));
+    String head =
+        "POST /v1/services/ordering/requests HTTP/1.1\r\nhost: a\r\n"
+            + "authorization: Bearer k1.s3cret\r\ncontent-length: 100\r\n\r\nhalf";
+    await(socket.write(head));
+    while (service.open() == 0) {
+      Thread.sleep(5);
+    }
+    cell.draining = true;
+    Future<Void> drained = service.drain();
+    assertThat(drained.isComplete()).isFalse();
+    await(socket.close());
+    await(drained);
+  }
+
+  @Test
+  void callerThatIsGoneFreesItsPlaceInTheQueue() throws Exception {
+    FakeExecutor x1 = new FakeExecutor(vertx).behave(FakeExecutor::stayingSilent);
+    cell.addEndpoint("x1", x1.port(), 1, false);
+    Future<Answer> running = call("r1", "", Map.of("x-deadline-millis", "2000"));
+    awaitInFlight(1);
+    HttpClient leaver = vertx.createHttpClient();
+    await(
+        leaver
+            .request(HttpMethod.POST, server.actualPort(), "127.0.0.1", PATH)
+            .compose(r -> r.putHeader("authorization", "Bearer k1.s3cret").end()));
+    awaitWaiting(1);
+    await(leaver.close());
+    while (service.waiting("counter") > 0) {
+      Thread.sleep(5);
+    }
+    assertThat(await(running).status()).isEqualTo(504);
+    assertThat(x1.begun).containsExactly("r1");
+  }
+
+  @Test
+  void idleConnectionsAreDropped() throws Exception {
+    FakeExecutor x1 = new FakeExecutor(vertx);
+    cell.addEndpoint("x1", x1.port());
+    assertThat(await(call("r1", "", Map.of())).status()).isEqualTo(200);
+    assertThat(x1.connections.get()).isEqualTo(1);
+    while (x1.connections.get() > 0) {
+      Thread.sleep(20);
+    }
+    assertThat(await(call("r2", "", Map.of())).status()).isEqualTo(200);
+  }
+
+  @Test
+  void withdrawnExecutorIsLeftWithoutCuttingOffItsRequest() throws Exception {
+    FakeExecutor x1 =
+        new FakeExecutor(vertx).behave(r -> FakeExecutor.echoAfterMillis(vertx, r, 500));
+    cell.addEndpoint("x1", x1.port());
+    Future<Answer> slow = call("r1", "razors", Map.of());
+    awaitInFlight(1);
+    cell.endpoints.clear();
+    cell.addEndpoint("x2", new FakeExecutor(vertx).port());
+    assertThat(await(slow).body()).isEqualTo("razors");
+  }
+
   private void awaitInFlight(int n) throws InterruptedException {
     while (service.inFlight("counter") < n) {
       Thread.sleep(5);
