Bound the memory for callers' bodies

Cause: a thousand queued bodies of 1 MiB do not fit a heap of 96 MB. Change: a request reserves its declared length before the body is read and is refused as queue-full beyond 24 MiB in hand.

--- a/cactusspring-core/src/main/java/io/cactusspring/core/request/RequestSettings.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/request/RequestSettings.java
@@ -97,6 +97,11 @@
     return values.maxAnswerBytes;
   }
 
+  /** Bytes of callers' bodies that are held at once. */
+  public long maxHeldBytes() {
+    return values.maxHeldBytes;
+  }
+
   /**
    * Collects settings; what is not set keeps its default.
    *
@@ -119,6 +124,7 @@
     private int connectTimeoutMillis = 500;
     private long idleConnectionMillis = 2_000;
     private long maxAnswerBytes = 8 << 20;
+    private long maxHeldBytes = 24 << 20;
 
     private Builder() {}
 
@@ -203,6 +209,11 @@
       return this;
     }
 
+    public Builder maxHeldBytes(long value) {
+      maxHeldBytes = Arguments.checkRange("maxHeldBytes", value, 1, 1L << 40);
+      return this;
+    }
+
     public RequestSettings build() {
       return new RequestSettings(copy());
     }
@@ -223,7 +234,8 @@
           .maxSuspendMillis(maxSuspendMillis)
           .connectTimeoutMillis(connectTimeoutMillis)
           .idleConnectionMillis(idleConnectionMillis)
-          .maxAnswerBytes(maxAnswerBytes);
+          .maxAnswerBytes(maxAnswerBytes)
+          .maxHeldBytes(maxHeldBytes);
     }
   }
 }
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/request/RequestService.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/request/RequestService.java
@@ -9,6 +9,7 @@
 import io.cactusspring.core.request.RouterAction;
 import io.cactusspring.core.request.ServiceRouter;
 import io.cactusspring.core.request.TeamUnits;
+import io.cactusspring.daemon.http.BodyMemory;
 import io.cactusspring.daemon.http.Callers;
 import io.cactusspring.daemon.http.CellView;
 import io.cactusspring.daemon.http.Filters;
@@ -54,6 +55,7 @@
   private final RequestMetrics metrics;
   private final ExecutorClients executors;
   private final EndpointDirectory directory;
+  private final BodyMemory bodies;
   private final TeamUnits units;
   private final InFlightIds ids = new InFlightIds();
   private final Map<String, ServiceShard> shards = new ConcurrentHashMap<>();
@@ -74,6 +76,7 @@
     this.metrics = new RequestMetrics(registry);
     this.executors = new ExecutorClients(vertx, settings);
     this.directory = new EndpointDirectory(cell);
+    this.bodies = new BodyMemory(settings.maxHeldBytes());
     this.units = new TeamUnits(cell::requestBudget);
     this.tickTimer = vertx.setPeriodic(TICK_MILLIS, t -> tick());
     this.refreshTimer = vertx.setPeriodic(REFRESH_MILLIS, t -> refresh());
@@ -89,6 +92,7 @@
         .handler(filters.ready())
         .handler(filters.authenticated())
         .handler(filters.teamOnly())
+        .handler(bodies.reserve(Filters.MAX_REQUEST_BYTES, refusals))
         .handler(filters.body(Filters.MAX_REQUEST_BYTES))
         .handler(this::accept)
         .failureHandler(filters.failures());
--- a/cactusspring-daemon/src/test/java/io/cactusspring/daemon/request/RequestServiceTest.java
+++ b/cactusspring-daemon/src/test/java/io/cactusspring/daemon/request/RequestServiceTest.java
@@ -48,7 +48,11 @@
   @BeforeEach
   void start() throws Exception {
     RequestSettings settings =
-        RequestSettings.builder().attemptTimeoutMillis(200).maxQueuePerTeam(3).build();
+        RequestSettings.builder()
+            .attemptTimeoutMillis(200)
+            .maxQueuePerTeam(3)
+            .maxHeldBytes(3 << 20)
+            .build();
     service = new RequestService(vertx, settings, cell, metrics);
     Router router = Router.router(vertx);
     service.mount(router);
@@ -282,6 +286,24 @@
     assertThat(x1.begun).hasSize(1);
   }
 
+  @Test
+  void bodiesBeyondTheMemoryForThemAreRefusedAtOnce() throws Exception {
+    FakeExecutor x1 = new FakeExecutor(vertx).behave(FakeExecutor::stayingSilent);
+    cell.addEndpoint("x1", x1.port());
+    String large = "x".repeat(1 << 20);
+    List<Future<Answer>> held =
+        IntStream.range(0, 3)
+            .mapToObj(i -> call("r" + i, large, Map.of("x-deadline-millis", "1000")))
+            .toList();
+    awaitInFlight(3);
+    assertRefused(await(call("r3", large, Map.of())), 429, "queue-full", "NO");
+    for (Future<Answer> f : held) {
+      assertThat(await(f).status()).isEqualTo(504);
+    }
+    x1.behave(FakeExecutor::echo);
+    assertThat(await(call("r4", large, Map.of())).status()).isEqualTo(200);
+  }
+
   @Test
   void drainWaitsForEveryAnswerAndTakesNoNewRequests() throws Exception {
     FakeExecutor x1 =
