--- a/cactusspring-cli/src/main/java/io/cactusspring/cli/Cli.java
+++ b/cactusspring-cli/src/main/java/io/cactusspring/cli/Cli.java
@@ -67,7 +67,7 @@
       return;
     }
     switch (format) {
-      case JSON -> err.println(Json.pretty(new Failure(e.exitCode().name(), e.getMessage())));
+      case JSON -> err.println(Json.line(new Failure(e.exitCode().name(), e.getMessage())));
       case TABLE -> err.println(withToolName(e.getMessage()));
     }
   }
--- a/cactusspring-cli/src/main/java/io/cactusspring/cli/command/StatusCommands.java
+++ b/cactusspring-cli/src/main/java/io/cactusspring/cli/command/StatusCommands.java
@@ -5,11 +5,14 @@
 import io.cactusspring.cli.ExitCode;
 import io.cactusspring.cli.client.Call;
 import io.cactusspring.cli.client.Call.Resend;
+import io.cactusspring.cli.client.HostUrl;
 import io.cactusspring.cli.output.Result;
 import io.cactusspring.cli.output.Table;
 import io.cactusspring.cli.wire.ConfigurationView;
 import io.cactusspring.cli.wire.HostStatus;
 import io.cactusspring.core.model.Resources;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -52,11 +55,16 @@
   }
 
   Result workers() throws CliException {
-    List<HostStatus.Worker> workers = fetch().workers();
+    Statuses all = fetchAll();
+    List<HostStatus.Worker> workers =
+        all.heard().stream()
+            .flatMap(s -> s.workers().stream())
+            .sorted(Comparator.comparing(HostStatus.Worker::name))
+            .toList();
     Table table =
         Table.of("WORKER", "SHARD", "STATE", "TASKS", "CPUS", "MEMORY MIB", "ACCELERATORS");
     workers.forEach(w -> addRow(table, w));
-    return Result.ok(workers, table.toString());
+    return Result.ok(workers, table + all.shards());
   }
 
   private static void addRow(Table table, HostStatus.Worker w) {
@@ -73,10 +81,11 @@
   }
 
   Result queue() throws CliException {
-    List<HostStatus.Waiting> queue = fetch().queue();
+    Statuses all = fetchAll();
+    List<HostStatus.Waiting> queue = all.heard().stream().flatMap(s -> s.queue().stream()).toList();
     Table table = Table.of("RUN", "TEAM", "WAITS FOR");
     queue.forEach(w -> table.row(w.run(), w.team(), w.reason()));
-    return Result.ok(queue, table.toString());
+    return Result.ok(queue, table + all.shards());
   }
 
   Result config(Command.Config c) throws CliException {
@@ -109,6 +118,40 @@
   /** Result of a drain in JSON. */
   record Draining(String draining) {}
 
+  /** Each entry host knows the workers and the waiting runs of the shards that it owns. */
+  private Statuses fetchAll() throws CliException {
+    List<HostStatus> heard = new ArrayList<>();
+    List<CliException> failures = new ArrayList<>();
+    for (HostUrl url : connection.urls()) {
+      try {
+        heard.add(connection.readFrom(url, Call.get("/v1/status"), HostStatus.class));
+      } catch (CliException e) {
+        failures.add(e);
+      }
+    }
+    if (heard.isEmpty()) {
+      throw failures.getFirst();
+    }
+    return new Statuses(heard, failures);
+  }
+
+  /** Answers of the entry hosts that were asked. */
+  private record Statuses(List<HostStatus> heard, List<CliException> failures) {
+    /** Tells which shards the answer covers. */
+    String shards() {
+      String owned =
+          heard.stream()
+              .flatMap(s -> s.ownedShards().stream())
+              .sorted()
+              .collect(Collectors.joining(", "));
+      String lost =
+          failures.stream()
+              .map(e -> "\nnot heard: " + e.getMessage())
+              .collect(Collectors.joining());
+      return "\nshards of the hosts asked: " + (owned.isEmpty() ? "none" : owned) + lost;
+    }
+  }
+
   private HostStatus fetch() throws CliException {
     return connection.read(Call.get("/v1/status"), HostStatus.class);
   }
--- a/cactusspring-cli/src/main/java/io/cactusspring/cli/command/SubcommandArguments.java
+++ b/cactusspring-cli/src/main/java/io/cactusspring/cli/command/SubcommandArguments.java
@@ -27,7 +27,7 @@
         .addArgument("--output")
         .choices("json", "table")
         .setDefault("table")
-        .help("format of the result (default: table)");
+        .help("table, or one line of JSON (default: table)");
     return parser;
   }
 
--- a/cactusspring-cli/src/main/java/io/cactusspring/cli/output/Result.java
+++ b/cactusspring-cli/src/main/java/io/cactusspring/cli/output/Result.java
@@ -18,7 +18,7 @@
   /** Returns what to print in a format. */
   public String print(OutputFormat format) {
     return switch (format) {
-      case JSON -> Json.pretty(json);
+      case JSON -> Json.line(json);
       case TABLE -> text;
     };
   }
--- a/cactusspring-cli/src/main/java/io/cactusspring/cli/wire/Json.java
+++ b/cactusspring-cli/src/main/java/io/cactusspring/cli/wire/Json.java
@@ -8,6 +8,7 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 
 /** JSON on the wire, in files and on the screen. */
@@ -52,6 +53,11 @@
     }
   }
 
+  /** Writes on one line, for programs. */
+  public static String line(Object value) {
+    return new String(write(value), StandardCharsets.UTF_8);
+  }
+
   /** Writes for a reader. */
   public static String pretty(Object value) {
     try {
--- a/cactusspring-cli/src/test/java/io/cactusspring/cli/OperatorCommandsTest.java
+++ b/cactusspring-cli/src/test/java/io/cactusspring/cli/OperatorCommandsTest.java
@@ -175,6 +175,18 @@
     assertThat(new ObjectMapper().readTree(json.out()).at("/0/budget").intValue()).isEqualTo(22);
   }
 
+  @Test
+  void workersOfAllHostsGivenAreListed() {
+    host.on(STATUS, 200, status(17, 17));
+    String other = status(17, 17).replace("w1", "w2").replace("riga-a/0", "riga-b/0");
+    try (FakeEntryHost second = new FakeEntryHost().on(STATUS, 200, other)) {
+      run("workers", "--host", second.url(), "--host", "http://127.0.0.1:1");
+    }
+    assertThat(tool.out()).containsMatch("(?s)w1 +riga-a/0.*w2 +riga-b/0");
+    assertThat(tool.out()).contains("shards of the hosts asked: riga-a/0, riga-b/0");
+    assertThat(tool.out()).contains("not heard: unreachable: http://127.0.0.1:1");
+  }
+
   @Test
   void keysAreListedWithTheirRevisions() {
     host.on("GET /v1/configuration", 200, CONFIGURATION);
