Explain from the host that knows, and show refused checks as results

explain said "nothing waits" where the first host does not place the runs; it now asks every host given and says how many runs wait. note check printed the differences of a refused note as an error; they are a result now, with the refusal and its exit code. An id used for other work is refused (3), not a conflict of notes (8). 66 tests of the tool pass.

--- a/cactusspring-cli/src/main/java/io/cactusspring/cli/command/Connection.java
+++ b/cactusspring-cli/src/main/java/io/cactusspring/cli/command/Connection.java
@@ -8,6 +8,7 @@
 import io.cactusspring.cli.client.HostUrl;
 import io.cactusspring.cli.client.Reply;
 import io.cactusspring.cli.note.KeyText;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 
@@ -45,10 +46,35 @@
     }
   }
 
+  /** Answers of all hosts given that could be asked, and why the others could not. */
+  record Answers<T>(List<T> answers, List<CliException> failures) {}
+
+  /**
+   * Sends to every host given.
+   *
+   * @throws CliException if none answered
+   */
+  <T> Answers<T> readAll(Call.Builder call, Class<T> type) throws CliException {
+    List<T> answers = new ArrayList<>();
+    List<CliException> failures = new ArrayList<>();
+    Call sent = authorized(call);
+    for (HostUrl url : hosts.urls()) {
+      try {
+        answers.add(readFrom(url, sent, type));
+      } catch (CliException e) {
+        failures.add(e);
+      }
+    }
+    if (answers.isEmpty()) {
+      throw failures.getFirst();
+    }
+    return new Answers<>(answers, failures);
+  }
+
   /** Sends and returns the answer of one host. */
-  <T> T readFrom(HostUrl url, Call.Builder call, Class<T> type) throws CliException {
+  private <T> T readFrom(HostUrl url, Call call, Class<T> type) throws CliException {
     try {
-      Reply reply = hosts.sendTo(url, authorized(call));
+      Reply reply = hosts.sendTo(url, call);
       if (reply.isError()) {
         throw Refusals.exception(reply.refusal(), reply.status());
       }
--- a/cactusspring-cli/src/main/java/io/cactusspring/cli/command/NoteCommands.java
+++ b/cactusspring-cli/src/main/java/io/cactusspring/cli/command/NoteCommands.java
@@ -32,15 +32,22 @@
     try {
       connection.send(Call.post("/v1/notes/check").json(Json.write(note)).resend(Resend.ALWAYS));
       return Result.ok(
-          new Checked(view.revision(), true, differences),
+          new Checked(view.revision(), true, null, differences),
           shown + "\nwould be accepted against revision " + view.revision());
     } catch (CliException e) {
-      throw new CliException(e.exitCode(), shown + "\n" + e.getMessage(), e);
+      return new Result(
+          e.exitCode(),
+          new Checked(view.revision(), false, e.getMessage(), differences),
+          shown + "\nwould not be accepted: " + e.getMessage());
     }
   }
 
-  /** Result of a check in JSON. */
-  record Checked(long revision, boolean accepted, List<Difference> differences) {}
+  /**
+   * Result of a check in JSON.
+   *
+   * @param problem why it would not be accepted; null if it would
+   */
+  record Checked(long revision, boolean accepted, String problem, List<Difference> differences) {}
 
   Result apply(Command.NoteApply c) throws CliException {
     ReleaseNote note = NoteFile.read(c.file(), c.id(), connection.keyName());
--- a/cactusspring-cli/src/main/java/io/cactusspring/cli/command/Refusals.java
+++ b/cactusspring-cli/src/main/java/io/cactusspring/cli/command/Refusals.java
@@ -4,14 +4,13 @@
 import io.cactusspring.cli.ExitCode;
 import io.cactusspring.cli.client.ClientException;
 import io.cactusspring.cli.wire.Refusal;
-import java.util.Set;
 import java.util.stream.Collectors;
 
 /** What a refusal or a missing answer means for the exit code and the message. */
 final class Refusals {
   private static final int TOO_MANY_REQUESTS = 429;
   private static final int FIRST_SERVER_ERROR = 500;
-  private static final Set<String> CONFLICTS = Set.of("note-conflict", "submission-conflict");
+  private static final String NOTE_CONFLICT = "note-conflict";
 
   private Refusals() {}
 
@@ -26,7 +25,7 @@
   }
 
   private static ExitCode exitCode(Refusal refusal, int status) {
-    if (CONFLICTS.contains(refusal.reason())) {
+    if (NOTE_CONFLICT.equals(refusal.reason())) {
       return ExitCode.CONFLICT;
     }
     boolean later = status == TOO_MANY_REQUESTS || status >= FIRST_SERVER_ERROR;
--- a/cactusspring-cli/src/main/java/io/cactusspring/cli/command/RevisionCommands.java
+++ b/cactusspring-cli/src/main/java/io/cactusspring/cli/command/RevisionCommands.java
@@ -3,12 +3,10 @@
 import io.cactusspring.cli.CliException;
 import io.cactusspring.cli.ExitCode;
 import io.cactusspring.cli.client.Call;
-import io.cactusspring.cli.client.HostUrl;
 import io.cactusspring.cli.output.Progress;
 import io.cactusspring.cli.output.Result;
 import io.cactusspring.cli.output.Table;
 import io.cactusspring.cli.wire.HostStatus;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -54,18 +52,9 @@
   /** Asks each host that is given; the peers that these name count with what they last told. */
   private Revisions revisions(long wanted) throws CliException {
     Map<String, Long> byHost = new TreeMap<>();
-    List<CliException> failures = new ArrayList<>();
-    for (HostUrl url : connection.urls()) {
-      try {
-        HostStatus s = connection.readFrom(url, Call.get("/v1/status"), HostStatus.class);
-        s.peers().forEach(p -> byHost.merge(p.name(), p.revision(), Math::max));
-        byHost.merge(s.host(), s.revision(), Math::max);
-      } catch (CliException e) {
-        failures.add(e);
-      }
-    }
-    if (byHost.isEmpty()) {
-      throw failures.getFirst();
+    for (HostStatus s : connection.readAll(Call.get("/v1/status"), HostStatus.class).answers()) {
+      s.peers().forEach(p -> byHost.merge(p.name(), p.revision(), Math::max));
+      byHost.merge(s.host(), s.revision(), Math::max);
     }
     long newest = byHost.values().stream().mapToLong(Long::longValue).max().orElse(0);
     long revision = wanted == 0 ? newest : wanted;
--- a/cactusspring-cli/src/main/java/io/cactusspring/cli/command/StatusCommands.java
+++ b/cactusspring-cli/src/main/java/io/cactusspring/cli/command/StatusCommands.java
@@ -5,13 +5,12 @@
 import io.cactusspring.cli.ExitCode;
 import io.cactusspring.cli.client.Call;
 import io.cactusspring.cli.client.Call.Resend;
-import io.cactusspring.cli.client.HostUrl;
+import io.cactusspring.cli.command.Connection.Answers;
 import io.cactusspring.cli.output.Result;
 import io.cactusspring.cli.output.Table;
 import io.cactusspring.cli.wire.ConfigurationView;
 import io.cactusspring.cli.wire.HostStatus;
 import io.cactusspring.core.model.Resources;
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Set;
@@ -48,23 +47,23 @@
 
   Result teams() throws CliException {
     List<HostStatus.Team> teams = fetch().teams();
-    Table table = Table.of("TEAM", "SHARE", "MAX RUNNING", "RUNNING", "BUDGET", "WAITING");
+    Table table = Table.of("TEAM", "SHARE", "MAX RUNNING", "RUNNING", "BUDGET HERE", "WAITING");
     teams.forEach(
         t -> table.row(t.name(), t.share(), t.maxRunning(), t.running(), t.budget(), t.waiting()));
     return Result.ok(teams, table.toString());
   }
 
   Result workers() throws CliException {
-    Statuses all = fetchAll();
+    Answers<HostStatus> all = fetchAll();
     List<HostStatus.Worker> workers =
-        all.heard().stream()
+        all.answers().stream()
             .flatMap(s -> s.workers().stream())
             .sorted(Comparator.comparing(HostStatus.Worker::name))
             .toList();
     Table table =
         Table.of("WORKER", "SHARD", "STATE", "TASKS", "CPUS", "MEMORY MIB", "ACCELERATORS");
     workers.forEach(w -> addRow(table, w));
-    return Result.ok(workers, table + all.shards());
+    return Result.ok(workers, table + shards(all));
   }
 
   private static void addRow(Table table, HostStatus.Worker w) {
@@ -81,11 +80,12 @@
   }
 
   Result queue() throws CliException {
-    Statuses all = fetchAll();
-    List<HostStatus.Waiting> queue = all.heard().stream().flatMap(s -> s.queue().stream()).toList();
+    Answers<HostStatus> all = fetchAll();
+    List<HostStatus.Waiting> queue =
+        all.answers().stream().flatMap(s -> s.queue().stream()).toList();
     Table table = Table.of("RUN", "TEAM", "WAITS FOR");
     queue.forEach(w -> table.row(w.run(), w.team(), w.reason()));
-    return Result.ok(queue, table + all.shards());
+    return Result.ok(queue, table + shards(all));
   }
 
   Result config(Command.Config c) throws CliException {
@@ -119,37 +119,22 @@
   record Draining(String draining) {}
 
   /** Each entry host knows the workers and the waiting runs of the shards that it owns. */
-  private Statuses fetchAll() throws CliException {
-    List<HostStatus> heard = new ArrayList<>();
-    List<CliException> failures = new ArrayList<>();
-    for (HostUrl url : connection.urls()) {
-      try {
-        heard.add(connection.readFrom(url, Call.get("/v1/status"), HostStatus.class));
-      } catch (CliException e) {
-        failures.add(e);
-      }
-    }
-    if (heard.isEmpty()) {
-      throw failures.getFirst();
-    }
-    return new Statuses(heard, failures);
+  private Answers<HostStatus> fetchAll() throws CliException {
+    return connection.readAll(Call.get("/v1/status"), HostStatus.class);
   }
 
-  /** Answers of the entry hosts that were asked. */
-  private record Statuses(List<HostStatus> heard, List<CliException> failures) {
-    /** Tells which shards the answer covers. */
-    String shards() {
-      String owned =
-          heard.stream()
-              .flatMap(s -> s.ownedShards().stream())
-              .sorted()
-              .collect(Collectors.joining(", "));
-      String lost =
-          failures.stream()
-              .map(e -> "\nnot heard: " + e.getMessage())
-              .collect(Collectors.joining());
-      return "\nshards of the hosts asked: " + (owned.isEmpty() ? "none" : owned) + lost;
-    }
+  /** Tells which shards the answers cover. */
+  private static String shards(Answers<HostStatus> all) {
+    String owned =
+        all.answers().stream()
+            .flatMap(s -> s.ownedShards().stream())
+            .sorted()
+            .collect(Collectors.joining(", "));
+    String lost =
+        all.failures().stream()
+            .map(e -> "\nnot heard: " + e.getMessage())
+            .collect(Collectors.joining());
+    return "\nshards of the hosts asked: " + (owned.isEmpty() ? "none" : owned) + lost;
   }
 
   private HostStatus fetch() throws CliException {
--- a/cactusspring-cli/src/main/java/io/cactusspring/cli/command/SubmissionCommands.java
+++ b/cactusspring-cli/src/main/java/io/cactusspring/cli/command/SubmissionCommands.java
@@ -67,19 +67,34 @@
   }
 
   Result explain(Command.Explain e) throws CliException {
-    String submission = submissionOf(e.id());
-    SubmissionStatus s = fetch(submission);
-    if (s.finished()) {
-      return Result.ok(new Explanation(e.id(), "ended"), e.id() + " does not wait: it has ended");
-    }
-    String reason =
-        s.waiting() == null || s.waiting().isEmpty() ? "nothing waits, its runs run" : s.waiting();
+    SubmissionStatus s = fetch(e.id());
+    String reason = reason(e.id(), s);
     return Result.ok(new Explanation(e.id(), reason), e.id() + ": " + reason);
   }
 
   /** Result of an explanation in JSON. */
   record Explanation(String id, String reason) {}
 
+  private String reason(String id, SubmissionStatus s) throws CliException {
+    if (s.finished()) {
+      return "has ended";
+    }
+    int pending = s.counts().getOrDefault("PENDING", 0);
+    if (pending == 0) {
+      return "does not wait, its runs are running";
+    }
+    return waitingText(id).orElse(pending + " runs wait; none of the hosts asked places them");
+  }
+
+  /** Only the entry host that places the runs knows what they wait for. */
+  private Optional<String> waitingText(String id) throws CliException {
+    Call.Builder call = Call.get("/v1/submissions/" + submissionOf(id));
+    return connection.readAll(call, SubmissionStatus.class).answers().stream()
+        .map(SubmissionStatus::waiting)
+        .filter(w -> w != null && !w.isEmpty())
+        .findFirst();
+  }
+
   private static String submissionOf(String id) {
     int hash = id.indexOf('#');
     return hash < 0 ? id : id.substring(0, hash);
--- a/cactusspring-cli/src/test/java/io/cactusspring/cli/CallerCommandsTest.java
+++ b/cactusspring-cli/src/test/java/io/cactusspring/cli/CallerCommandsTest.java
@@ -172,6 +172,27 @@
     assertThat(tool.out()).contains("b1#0: team counter is at its limit");
   }
 
+  @Test
+  void explainAsksTheOtherHostsWhenTheFirstDoesNotKnow() {
+    host.on(ASK, 200, status("\"PENDING\":1").replace("team counter is at its limit", ""));
+    second.on(ASK, 200, status("\"PENDING\":1"));
+    tool.run("explain", "b1", "--host", host.url(), "--host", second.url());
+    assertThat(tool.out()).contains("b1: team counter is at its limit");
+  }
+
+  @Test
+  void explainSaysThatRunsWaitWhenNobodyKnowsWhy() {
+    host.on(ASK, 200, status("\"PENDING\":2").replace("team counter is at its limit", ""));
+    tool.run("explain", "b1", "--host", host.url());
+    assertThat(tool.out()).contains("b1: 2 runs wait; none of the hosts asked places them");
+  }
+
+  @Test
+  void idUsedForOtherWorkIsRefused() {
+    host.on(SUBMIT, 409, "{\"reason\":\"submission-conflict\",\"ran\":\"NO\"}");
+    assertThat(tool.run("submit", "--id", "b1", "--host", host.url())).isEqualTo(ExitCode.REFUSED);
+  }
+
   private static String status(String counts) {
     return "{\"id\":\"b1\",\"team\":\"counter\",\"counts\":{"
         + counts
--- a/cactusspring-cli/src/test/java/io/cactusspring/cli/OperatorCommandsTest.java
+++ b/cactusspring-cli/src/test/java/io/cactusspring/cli/OperatorCommandsTest.java
@@ -70,6 +70,16 @@
     assertThat(host.received().stream().map(Received::line)).doesNotContain(NOTES);
   }
 
+  @Test
+  void checkOfAStaleNoteShowsTheDifferenceAndTheConflict() {
+    host.on("GET /v1/configuration", 200, CONFIGURATION);
+    host.on(CHECK, 409, "{\"reason\":\"note-conflict\",\"message\":\"changed since\"}");
+    assertThat(run("note", "check", note.toString())).isEqualTo(ExitCode.CONFLICT);
+    assertThat(tool.out()).contains("~ team/counter  maxRunning: 200 -> 300\n");
+    assertThat(tool.out()).contains("would not be accepted: note-conflict: changed since");
+    assertThat(tool.err()).isEmpty();
+  }
+
   @Test
   void secretLeavesTheToolOnlyAsASaltedHash() throws Exception {
     host.on(NOTES, 200, "{\"id\":\"n1\",\"accepted\":true,\"revision\":17}");
