Keep the socket clients of the port tests from the garbage collector

Ruled out: certificates (no handshake failed on the server). Change: the tests hold their clients until they are done.

--- a/cactusspring-daemon/src/test/java/io/cactusspring/daemon/port/CallerPortTest.java
+++ b/cactusspring-daemon/src/test/java/io/cactusspring/daemon/port/CallerPortTest.java
@@ -9,6 +9,7 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
+import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetSocket;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -19,6 +20,10 @@
   private static final String SHORT_REQUEST = "GET / HTTP/1.1\r\nhost: h\r\n";
 
   private final Vertx vertx = Vertx.vertx();
+
+  /** Kept, since a client that nothing refers to is closed by the garbage collector. */
+  private final NetClient client = vertx.createNetClient();
+
   private final SimpleMeterRegistry registry = new SimpleMeterRegistry();
 
   @AfterEach
@@ -32,7 +37,7 @@
     for (int i = 0; i < 8; i++) {
       assertThat(answer(connect(port), SHORT_REQUEST + "\r\n")).startsWith("HTTP/1.1 200");
     }
-    await(vertx.createNetClient().connect(port, "127.0.0.1").compose(CallerPortTest::closed));
+    await(client.connect(port, "127.0.0.1").compose(CallerPortTest::closed));
     assertThat(closed("over-limit")).isEqualTo(1);
   }
 
@@ -92,7 +97,7 @@
   }
 
   private NetSocket connect(int port) throws Exception {
-    return await(vertx.createNetClient().connect(port, "127.0.0.1"));
+    return await(client.connect(port, "127.0.0.1"));
   }
 
   private static String answer(NetSocket socket, String request) throws Exception {
--- a/cactusspring-daemon/src/test/java/io/cactusspring/daemon/port/TlsPortTest.java
+++ b/cactusspring-daemon/src/test/java/io/cactusspring/daemon/port/TlsPortTest.java
@@ -170,11 +170,13 @@
 
   /** Says something and returns the answer; fails when the connection closes without one. */
   private String reply(NetServer server, NetClientOptions options) throws Exception {
-    return await(
-        vertx
-            .createNetClient(options)
-            .connect(server.actualPort(), "127.0.0.1")
-            .compose(TlsPortTest::sayHello));
+    NetClient client = vertx.createNetClient(options);
+    try {
+      return await(client.connect(server.actualPort(), "127.0.0.1").compose(TlsPortTest::sayHello));
+    } finally {
+      // A client that nothing refers to is closed by the garbage collector.
+      await(client.close());
+    }
   }
 
   /** Called on the socket's own thread, so that no event passes before the handlers are set. */
--- a/cactusspring-daemon/src/test/java/io/cactusspring/daemon/request/RequestServiceTest.java
+++ b/cactusspring-daemon/src/test/java/io/cactusspring/daemon/request/RequestServiceTest.java
@@ -15,6 +15,7 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.json.JsonObject;
+import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetSocket;
 import io.vertx.ext.web.Router;
 import java.util.HashMap;
@@ -39,6 +40,10 @@
   }
 
   private final Vertx vertx = Vertx.vertx();
+
+  /** Kept, since a client that nothing refers to is closed by the garbage collector. */
+  private final NetClient client = vertx.createNetClient();
+
   private final FakeCell cell = new FakeCell();
   private final MeterRegistry metrics = new SimpleMeterRegistry();
   private RequestService service;
@@ -332,7 +337,7 @@
   @Test
   void drainDoesNotWaitForACallerThatLeftInTheMiddleOfItsBody() throws Exception {
     cell.addEndpoint("x1", new FakeExecutor(vertx).port());
-    NetSocket socket = await(vertx.createNetClient().connect(server.actualPort(), "127.0.0.1"));
+    NetSocket socket = await(client.connect(server.actualPort(), "127.0.0.1"));
     String head =
         "POST /v1/services/ordering/requests HTTP/1.1\r\nhost: a\r\n"
             + "authorization: Bearer k1.s3cret\r\ncontent-length: 100\r\n\r\nhalf";
