--- a/cactusspring-core/src/main/java/io/cactusspring/core/membership/ClaimPolicy.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/membership/ClaimPolicy.java
@@ -109,8 +109,7 @@
     return free && isFirstChoice(shard, peers, nowMillis);
   }
 
-  private boolean isAbandoned(
-      ShardId shard, Claim claim, PeerTable peers, long nowMillis) {
+  private boolean isAbandoned(ShardId shard, Claim claim, PeerTable peers, long nowMillis) {
     if (isMine(claim)) {
       return false;
     }
@@ -128,8 +127,8 @@
   }
 
   /**
-   * Whether this host lost the shard to that claim a short while ago. A host that hears nobody would
-   * else claim back what its peers have just taken over, again and again.
+   * Whether this host lost the shard to that claim a short while ago. A host that hears nobody
+   * would else claim back what its peers have just taken over, again and again.
    */
   private boolean lostLately(ShardId shard, Claim claim, long nowMillis) {
     Loss loss = losses.get(shard);
