--- a/cactusspring-core/src/main/java/io/cactusspring/core/state/RunRules.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/state/RunRules.java
@@ -112,9 +112,14 @@
     return w.home(r.index()).equals(from) && namesWholeGang(w, named);
   }
 
-  /** A gang starts whole: a member that does not start with the others has started already. */
+  /**
+   * A gang that may not run again starts whole by one record. One that may can have started without
+   * records, of which a new owner finds only a part; there the owner alone keeps it whole.
+   */
   boolean leavesNoMemberWaiting(Workload w, Set<RunId> named) {
-    return !w.gang || w.indexes(RunState.PENDING).allMatch(i -> named.contains(w.run(i)));
+    return !w.gang
+        || w.spec().idempotent()
+        || w.indexes(RunState.PENDING).allMatch(i -> named.contains(w.run(i)));
   }
 
   /** A gang moves whole: every member that is live has to be pending and named. */
--- a/cactusspring-core/src/test/java/io/cactusspring/core/fuzz/Command.java
+++ b/cactusspring-core/src/test/java/io/cactusspring/core/fuzz/Command.java
@@ -39,6 +39,8 @@
     CUT_PLATFORM,
     CUT_PEERS,
     CUT_PLATFORM_AND_PEERS,
+    /** A host and a worker of its zone are cut off from all else. */
+    PARTITION,
     CUT_WORKER,
     CUT_WORKER_FROM_HOST,
     RESTART_WORKER,
@@ -90,6 +92,7 @@
         cut(w, h.name(), List.of(Net.LOG), fault);
         cut(w, h.name(), Cell.hosts(), fault);
       }
+      case PARTITION -> partition(w, h, 2 * fault);
       case CUT_WORKER -> cut(w, w.worker(n).info().name(), Cell.hosts(), fault);
       case CUT_WORKER_FROM_HOST -> cut(w, w.worker(n).info().name(), List.of(h.name()), fault);
       case RESTART_WORKER -> w.worker(n).restart();
@@ -156,6 +159,14 @@
     w.events().after(millis, () -> others.forEach(b -> w.net().join(a, b)));
   }
 
+  private void partition(World w, Host h, long millis) {
+    cut(w, h.name(), List.of(Net.LOG), millis);
+    cut(w, h.name(), Cell.hosts(), millis);
+    String worker = h.name().charAt(0) + (n % 2 == 0 ? "w1" : "w2");
+    List<String> others = Cell.hosts().stream().filter(o -> !o.equals(h.name())).toList();
+    cut(w, worker, others, millis);
+  }
+
   private void failStarts(World w, long millis) {
     FakeWorker worker = w.worker(n);
     worker.failsStarts = true;
