--- a/cactusspring-daemon/src/test/java/io/cactusspring/daemon/request/RequestServiceTest.java
+++ b/cactusspring-daemon/src/test/java/io/cactusspring/daemon/request/RequestServiceTest.java
@@ -42,7 +42,7 @@
   private final Vertx vertx = Vertx.vertx();
 
   /** Kept, since a client that nothing refers to is closed by the garbage collector. */
-  private final NetClient client = vertx.createNetClient();
+  private final NetClient sockets = vertx.createNetClient();
 
   private final FakeCell cell = new FakeCell();
   private final MeterRegistry metrics = new SimpleMeterRegistry();
@@ -337,7 +337,7 @@
   @Test
   void drainDoesNotWaitForACallerThatLeftInTheMiddleOfItsBody() throws Exception {
     cell.addEndpoint("x1", new FakeExecutor(vertx).port());
-    NetSocket socket = await(client.connect(server.actualPort(), "127.0.0.1"));
+    NetSocket socket = await(sockets.connect(server.actualPort(), "127.0.0.1"));
     String head =
         "POST /v1/services/ordering/requests HTTP/1.1\r\nhost: a\r\n"
             + "authorization: Bearer k1.s3cret\r\ncontent-length: 100\r\n\r\nhalf";
