Fence budget moves of shards by epoch

Cause (found by reading, not by the fuzz): a move that a replaced owner had appended could land after its successor had begun to use the whole part, so a team ran above its limit until the successor stopped tasks; and reading it back raised the successor's part, which it had never lowered. Change: a move names the epoch under which a shard gives; replay ignores an earlier one, and only the owner that gave takes back. An entry host has no epoch: a move of a killed process that lands after its successor started is still open.

--- a/cactusspring-core/src/main/java/io/cactusspring/core/model/LogRecord.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/model/LogRecord.java
@@ -142,9 +142,17 @@
    *
    * @param id unique id; a second record with the same id moves nothing
    * @param limitRevision revision of the team's item for which the amount was computed
+   * @param epoch epoch of the claim under which a shard gives, so that a replaced owner's record
+   *     takes nothing from its successor; 0 if an entry host gives
    */
   record BudgetMoved(
-      String id, String team, BudgetAccount from, BudgetAccount to, int amount, long limitRevision)
+      String id,
+      String team,
+      BudgetAccount from,
+      BudgetAccount to,
+      int amount,
+      long limitRevision,
+      long epoch)
       implements LogRecord {
     public BudgetMoved {
       Arguments.checkPresent("id", id);
--- a/cactusspring-core/src/main/java/io/cactusspring/core/state/ClusterState.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/state/ClusterState.java
@@ -298,7 +298,8 @@
   }
 
   private List<StateChange> moveBudget(LogRecord.BudgetMoved r) {
-    return budgets.move(r, configuration)
+    boolean isLate = r.from().shard().filter(s -> !claims.isCurrentEpoch(s, r.epoch())).isPresent();
+    return !isLate && budgets.move(r, configuration)
         ? List.of(new StateChange.BudgetChanged(r.team()))
         : List.of();
   }
--- a/cactusspring-core/src/test/java/io/cactusspring/core/fuzz/Command.java
+++ b/cactusspring-core/src/test/java/io/cactusspring/core/fuzz/Command.java
@@ -113,7 +113,7 @@
         w.callers().limit(w.host(host + 1 + n % 3), "n" + step + "b", team(), limit() + 1);
       }
       case REQUESTS -> w.limits().request(h, team(), 1 + n, fault);
-      case MOVE_BUDGET -> w.limits().move(h, team(), account(), "m" + step);
+      case MOVE_BUDGET -> moveBudget(w, h, step);
       case HEAL -> w.heal();
     }
     w.events().runFor(pause * PAUSE_UNIT_MILLIS);
@@ -170,6 +170,15 @@
     cut(w, lost, List.of(h.name()), millis);
   }
 
+  private void moveBudget(World w, Host h, int step) {
+    if (n % 4 < 2) {
+      w.limits().move(h, team(), account(), "m" + step);
+    } else {
+      BudgetAccount to = BudgetAccount.ofHost(Cell.hosts().get(pause % Cell.hosts().size()));
+      h.run(() -> h.giveFromShards(team(), to, "m" + step));
+    }
+  }
+
   private void failStarts(World w, long millis) {
     FakeWorker worker = w.worker(n);
     worker.failsStarts = true;
--- a/cactusspring-core/src/test/java/io/cactusspring/core/fuzz/Host.java
+++ b/cactusspring-core/src/test/java/io/cactusspring/core/fuzz/Host.java
@@ -4,6 +4,7 @@
 import io.cactusspring.core.membership.ClaimPolicy;
 import io.cactusspring.core.membership.PeerTable;
 import io.cactusspring.core.model.AvailabilityZone;
+import io.cactusspring.core.model.BudgetAccount;
 import io.cactusspring.core.model.LogRecord;
 import io.cactusspring.core.model.ShardId;
 import io.cactusspring.core.shard.OwnerCommand;
@@ -15,7 +16,9 @@
 import io.cactusspring.core.state.ClusterState;
 import io.cactusspring.core.state.StateChange;
 import java.util.ArrayDeque;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Consumer;
@@ -36,6 +39,7 @@
   private final Authority authority;
   private final ClaimPolicy policy;
   private final TreeMap<ShardId, ShardOwner> owners = new TreeMap<>();
+  private final Map<String, ShardOwner> given = new HashMap<>();
   private final ArrayDeque<Runnable> deferred = new ArrayDeque<>();
   private final TreeMap<Long, LogRecord> history = new TreeMap<>();
   private boolean isReading;
@@ -190,6 +194,9 @@
     history.put(offset, r);
     List<StateChange> changes = state.apply(offset, world.mutate(state, r));
     changes.forEach(this::changed);
+    if (r instanceof LogRecord.BudgetMoved m) {
+      readBack(m);
+    }
     world.applied(this, r, changes);
   }
 
@@ -210,6 +217,32 @@
     }
   }
 
+  /** Moves half of what a shard of this host does not use of its part of a team's limit. */
+  void giveFromShards(String team, BudgetAccount to, String id) {
+    owners.values().stream().findFirst().ifPresent(o -> give(o, team, to, id));
+  }
+
+  private void give(ShardOwner owner, String team, BudgetAccount to, String id) {
+    int spare = state.budget(team, owner.account()) - owner.running(team);
+    if (spare < 1 || !given.isEmpty()) {
+      return;
+    }
+    int amount = (spare + 1) / 2;
+    long revision = state.configuration().revisionOf("team/" + team);
+    LogRecord.BudgetMoved moved =
+        new LogRecord.BudgetMoved(id, team, owner.account(), to, amount, revision, owner.epoch());
+    owner.giveAway(team, amount);
+    given.put(id, owner);
+    append(List.of(moved), a -> {});
+  }
+
+  private void readBack(LogRecord.BudgetMoved moved) {
+    ShardOwner giver = given.remove(moved.id());
+    if (giver != null) {
+      giver.giveAway(moved.team(), -moved.amount());
+    }
+  }
+
   // Peers.
 
   private void heartbeat(String peer) {
--- a/cactusspring-core/src/test/java/io/cactusspring/core/fuzz/Limits.java
+++ b/cactusspring-core/src/test/java/io/cactusspring/core/fuzz/Limits.java
@@ -7,8 +7,10 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.stream.Stream;
 
@@ -21,6 +23,7 @@
 
   private final World world;
   private final Map<String, Integer> inFlight = new TreeMap<>();
+  private final Set<String> outstanding = new HashSet<>();
   private final Map<String, Integer> givenAway = new HashMap<>();
   private final Map<String, Deque<Integer>> allowed = new HashMap<>();
 
@@ -55,13 +58,16 @@
     givenAway.merge(key(host, team), amount, Integer::sum);
     long revision = host.state().configuration().revisionOf("team/" + team);
     BudgetAccount from = BudgetAccount.ofHost(host.name());
-    LogRecord.BudgetMoved moved = new LogRecord.BudgetMoved(id, team, from, to, amount, revision);
+    LogRecord.BudgetMoved moved =
+        new LogRecord.BudgetMoved(id, team, from, to, amount, revision, 0);
+    outstanding.add(id);
     host.append(List.of(moved), a -> {});
   }
 
   /** Notes that a host has read its own record back. */
   void read(Host host, LogRecord.BudgetMoved moved) {
-    if (moved.from().equals(BudgetAccount.ofHost(host.name()))) {
+    boolean isOwn = moved.from().equals(BudgetAccount.ofHost(host.name()));
+    if (isOwn && outstanding.remove(moved.id())) {
       givenAway.computeIfPresent(
           key(host, moved.team()), (k, n) -> Math.max(0, n - moved.amount()));
     }
--- a/cactusspring-core/src/test/java/io/cactusspring/core/state/ClusterStateTest.java
+++ b/cactusspring-core/src/test/java/io/cactusspring/core/state/ClusterStateTest.java
@@ -118,11 +118,23 @@
     BudgetAccount from = state.configuration().accounts().getFirst();
     BudgetAccount to = state.configuration().accounts().getLast();
     long revision = state.configuration().revisionOf("team/t1");
-    apply(new LogRecord.BudgetMoved("m1", "t1", from, to, 2, revision));
+    apply(new LogRecord.BudgetMoved("m1", "t1", from, to, 2, revision, 0));
     assertThat(budgets("t1")).containsExactly(1, 3, 3, 3, 3, 3, 4).inOrder();
     apply(note("n2", new Change.Replace(new ConfigItem.Team("t1", 2, 10, true), revision)));
     assertThat(budgets("t1")).containsExactly(1, 2, 2, 1, 1, 1, 2).inOrder();
-    assertThat(apply(new LogRecord.BudgetMoved("m2", "t1", to, from, 1, revision))).isEmpty();
+    assertThat(apply(new LogRecord.BudgetMoved("m2", "t1", from, to, 1, revision, 0))).isEmpty();
+  }
+
+  @Example
+  void replacedOwnerGivesNothingOfItsSuccessorsBudget() {
+    long first = claim(0);
+    claim(first);
+    BudgetAccount from = BudgetAccount.of(SHARD);
+    BudgetAccount to = state.configuration().accounts().getFirst();
+    long revision = state.configuration().revisionOf("team/t1");
+    assertThat(apply(new LogRecord.BudgetMoved("m1", "t1", from, to, 1, revision, first)))
+        .isEmpty();
+    assertThat(state.budget("t1", from)).isEqualTo(3);
   }
 
   @Example
--- a/cactusspring-core/src/test/java/io/cactusspring/core/state/ReplayTest.java
+++ b/cactusspring-core/src/test/java/io/cactusspring/core/state/ReplayTest.java
@@ -175,6 +175,8 @@
         }
         case LogRecord.AttemptsStarted a -> assertIgnored(epochs, a.shard(), a.epoch(), changes);
         case LogRecord.RunsEnded e -> assertIgnored(epochs, e.shard(), e.epoch(), changes);
+        case LogRecord.BudgetMoved b when b.from().shard().isPresent() ->
+            assertIgnored(epochs, b.from().shard().get(), b.epoch(), changes);
         case LogRecord.WorkMoved m -> assertIgnored(epochs, m.from(), m.epoch(), changes);
         default -> {}
       }
--- a/cactusspring-core/src/test/java/io/cactusspring/core/state/Step.java
+++ b/cactusspring-core/src/test/java/io/cactusspring/core/state/Step.java
@@ -109,7 +109,12 @@
     BudgetAccount to =
         accounts.isEmpty() ? BudgetAccount.ofHost("h1") : accounts.get(c % accounts.size());
     long revision = s.configuration().revisionOf("team/" + team) - (odd ? 1 : 0);
-    return new LogRecord.BudgetMoved("m" + a + b + c, team, from, to, 1 + b, revision);
+    return new LogRecord.BudgetMoved(
+        "m" + a + b + c, team, from, to, 1 + b, revision, epochOf(s, from));
+  }
+
+  private long epochOf(ClusterState s, BudgetAccount from) {
+    return from.shard().flatMap(s::claim).map(Claim::epoch).orElse(0L) - (c % 4 == 3 ? 1 : 0);
   }
 
   private ReleaseNote note(ClusterState s) {
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/control/BudgetController.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/control/BudgetController.java
@@ -128,7 +128,7 @@
   public void applied(long offset, LogRecord entry, List<StateChange> changes) {
     if (entry instanceof LogRecord.BudgetMoved m && moves.containsKey(m.id())) {
       moves.remove(m.id());
-      giveAway(m.team(), m.from(), -m.amount());
+      giveAway(m, -m.amount());
     }
   }
 
@@ -191,20 +191,29 @@
     long revision = cell.configuration().revisionOf(team.path());
     LogRecord.BudgetMoved entry =
         new LogRecord.BudgetMoved(
-            UUID.randomUUID().toString(), team.name(), from, to, amount, revision);
+            UUID.randomUUID().toString(), team.name(), from, to, amount, revision, epochOf(from));
     moves.put(entry.id(), new Move(entry, nowMillis));
-    giveAway(team.name(), from, amount);
+    giveAway(entry, amount);
     return entry;
   }
 
-  private void giveAway(String team, BudgetAccount from, int units) {
-    if (from.equals(hostAccount)) {
-      givenByHost.merge(team, units, Integer::sum);
+  private long epochOf(BudgetAccount account) {
+    return shards.owners().stream()
+        .filter(o -> o.account().equals(account))
+        .mapToLong(ShardOwner::epoch)
+        .findFirst()
+        .orElse(0);
+  }
+
+  /** A later owner of the shard never stopped using what an earlier one gave. */
+  private void giveAway(LogRecord.BudgetMoved entry, int units) {
+    if (entry.from().equals(hostAccount)) {
+      givenByHost.merge(entry.team(), units, Integer::sum);
       return;
     }
     shards.owners().stream()
-        .filter(o -> o.account().equals(from))
-        .forEach(o -> o.giveAway(team, units));
+        .filter(o -> o.account().equals(entry.from()) && o.epoch() == entry.epoch())
+        .forEach(o -> o.giveAway(entry.team(), units));
   }
 
   private Stream<Holding> holdings(String team, Stream<ShardOwner> owners) {
