--- a/cactusspring-core/src/test/java/io/cactusspring/core/fuzz/FuzzTest.java
+++ b/cactusspring-core/src/test/java/io/cactusspring/core/fuzz/FuzzTest.java
@@ -1,6 +1,5 @@
 package io.cactusspring.core.fuzz;
 
-import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.util.Optional;
@@ -65,7 +64,6 @@
 
   private static void assertNoticed(Guards off) {
     Optional<String> violation = new Fuzz(SEED, Guards.without(off)).firstViolation(MUTANT_TRIES);
-    violation.ifPresent(v -> System.out.println(off + " off: " + v));
-    assertThat(violation).isPresent();
+    assertWithMessage("violations without %s", off).that(violation).isPresent();
   }
 }
