--- a/cactusspring-core/src/main/java/io/cactusspring/core/shard/RunEntry.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/shard/RunEntry.java
@@ -49,6 +49,12 @@
   /** Whether the worker has said that the task runs. */
   boolean confirmed;
 
+  /** When the worker first said so. */
+  long confirmedAtMillis;
+
+  /** Whether the worker restarted since the placement, so that its silence proves nothing. */
+  boolean mayHaveRun;
+
   /** Time after which the lease has certainly lapsed. */
   long lapsesAtMillis;
 
