End a drained daemon, answer late cancellations, tell why work waits

Found on the tour by hand: - A daemon drained by POST /v1/drain closed its clients but kept its timers and its process; the timers failed every 50 ms. Drain now cancels them, and the process ends. A host without others in its zone no longer waits 5 s for them to take over. - Cancelling ended work waited 5 s for a change that never comes and answered "outcome unknown"; it is answered at once. - "waiting" of a submission was always null; its owner now says how many runs wait for what, and placedBy names the owner.

--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/Cactusspringd.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/Cactusspringd.java
@@ -105,6 +105,7 @@
       Thread.currentThread().interrupt();
       return CANNOT_START;
     }
+    daemon.stopped().onComplete(x -> vertx.close());
     Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon, settings, vertx)));
     return 0;
   }
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/Daemon.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/Daemon.java
@@ -31,16 +31,19 @@
 import io.cactusspring.daemon.work.NoteApi;
 import io.cactusspring.daemon.work.ReadBack;
 import io.cactusspring.daemon.work.StatusApi;
+import io.cactusspring.daemon.work.WaitReasons;
 import io.cactusspring.daemon.work.WorkApi;
 import io.cactusspring.protocol.gen.EndpointLoad;
 import io.cactusspring.protocol.gen.Hello;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
+import io.vertx.core.Handler;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import java.util.List;
 import java.util.UUID;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -82,6 +85,8 @@
   private final RequestService requests;
   private final CallerServer callers;
   private final Promise<Void> ready = Promise.promise();
+  private final Promise<Void> stopped = Promise.promise();
+  private final List<Long> timers = new CopyOnWriteArrayList<>();
   private Future<Void> drained;
 
   /** Puts the parts together; nothing is opened before {@link #start}. */
@@ -174,7 +179,7 @@
                 refusals,
                 registry,
                 requests,
-                new WorkApi(cell, readBack, homes, hosts, refusals),
+                new WorkApi(cell, readBack, homes, hosts, new WaitReasons(shards), refusals),
                 new NoteApi(cell, readBack, refusals),
                 status,
                 this::drain));
@@ -222,8 +227,16 @@
         .compose(x -> close());
   }
 
+  /** Completes when this host has shut down. */
+  public Future<Void> stopped() {
+    return stopped.future();
+  }
+
   /** Waits until peers have claimed this host's shards, if there are any to do so. */
   private Future<Void> handOver() {
+    if (zonePeers().isEmpty()) {
+      return Future.succeededFuture();
+    }
     Promise<Void> done = Promise.promise();
     long until = clock.millis() + HAND_OVER_MILLIS;
     vertx.setPeriodic(
@@ -238,10 +251,15 @@
   }
 
   private Future<Void> close() {
+    timers.forEach(vertx::cancelTimer);
     log.stop();
     LOG.event(Event.STOPPED, openRequests());
     requests.close();
-    return callers.close().compose(x -> mesh.close()).compose(x -> http.close());
+    return callers
+        .close()
+        .compose(x -> mesh.close())
+        .compose(x -> http.close())
+        .onComplete(stopped);
   }
 
   private int openRequests() {
@@ -251,12 +269,16 @@
   private void startControl() {
     log.start();
     hosts.refresh();
-    vertx.setPeriodic(settings.hostListMillis(), t -> hosts.refresh());
-    vertx.setPeriodic(settings.heartbeatMillis(), t -> mesh.heartbeat());
-    vertx.setPeriodic(TICK_MILLIS, t -> shards.tick());
-    vertx.setPeriodic(BUDGET_MILLIS, t -> budgets.tick());
-    vertx.setPeriodic(BUDGET_MILLIS, t -> snapshots.tick());
-    vertx.setPeriodic(TICK_MILLIS, this::checkReady);
+    every(settings.hostListMillis(), t -> hosts.refresh());
+    every(settings.heartbeatMillis(), t -> mesh.heartbeat());
+    every(TICK_MILLIS, t -> shards.tick());
+    every(BUDGET_MILLIS, t -> budgets.tick());
+    every(BUDGET_MILLIS, t -> snapshots.tick());
+    every(TICK_MILLIS, this::checkReady);
+  }
+
+  private void every(long millis, Handler<Long> action) {
+    timers.add(vertx.setPeriodic(millis, action));
   }
 
   private void checkReady(long timer) {
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/work/StatusApi.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/work/StatusApi.java
@@ -8,7 +8,6 @@
 import io.cactusspring.core.shard.ShardOwner;
 import io.cactusspring.core.state.ClusterState;
 import io.cactusspring.core.state.RunState;
-import io.cactusspring.core.state.RunView;
 import io.cactusspring.daemon.cell.Cell;
 import io.cactusspring.daemon.cell.MonotonicClock;
 import io.cactusspring.daemon.control.BudgetController;
@@ -162,14 +161,6 @@
   private static Stream<QueueRow> queue(ClusterState state, ShardOwner owner) {
     return state.liveRuns(owner.shard()).stream()
         .filter(r -> r.state() == RunState.PENDING)
-        .map(r -> new QueueRow(r.run(), r.team(), owner.shard(), reason(owner, r)));
-  }
-
-  private static String reason(ShardOwner owner, RunView run) {
-    return owner
-        .placer()
-        .whyWaiting(run.run())
-        .map(w -> w.text())
-        .orElse(owner.holding() ? "a worker not heard yet may run it" : "being started");
+        .map(r -> new QueueRow(r.run(), r.team(), owner.shard(), WaitReasons.of(owner, r)));
   }
 }
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/work/WorkApi.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/work/WorkApi.java
@@ -10,6 +10,7 @@
 import io.cactusspring.core.model.TaskSpec;
 import io.cactusspring.core.request.Ran;
 import io.cactusspring.core.security.Identity;
+import io.cactusspring.core.state.Claim;
 import io.cactusspring.core.state.ClusterState;
 import io.cactusspring.core.state.RunState;
 import io.cactusspring.core.state.RunView;
@@ -44,6 +45,7 @@
   private final ReadBack readBack;
   private final HomeChoice homes;
   private final HostListController hosts;
+  private final WaitReasons waitReasons;
   private final RefusalWriter refusals;
 
   /** Body of a submission. */
@@ -65,7 +67,8 @@
       boolean cancelled,
       Map<String, Integer> counts,
       List<RunStatus> runs,
-      String waiting) {}
+      String waiting,
+      String placedBy) {}
 
   record RunStatus(RunId run, String state, int attempt, String worker, String outcome) {}
 
@@ -74,11 +77,13 @@
       ReadBack readBack,
       HomeChoice homes,
       HostListController hosts,
+      WaitReasons waitReasons,
       RefusalWriter refusals) {
     this.cell = cell;
     this.readBack = readBack;
     this.homes = homes;
     this.hosts = hosts;
+    this.waitReasons = waitReasons;
     this.refusals = refusals;
   }
 
@@ -119,7 +124,7 @@
       refuse(ctx, RefusalReason.NOT_YOUR_TEAM, id + " is of another team");
       return;
     }
-    Bodies.write(ctx, OK, status(found.get(), cell.read(s -> s.runs(id))));
+    Bodies.write(ctx, OK, cell.read(s -> status(s, found.get())));
   }
 
   /** {@code POST /v1/submissions/:id/cancel}. */
@@ -134,13 +139,19 @@
       refuse(ctx, RefusalReason.NOT_YOUR_TEAM, id + " is of another team");
       return;
     }
+    if (cell.read(s -> isCancelled(s, id))) {
+      cancelSent(ctx, id, LogOutcome.READ);
+      return;
+    }
     readBack
         .append(new LogRecord.WorkCancelled(id), s -> isCancelled(s, id))
         .onSuccess(o -> cancelSent(ctx, id, o));
   }
 
+  /** Nothing is left to cancel once all runs have ended. */
   private static boolean isCancelled(ClusterState state, String id) {
-    return state.submission(id).map(SubmissionView::cancelled).orElse(true);
+    return state.submission(id).map(SubmissionView::cancelled).orElse(true)
+        || state.runs(id).stream().allMatch(r -> r.state() == RunState.ENDED);
   }
 
   private void cancelSent(RoutingContext ctx, String id, LogOutcome outcome) {
@@ -243,7 +254,8 @@
     Bodies.write(ctx, ACCEPTED, new Submitted(submission.id(), true, view.home()));
   }
 
-  private static SubmissionStatus status(SubmissionView view, List<RunView> runs) {
+  private SubmissionStatus status(ClusterState state, SubmissionView view) {
+    List<RunView> runs = state.runs(view.id());
     Map<String, Integer> counts =
         runs.stream()
             .collect(
@@ -257,7 +269,8 @@
         view.cancelled(),
         counts,
         states,
-        null);
+        waitReasons.of(runs).orElse(null),
+        state.claim(view.home()).map(Claim::owner).orElse(null));
   }
 
   private static RunStatus runStatus(RunView run) {
