Show teams and each peer in the metrics, and served times as a histogram

cactusspring_peers_heard counted every peer ever heard, so it could not warn of a lost one; the age of each peer's last heartbeat replaces it. Running, waiting and budget of each team are gauges, and the time to answer has buckets from 1 ms to 10 s. DaemonTest holds the table of OPERATIONS.md against what a running daemon shows.

--- a/cactusspring-cli/src/main/java/io/cactusspring/cli/command/SubmissionCommands.java
+++ b/cactusspring-cli/src/main/java/io/cactusspring/cli/command/SubmissionCommands.java
@@ -83,7 +83,8 @@
     if (pending == 0) {
       return "does not wait, its runs are running";
     }
-    return waitingText(id).orElse(pending + " runs wait; none of the hosts asked places them");
+    String unknown = pending + " runs wait; ask the entry host that places them";
+    return waitingText(id).orElse(s.placedBy() == null ? unknown : unknown + ": " + s.placedBy());
   }
 
   /** Only the entry host that places the runs knows what they wait for. */
--- a/cactusspring-cli/src/main/java/io/cactusspring/cli/wire/SubmissionStatus.java
+++ b/cactusspring-cli/src/main/java/io/cactusspring/cli/wire/SubmissionStatus.java
@@ -10,7 +10,8 @@
  * Where a submission stands.
  *
  * @param counts number of runs in each state
- * @param waiting why its runs wait; null when none does
+ * @param waiting why its runs wait; null when none does or the host that answered does not know
+ * @param placedBy entry host that places its runs; null when none does
  * @since 0.1
  */
 public record SubmissionStatus(
@@ -20,7 +21,8 @@
     boolean cancelled,
     Map<String, Integer> counts,
     List<RunStatus> runs,
-    String waiting) {
+    String waiting,
+    String placedBy) {
   public SubmissionStatus {
     counts = counts == null ? Map.of() : new TreeMap<>(counts);
     runs = runs == null ? List.of() : List.copyOf(runs);
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/Daemon.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/Daemon.java
@@ -28,6 +28,7 @@
 import io.cactusspring.daemon.platform.JsonClient;
 import io.cactusspring.daemon.request.RequestService;
 import io.cactusspring.daemon.settings.DaemonSettings;
+import io.cactusspring.daemon.settings.PeerSettings;
 import io.cactusspring.daemon.work.NoteApi;
 import io.cactusspring.daemon.work.ReadBack;
 import io.cactusspring.daemon.work.StatusApi;
@@ -61,6 +62,7 @@
   private static final EventLog LOG = EventLog.of(Daemon.class);
   private static final long TICK_MILLIS = 50;
   private static final long BUDGET_MILLIS = 500;
+  private static final long TEAM_GAUGES_MILLIS = 1_000;
   private static final long HAND_OVER_MILLIS = 5_000;
 
   /** Time for which callers still come after the balancer could see that this host drains. */
@@ -84,6 +86,7 @@
   private final HostView view;
   private final RequestService requests;
   private final CallerServer callers;
+  private final TeamGauges teamGauges;
   private final Promise<Void> ready = Promise.promise();
   private final Promise<Void> stopped = Promise.promise();
   private final List<Long> timers = new CopyOnWriteArrayList<>();
@@ -187,7 +190,9 @@
     cell.listen(budgets);
     cell.listen(snapshots);
     cell.listen(readBack);
-    new Gauges(registry, cell, log, shards, peerLogs, clock, authority).register();
+    List<String> peerNames = settings.peers().stream().map(PeerSettings::name).toList();
+    new Gauges(registry, cell, log, shards, peerLogs, peerNames, clock, authority).register();
+    teamGauges = new TeamGauges(registry, cell, budgets);
   }
 
   /** Opens the ports and starts the controllers; completes when callers can connect. */
@@ -274,6 +279,7 @@
     every(TICK_MILLIS, t -> shards.tick());
     every(BUDGET_MILLIS, t -> budgets.tick());
     every(BUDGET_MILLIS, t -> snapshots.tick());
+    every(TEAM_GAUGES_MILLIS, t -> teamGauges.refresh());
     every(TICK_MILLIS, this::checkReady);
   }
 
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/Gauges.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/Gauges.java
@@ -8,6 +8,8 @@
 import io.cactusspring.daemon.control.PeerLogs;
 import io.cactusspring.daemon.control.ShardController;
 import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Tags;
+import java.util.List;
 import java.util.function.ToDoubleFunction;
 
 /** Gauges of the state of this entry host. */
@@ -19,6 +21,7 @@
   private final LogController log;
   private final ShardController shards;
   private final PeerLogs peers;
+  private final List<String> peerNames;
   private final MonotonicClock clock;
   private final Authority authority;
 
@@ -28,6 +31,7 @@
       LogController log,
       ShardController shards,
       PeerLogs peers,
+      List<String> peerNames,
       MonotonicClock clock,
       Authority authority) {
     this.registry = registry;
@@ -35,6 +39,7 @@
     this.log = log;
     this.shards = shards;
     this.peers = peers;
+    this.peerNames = List.copyOf(peerNames);
     this.clock = clock;
     this.authority = authority;
   }
@@ -46,7 +51,18 @@
     gauge("cactusspring.log.age.seconds", g -> logAgeMillis() / MILLIS_PER_SECOND);
     gauge("cactusspring.shards.owned", g -> shards.owners().size());
     gauge("cactusspring.runs.waiting", g -> waitingRuns());
-    gauge("cactusspring.peers.heard", g -> peers.views().size());
+    peerNames.forEach(this::peerGauge);
+  }
+
+  /** Age of the last heartbeat; not a number before the first. */
+  private void peerGauge(String peer) {
+    registry.gauge(
+        "cactusspring.peer.age.seconds", Tags.of("peer", peer), this, g -> g.peerAge(peer));
+  }
+
+  private double peerAge(String peer) {
+    PeerLogs.View view = peers.views().get(peer);
+    return view == null ? Double.NaN : (clock.millis() - view.heardAtMillis()) / MILLIS_PER_SECOND;
   }
 
   private void gauge(String name, ToDoubleFunction<Gauges> value) {
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/request/RequestMetrics.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/request/RequestMetrics.java
@@ -5,13 +5,20 @@
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
+import java.time.Duration;
 import java.util.EnumMap;
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.LongStream;
 
 /** Counts retries by reason and times answered requests. */
 final class RequestMetrics {
+  private static final Duration[] SERVED_BUCKETS =
+      LongStream.of(1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000, 10_000)
+          .mapToObj(Duration::ofMillis)
+          .toArray(Duration[]::new);
+
   private final Map<RouterAction.RetryReason, Counter> retries =
       new EnumMap<>(RouterAction.RetryReason.class);
   private final Timer served;
@@ -28,6 +35,7 @@
     served =
         Timer.builder("cactusspring.requests.served")
             .description("Time from arrival to answer of served requests")
+            .serviceLevelObjectives(SERVED_BUCKETS)
             .register(registry);
   }
 
--- a/cactusspring-daemon/src/test/java/io/cactusspring/daemon/DaemonTest.java
+++ b/cactusspring-daemon/src/test/java/io/cactusspring/daemon/DaemonTest.java
@@ -10,6 +10,7 @@
 import io.cactusspring.daemon.settings.Address;
 import io.cactusspring.daemon.settings.BootstrapKey;
 import io.cactusspring.daemon.settings.DaemonSettings;
+import io.cactusspring.daemon.settings.PeerSettings;
 import io.cactusspring.daemon.settings.SettingsField;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
@@ -36,6 +37,9 @@
 
 class DaemonTest {
   private static final Path PAGE = Path.of("..", "docs", "OPERATIONS.md");
+  private static final PeerSettings UNREACHABLE_PEER =
+      new PeerSettings(
+          "riga-b-1", new AvailabilityZone("riga-b"), "riga", Address.parse("127.0.0.1:1"));
   private static final String SALT = "00".repeat(16);
   private static final long WAIT_MILLIS = 20_000;
 
@@ -77,6 +81,7 @@
             .peerAddress(new Address("127.0.0.1", 0))
             .platformLog(platformAddress)
             .hostList(platformAddress)
+            .peers(List.of(UNREACHABLE_PEER))
             .bootstrapKey(new BootstrapKey("boot", SALT, Keys.hash(SALT, "secret")))
             .number(SettingsField.WORKER_SYNC_MILLIS, 100)
             .number(SettingsField.HOST_LIST_MILLIS, 100)
@@ -96,6 +101,8 @@
 
   @Test
   void metricsAreThoseOfThePage() throws Exception {
+    applyFirstNote();
+    await("figures of teams", () -> registry.scrape().contains("cactusspring_team_running"));
     Set<String> found =
         registry
             .scrape()
