--- a/cactusspring-cli/src/main/java/io/cactusspring/cli/command/CallerCommands.java
+++ b/cactusspring-cli/src/main/java/io/cactusspring/cli/command/CallerCommands.java
@@ -88,9 +88,11 @@
   Result cancel(Command.Cancel c) throws CliException {
     connection.send(
         Call.post("/v1/submissions/" + c.id() + "/cancel").json(new byte[0]).resend(Resend.ALWAYS));
-    return Result.ok(new Cancelled(c.id(), true), "cancelled " + c.id());
+    return Result.ok(
+        new Cancelled(c.id(), true),
+        "cancellation of " + c.id() + " accepted; what has ended stays");
   }
 
   /** Result of a cancellation in JSON. */
-  record Cancelled(String id, boolean cancelled) {}
+  record Cancelled(String id, boolean accepted) {}
 }
