Ask for budget when a request is refused for the lack of it

A team whose whole limit had gone to other accounts, as after a large batch that was cancelled, was refused at an entry host for good: a request refused at once waits in no queue, so the host reported no demand and no other gave budget back. Seen by hand: submit 300 tasks, cancel, then three requests at an idle host, all 429 over-limit half a minute later.

Refusals of the last 3 s, at most 16, now count as units that wait. Tests: refusalForLackOfBudgetCountsAsDemandForIt and OverLimitDemandTest.

--- /dev/null
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/request/OverLimitDemand.java
@@ -0,0 +1,34 @@
+package io.cactusspring.daemon.request;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Demand of teams whose requests were refused because no part of the team's limit is here. They do
+ * not wait in a queue, but the budget that they lack has to come from where it is spare.
+ */
+final class OverLimitDemand {
+  static final int MAX_UNITS = 16;
+  private static final long MEMORY_NANOS = TimeUnit.MILLISECONDS.toNanos(3_000);
+
+  private final Map<String, Deque<Long>> refusedAtNanos = new HashMap<>();
+
+  /** Notes a refusal. */
+  synchronized void refused(String team, long nowNanos) {
+    Deque<Long> times = refusedAtNanos.computeIfAbsent(team, t -> new ArrayDeque<>());
+    times.addLast(nowNanos);
+    if (times.size() > MAX_UNITS) {
+      times.removeFirst();
+    }
+  }
+
+  /** Refusals of the last seconds, at most {@link #MAX_UNITS}. */
+  synchronized int units(String team, long nowNanos) {
+    Deque<Long> times = refusedAtNanos.getOrDefault(team, new ArrayDeque<>());
+    times.removeIf(at -> nowNanos - at > MEMORY_NANOS);
+    return times.size();
+  }
+}
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/request/RequestService.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/request/RequestService.java
@@ -57,6 +57,7 @@
   private final EndpointDirectory directory;
   private final BodyMemory bodies;
   private final TeamUnits units;
+  private final OverLimitDemand overLimit = new OverLimitDemand();
   private final InFlightIds ids = new InFlightIds();
   private final Map<String, ServiceShard> shards = new ConcurrentHashMap<>();
   private final Map<Long, PendingRequest> pending = new ConcurrentHashMap<>();
@@ -108,9 +109,10 @@
     return units.held(team);
   }
 
-  /** Requests of a team that wait for an executor. */
+  /** Requests of a team that wait for an executor, or lately found no budget here. */
   public int waiting(String team) {
-    return shards.values().stream().mapToInt(s -> s.waiting(team)).sum();
+    return overLimit.units(team, System.nanoTime())
+        + shards.values().stream().mapToInt(s -> s.waiting(team)).sum();
   }
 
   /** Requests that this entry host has in flight at each endpoint. */
@@ -276,6 +278,9 @@
   }
 
   private void refuse(PendingRequest p, RouterAction.Refuse r) {
+    if (r.kind() == RouterAction.Kind.OVER_LIMIT) {
+      overLimit.refused(p.spec().team(), System.nanoTime());
+    }
     RefusalReason reason = RefusalReason.valueOf(r.kind().name());
     forget(p);
     refusals.write(
--- /dev/null
+++ b/cactusspring-daemon/src/test/java/io/cactusspring/daemon/request/OverLimitDemandTest.java
@@ -0,0 +1,34 @@
+package io.cactusspring.daemon.request;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+class OverLimitDemandTest {
+  private static final long SECOND_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  private final OverLimitDemand demand = new OverLimitDemand();
+
+  @Test
+  void refusalsCountForTheirTeamAlone() {
+    demand.refused("counter", 0);
+    demand.refused("counter", SECOND_NANOS);
+    assertThat(demand.units("counter", SECOND_NANOS)).isEqualTo(2);
+    assertThat(demand.units("plans", SECOND_NANOS)).isEqualTo(0);
+  }
+
+  @Test
+  void oldRefusalsAreForgotten() {
+    demand.refused("counter", 0);
+    assertThat(demand.units("counter", 10 * SECOND_NANOS)).isEqualTo(0);
+  }
+
+  @Test
+  void stormOfRefusalsAsksForABoundedNumberOfUnits() {
+    for (int i = 0; i < 1_000; i++) {
+      demand.refused("counter", i);
+    }
+    assertThat(demand.units("counter", 1_000)).isEqualTo(OverLimitDemand.MAX_UNITS);
+  }
+}
--- a/cactusspring-daemon/src/test/java/io/cactusspring/daemon/request/RequestServiceTest.java
+++ b/cactusspring-daemon/src/test/java/io/cactusspring/daemon/request/RequestServiceTest.java
@@ -146,6 +146,14 @@
     assertThat(a.headers()).containsKey("retry-after");
   }
 
+  @Test
+  void refusalForLackOfBudgetCountsAsDemandForIt() throws Exception {
+    cell.addEndpoint("x1", new FakeExecutor(vertx).port());
+    cell.budgets.put("counter", 0);
+    assertRefused(await(call("r1", "", Map.of())), 429, "over-limit", "NO");
+    assertThat(service.waiting("counter")).isEqualTo(1);
+  }
+
   @Test
   void requestThatDidNotRunGoesToAnotherExecutor() throws Exception {
     FakeExecutor full = new FakeExecutor(vertx).behave(FakeExecutor::notRun);
