Stop no running task at a takeover for runs that only wait

Cause: a new owner counts the idempotent runs that wait for the first answer of each worker against the team's limit, since one of them may run already. The check of a lowered limit took that count too, so that a takeover with a backlog stopped the team's running tasks, and a non-idempotent one ended as FAILED. Seen in a process test: a woken host claimed the shard of a live owner, the owner claimed it back, and the standing run was stopped by the new owner.

Change: only runs on workers count as excess; starts are bounded as before.

--- a/cactusspring-core/src/main/java/io/cactusspring/core/shard/ShardOwner.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/shard/ShardOwner.java
@@ -469,7 +469,7 @@
   }
 
   private void stopOverLimit(String team) {
-    int excess = running(team) - usableBudget(team);
+    int excess = running(team) - held(team) - usableBudget(team);
     if (excess <= 0) {
       return;
     }
@@ -483,6 +483,14 @@
         .forEach(e -> stop(e, RunEntry.StopReason.OVER_LIMIT));
   }
 
+  /** Runs that wait to hear the workers; stopping others would not make up for any of them. */
+  private int held(String team) {
+    return (int)
+        runs.values().stream()
+            .filter(e -> e.phase == RunEntry.Phase.HELD && e.view.team().equals(team))
+            .count();
+  }
+
   private static int costOfStopping(RunEntry entry) {
     TaskSpec spec = entry.view.spec();
     if (spec.idempotent() && spec.checkpointable()) {
--- a/cactusspring-process-tests/src/test/java/io/cactusspring/processtests/Cell.java
+++ b/cactusspring-process-tests/src/test/java/io/cactusspring/processtests/Cell.java
@@ -20,6 +20,9 @@
   private final List<ManagedProcess> processes = new ArrayList<>();
   private final List<EntryHost> entryHosts = new ArrayList<>();
 
+  /** The ends of the platform's log. */
+  record LogState(long earliest, long next) {}
+
   private Cell(CellLayout layout, Path directory) {
     this.layout = layout;
     this.directory = directory;
@@ -78,6 +81,19 @@
     return owners.get(0);
   }
 
+  /** Kills an entry host and starts it anew at the same address, with nothing kept. */
+  EntryHost replace(EntryHost host) throws Exception {
+    int index = entryHosts.indexOf(host);
+    host.process().kill();
+    EntryHost replacement = startEntryHost(index);
+    entryHosts.set(index, replacement);
+    return replacement;
+  }
+
+  LogState logState() throws Exception {
+    return Http.get(layout.logAddress(), "/admin").as(LogState.class);
+  }
+
   void switchLog(String switches) throws Exception {
     Http.post(layout.logAddress(), "/admin", switches);
   }
--- a/cactusspring-process-tests/src/test/java/io/cactusspring/processtests/CellLayout.java
+++ b/cactusspring-process-tests/src/test/java/io/cactusspring/processtests/CellLayout.java
@@ -28,6 +28,10 @@
   private static final int TAKEOVER_MILLIS = 2_500;
   private static final int LEASE_MILLIS = 4_000;
   private static final int WORKER_SYNC_MILLIS = 500;
+  private static final int SNAPSHOT_EVERY_RECORDS = 100;
+
+  /** The records that the platform keeps for sure. */
+  static final int KEEP_RECORDS = 200;
 
   int portCount() {
     return 2 + workers + executors + 2 * entryHosts();
@@ -93,6 +97,7 @@
           "platformLog": "%s", "hostList": "%s",
           "bootstrapKey": {"name": "boot", "salt": "%s", "hash": "%s"},
           "authorityMillis": %d, "takeoverMillis": %d, "leaseMillis": %d, "workerSyncMillis": %d,
+          "snapshotEveryRecords": %d, "keepRecords": %d,
           "peers": [%s]
         }
         """
@@ -109,6 +114,8 @@
             TAKEOVER_MILLIS,
             LEASE_MILLIS,
             WORKER_SYNC_MILLIS,
+            SNAPSHOT_EVERY_RECORDS,
+            KEEP_RECORDS,
             peers(index));
   }
 
