Test an owner that is cut off from the log and its peers

Its workers still hear it, so that only the loss of authority and the epochs keep it from starting what its successor starts. Relays stand between the entry hosts and before the log; the cells of the tests are now built by a builder.

--- a/cactusspring-process-tests/src/test/java/io/cactusspring/processtests/Cell.java
+++ b/cactusspring-process-tests/src/test/java/io/cactusspring/processtests/Cell.java
@@ -8,6 +8,7 @@
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
@@ -17,42 +18,77 @@
 
   private final CellLayout layout;
   private final Path directory;
+  private final Optional<HostLinks> links;
   private final List<ManagedProcess> processes = new ArrayList<>();
   private final List<EntryHost> entryHosts = new ArrayList<>();
 
   /** The ends of the platform's log. */
   record LogState(long earliest, long next) {}
 
-  private Cell(CellLayout layout, Path directory) {
+  private Cell(CellLayout layout, Path directory, Optional<HostLinks> links) {
     this.layout = layout;
     this.directory = directory;
+    this.links = links;
   }
 
-  /** Starts a cell and waits until its first note is in force everywhere. */
-  static Cell start(List<String> zones, int hostsPerZone, int workers, int executors)
-      throws Exception {
-    return start(zones, hostsPerZone, workers, executors, List.of());
-  }
-
-  /**
-   * Starts a cell whose entry hosts find the executors at other addresses, behind relays.
-   *
-   * @param relays one relay for each executor, or none
-   */
-  static Cell start(
-      List<String> zones, int hostsPerZone, int workers, int executors, List<Relay> relays)
-      throws Exception {
-    CellLayout sized = new CellLayout(zones, hostsPerZone, workers, executors, 0);
-    CellLayout layout =
-        new CellLayout(
-            zones, hostsPerZone, workers, executors, FreePorts.consecutive(sized.portCount()));
-    Cell cell = new Cell(layout, Files.createTempDirectory("cactusspring-test"));
-    try {
-      cell.startAll(relays);
-      return cell;
-    } catch (Exception | AssertionError e) {
-      cell.close();
-      throw e;
+  static Builder builder(String... zones) {
+    return new Builder(List.of(zones));
+  }
+
+  /** Builds a cell; by default one entry host a zone, one worker and one executor. */
+  static final class Builder {
+    private final List<String> zones;
+    private int hostsPerZone = 1;
+    private int workers = 1;
+    private int executors = 1;
+    private List<Relay> executorRelays = List.of();
+    private boolean linked;
+
+    private Builder(List<String> zones) {
+      this.zones = zones;
+    }
+
+    Builder hostsPerZone(int value) {
+      hostsPerZone = value;
+      return this;
+    }
+
+    Builder workers(int value) {
+      workers = value;
+      return this;
+    }
+
+    Builder executors(int value) {
+      executors = value;
+      return this;
+    }
+
+    /** Lets entry hosts find the executors behind relays, one for each. */
+    Builder executorRelays(Relay... relays) {
+      executorRelays = List.of(relays);
+      return this;
+    }
+
+    /** Lets entry hosts find the log and each other behind relays, so that one can be cut off. */
+    Builder linked() {
+      linked = true;
+      return this;
+    }
+
+    /** Starts the cell and waits until its first note is in force everywhere. */
+    Cell start() throws Exception {
+      CellLayout sized = new CellLayout(zones, hostsPerZone, workers, executors, 0);
+      int firstPort = FreePorts.consecutive(sized.portCount());
+      CellLayout layout = new CellLayout(zones, hostsPerZone, workers, executors, firstPort);
+      Optional<HostLinks> links = linked ? Optional.of(HostLinks.open(layout)) : Optional.empty();
+      Cell cell = new Cell(layout, Files.createTempDirectory("cactusspring-test"), links);
+      try {
+        cell.startAll(executorRelays);
+        return cell;
+      } catch (Exception | AssertionError e) {
+        cell.close();
+        throw e;
+      }
     }
   }
 
@@ -90,6 +126,15 @@
     return replacement;
   }
 
+  /** Cuts an entry host off from the log and its peers, not from workers and executors. */
+  void cutOff(EntryHost host) {
+    links.orElseThrow().cutOff(entryHosts.indexOf(host));
+  }
+
+  void rejoin(EntryHost host) throws IOException {
+    links.orElseThrow().rejoin(entryHosts.indexOf(host));
+  }
+
   LogState logState() throws Exception {
     return Http.get(layout.logAddress(), "/admin").as(LogState.class);
   }
@@ -136,6 +181,7 @@
   @Override
   public void close() {
     processes.forEach(ManagedProcess::close);
+    links.ifPresent(Cell::close);
     try (Stream<Path> files = Files.walk(directory)) {
       files.sorted(Comparator.reverseOrder()).forEach(Cell::delete);
     } catch (IOException e) {
@@ -210,18 +256,34 @@
   private EntryHost startEntryHost(int index) throws IOException {
     String name = layout.entryName(index);
     Path settings = directory.resolve(name + ".json");
-    Files.writeString(settings, layout.settingsFile(index, layout.logAddress()));
+    Files.writeString(settings, settings(index));
     List<String> command =
         List.of(BIN.resolve("cactusspringd").toString(), "--settings", settings.toString());
     return new EntryHost(name, layout.callerAddress(index), launch(name, command));
   }
 
+  private String settings(int index) {
+    String log = links.map(l -> l.logAddress(index)).orElse(layout.logAddress());
+    return layout.settingsFile(
+        index,
+        log,
+        peer -> links.map(l -> l.peerAddress(index, peer)).orElse(layout.peerAddress(peer)));
+  }
+
   private ManagedProcess launch(String name, List<String> command) throws IOException {
     ManagedProcess process = ManagedProcess.start(name, directory, command);
     processes.add(process);
     return process;
   }
 
+  private static void close(HostLinks links) {
+    try {
+      links.close();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
   private static void delete(Path path) {
     try {
       Files.delete(path);
--- a/cactusspring-process-tests/src/test/java/io/cactusspring/processtests/CellLayout.java
+++ b/cactusspring-process-tests/src/test/java/io/cactusspring/processtests/CellLayout.java
@@ -5,6 +5,7 @@
 import io.cactusspring.core.model.ReleaseNote;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.IntFunction;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
@@ -88,8 +89,9 @@
    * Returns the settings file of an entry host.
    *
    * @param platformLog where it finds the log
+   * @param peerAddress where it finds each other entry host
    */
-  String settingsFile(int index, String platformLog) {
+  String settingsFile(int index, String platformLog, IntFunction<String> peerAddress) {
     return """
         {
           "name": "%s", "zone": "%s", "region": "riga",
@@ -116,7 +118,7 @@
             WORKER_SYNC_MILLIS,
             SNAPSHOT_EVERY_RECORDS,
             KEEP_RECORDS,
-            peers(index));
+            peers(index, peerAddress));
   }
 
   /** Returns the note that every test's cell starts with. */
@@ -161,19 +163,19 @@
         .formatted(index, zoneOf(index), address, SLOTS, CONNECTIONS);
   }
 
-  private String peers(int index) {
+  private String peers(int index, IntFunction<String> peerAddress) {
     return IntStream.range(0, entryHosts())
         .filter(i -> i != index)
-        .mapToObj(this::peer)
+        .mapToObj(i -> peer(i, peerAddress.apply(i)))
         .collect(Collectors.joining(", "));
   }
 
-  private String peer(int index) {
+  private String peer(int index, String address) {
     return Stream.of(
             "\"name\": \"" + entryName(index) + "\"",
             "\"zone\": \"" + zoneOfEntryHost(index) + "\"",
             "\"region\": \"riga\"",
-            "\"address\": \"" + peerAddress(index) + "\"")
+            "\"address\": \"" + address + "\"")
         .collect(Collectors.joining(", ", "{", "}"));
   }
 
--- /dev/null
+++ b/cactusspring-process-tests/src/test/java/io/cactusspring/processtests/CutOffOwnerTest.java
@@ -0,0 +1,58 @@
+package io.cactusspring.processtests;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import io.cactusspring.core.model.Submission;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class CutOffOwnerTest {
+  private static final String SHARD = "riga-a/0";
+  private static final int ACCEPTED = 202;
+  private static final int TASKS = 6;
+  private static final long TASK_MILLIS = 300;
+
+  /** Enough work to wait at the owner for longer than the takeover takes. */
+  private static final int BACKLOG_TASKS = 150;
+
+  private static final long BACKLOG_TASK_MILLIS = 2_500;
+
+  @Test
+  void ownerCutOffFromLogAndPeersStartsNothingThatItsSuccessorStarts() throws Exception {
+    try (Cell cell = Cell.builder("riga-a").hostsPerZone(2).workers(3).linked().start()) {
+      EntryHost owner = cell.ownerOf(SHARD);
+      EntryHost other =
+          cell.entryHosts().stream().filter(host -> !host.equals(owner)).findFirst().orElseThrow();
+      List<Submission> accepted = new ArrayList<>();
+      accepted.add(submit(other, Work.idempotent("backlog", BACKLOG_TASKS, BACKLOG_TASK_MILLIS)));
+      Await.until("first starts", () -> cell.workerHistory().startsOf("backlog") > 0);
+      cell.cutOff(owner);
+      Await.until("the other host owns the shard", () -> owns(other));
+      accepted.add(submit(other, Work.once("after", TASKS, TASK_MILLIS)));
+      for (Submission submission : accepted) {
+        Await.until(submission.id() + " ends", () -> other.hasEnded(submission.id(), Work.KEY));
+      }
+      cell.rejoin(owner);
+      Await.until("the owner of before reads on", () -> owner.hasEnded("after", Work.KEY));
+      WorkerHistory history = cell.workerHistory();
+      history.assertSafe();
+      history.assertStartedOnce("after", TASKS);
+      assertWithMessage("successes of the backlog")
+          .that(history.successesOf("backlog"))
+          .isEqualTo(BACKLOG_TASKS);
+    }
+  }
+
+  private static boolean owns(EntryHost host) throws Exception {
+    return host.status("ops").ownedShards().contains(SHARD);
+  }
+
+  private static Submission submit(EntryHost host, Submission submission) throws Exception {
+    Http.Answer answer = host.submit(submission, Work.KEY);
+    assertWithMessage("answer to " + submission.id() + ": " + answer)
+        .that(answer.status())
+        .isEqualTo(ACCEPTED);
+    return submission;
+  }
+}
--- a/cactusspring-process-tests/src/test/java/io/cactusspring/processtests/GracefulShutdownTest.java
+++ b/cactusspring-process-tests/src/test/java/io/cactusspring/processtests/GracefulShutdownTest.java
@@ -12,7 +12,7 @@
 
   @Test
   void sigtermUnderLoadCutsOffNoRequest() throws Exception {
-    try (Cell cell = Cell.start(List.of("riga-a"), 2, 1, 2)) {
+    try (Cell cell = Cell.builder("riga-a").hostsPerZone(2).executors(2).start()) {
       EntryHost leaving = cell.entryHosts().get(1);
       EntryHost staying = cell.entryHosts().get(0);
       cell.switchExecutors(SLOW);
--- a/cactusspring-process-tests/src/test/java/io/cactusspring/processtests/KilledEntryHostTest.java
+++ b/cactusspring-process-tests/src/test/java/io/cactusspring/processtests/KilledEntryHostTest.java
@@ -16,7 +16,8 @@
 
   @Test
   void killedEntryHostCostsNoAcceptedWork() throws Exception {
-    try (Cell cell = Cell.start(List.of("riga-a", "riga-b"), 2, 4, 4)) {
+    try (Cell cell =
+        Cell.builder("riga-a", "riga-b").hostsPerZone(2).workers(4).executors(4).start()) {
       EntryHost victim = cell.ownerOf("riga-a/0");
       List<EntryHost> others =
           cell.entryHosts().stream().filter(host -> !host.equals(victim)).toList();
--- a/cactusspring-process-tests/src/test/java/io/cactusspring/processtests/LogOutageTest.java
+++ b/cactusspring-process-tests/src/test/java/io/cactusspring/processtests/LogOutageTest.java
@@ -24,7 +24,7 @@
 
   @BeforeAll
   static void startCell() throws Exception {
-    cell = Cell.start(List.of("riga-a", "riga-b"), 1, 2, 2);
+    cell = Cell.builder("riga-a", "riga-b").workers(2).executors(2).start();
   }
 
   @AfterAll
--- a/cactusspring-process-tests/src/test/java/io/cactusspring/processtests/PausedOwnerTest.java
+++ b/cactusspring-process-tests/src/test/java/io/cactusspring/processtests/PausedOwnerTest.java
@@ -20,7 +20,7 @@
 
   @Test
   void ownerThatWakesAfterATakeoverStartsNothingTwice() throws Exception {
-    try (Cell cell = Cell.start(List.of("riga-a"), 3, 4, 1)) {
+    try (Cell cell = Cell.builder("riga-a").hostsPerZone(3).workers(4).start()) {
       EntryHost owner = cell.ownerOf(SHARD);
       List<EntryHost> others =
           cell.entryHosts().stream().filter(host -> !host.equals(owner)).toList();
--- a/cactusspring-process-tests/src/test/java/io/cactusspring/processtests/Relay.java
+++ b/cactusspring-process-tests/src/test/java/io/cactusspring/processtests/Relay.java
@@ -10,13 +10,14 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 
-/** Forwards connections to one port and can make those that are open silent for good. */
+/** Forwards connections to one port and can make connections silent. */
 final class Relay implements AutoCloseable {
   private static final int BUFFER_BYTES = 16_384;
 
   private final ServerSocket server;
   private final List<Link> links = new CopyOnWriteArrayList<>();
   private volatile int targetPort;
+  private volatile boolean cut;
 
   Relay() throws IOException {
     server = new ServerSocket();
@@ -54,6 +55,23 @@
     return links.size();
   }
 
+  /** Carries nothing more on any connection, open or new. */
+  void cut() {
+    cut = true;
+    silenceOpenConnections();
+  }
+
+  /** Closes the silent connections and carries new ones again. */
+  void heal() throws IOException {
+    cut = false;
+    for (Link link : links) {
+      if (link.silent) {
+        link.near.close();
+        link.far.close();
+      }
+    }
+  }
+
   /** Returns how many connections were ever accepted. */
   int accepted() {
     return links.size();
@@ -73,6 +91,7 @@
       try {
         Socket near = server.accept();
         Link link = new Link(near, new Socket(InetAddress.getLoopbackAddress(), targetPort));
+        link.silent = cut;
         links.add(link);
         Thread.ofVirtual().start(() -> forward(link, link.near, link.far));
         Thread.ofVirtual().start(() -> forward(link, link.far, link.near));
--- a/cactusspring-process-tests/src/test/java/io/cactusspring/processtests/ReplacedEntryHostTest.java
+++ b/cactusspring-process-tests/src/test/java/io/cactusspring/processtests/ReplacedEntryHostTest.java
@@ -17,7 +17,7 @@
 
   @Test
   void newcomerLearnsTheConfigurationFromPeersWhileTheLogIsOut() throws Exception {
-    try (Cell cell = Cell.start(List.of("riga-a"), 2, 1, 1)) {
+    try (Cell cell = Cell.builder("riga-a").hostsPerZone(2).start()) {
       EntryHost staying = cell.entryHosts().get(0);
       cell.switchLog("{\"outage\":\"refuse\"}");
       EntryHost newcomer = cell.replace(cell.entryHosts().get(1));
@@ -33,7 +33,7 @@
 
   @Test
   void hostsThatMissedExpiredRecordsStartOverFromASnapshot() throws Exception {
-    try (Cell cell = Cell.start(List.of("riga-a"), 3, 2, 1)) {
+    try (Cell cell = Cell.builder("riga-a").hostsPerZone(3).workers(2).start()) {
       EntryHost staying = cell.ownerOf("riga-a/0");
       List<EntryHost> others =
           cell.entryHosts().stream().filter(host -> !host.equals(staying)).toList();
--- a/cactusspring-process-tests/src/test/java/io/cactusspring/processtests/SilentConnectionTest.java
+++ b/cactusspring-process-tests/src/test/java/io/cactusspring/processtests/SilentConnectionTest.java
@@ -17,7 +17,7 @@
   @BeforeAll
   static void startCell() throws Exception {
     relay = new Relay();
-    cell = Cell.start(List.of("riga-a"), 1, 1, 1, List.of(relay));
+    cell = Cell.builder("riga-a").executorRelays(relay).start();
   }
 
   @AfterAll
--- a/cactusspring-process-tests/src/test/java/io/cactusspring/processtests/WithdrawalTest.java
+++ b/cactusspring-process-tests/src/test/java/io/cactusspring/processtests/WithdrawalTest.java
@@ -19,7 +19,7 @@
 
   @BeforeAll
   static void startCell() throws Exception {
-    cell = Cell.start(List.of("riga-a", "riga-b"), 1, 2, 4);
+    cell = Cell.builder("riga-a", "riga-b").workers(2).executors(4).start();
   }
 
   @AfterAll
