--- a/cactusspring-process-tests/src/test/java/io/cactusspring/processtests/CellLayout.java
+++ b/cactusspring-process-tests/src/test/java/io/cactusspring/processtests/CellLayout.java
@@ -5,6 +5,7 @@
 import io.cactusspring.core.model.ReleaseNote;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.IntFunction;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
@@ -28,6 +29,10 @@
   private static final int TAKEOVER_MILLIS = 2_500;
   private static final int LEASE_MILLIS = 4_000;
   private static final int WORKER_SYNC_MILLIS = 500;
+  private static final int SNAPSHOT_EVERY_RECORDS = 100;
+
+  /** The records that the platform keeps for sure. */
+  static final int KEEP_RECORDS = 200;
 
   int portCount() {
     return 2 + workers + executors + 2 * entryHosts();
@@ -84,8 +89,9 @@
    * Returns the settings file of an entry host.
    *
    * @param platformLog where it finds the log
+   * @param peerAddress where it finds each other entry host
    */
-  String settingsFile(int index, String platformLog) {
+  String settingsFile(int index, String platformLog, IntFunction<String> peerAddress) {
     return """
         {
           "name": "%s", "zone": "%s", "region": "riga",
@@ -93,6 +99,7 @@
           "platformLog": "%s", "hostList": "%s",
           "bootstrapKey": {"name": "boot", "salt": "%s", "hash": "%s"},
           "authorityMillis": %d, "takeoverMillis": %d, "leaseMillis": %d, "workerSyncMillis": %d,
+          "snapshotEveryRecords": %d, "keepRecords": %d,
           "peers": [%s]
         }
         """
@@ -109,7 +116,9 @@
             TAKEOVER_MILLIS,
             LEASE_MILLIS,
             WORKER_SYNC_MILLIS,
-            peers(index));
+            SNAPSHOT_EVERY_RECORDS,
+            KEEP_RECORDS,
+            peers(index, peerAddress));
   }
 
   /** Returns the note that every test's cell starts with. */
@@ -154,19 +163,19 @@
         .formatted(index, zoneOf(index), address, SLOTS, CONNECTIONS);
   }
 
-  private String peers(int index) {
+  private String peers(int index, IntFunction<String> peerAddress) {
     return IntStream.range(0, entryHosts())
         .filter(i -> i != index)
-        .mapToObj(this::peer)
+        .mapToObj(i -> peer(i, peerAddress.apply(i)))
         .collect(Collectors.joining(", "));
   }
 
-  private String peer(int index) {
+  private String peer(int index, String address) {
     return Stream.of(
             "\"name\": \"" + entryName(index) + "\"",
             "\"zone\": \"" + zoneOfEntryHost(index) + "\"",
             "\"region\": \"riga\"",
-            "\"address\": \"" + peerAddress(index) + "\"")
+            "\"address\": \"" + address + "\"")
         .collect(Collectors.joining(", ", "{", "}"));
   }
 
