--- a/cactusspring-core/src/main/java/io/cactusspring/core/state/ClusterState.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/state/ClusterState.java
@@ -178,20 +178,10 @@
     if (!(r instanceof Resolution.Accepted a)) {
       return r;
     }
-    List<String> problems = shardsStillUsed(a.configuration());
+    List<String> problems = works.problemsOfResizing(configuration, a.configuration());
     return problems.isEmpty() ? r : new Resolution.Invalid(problems);
   }
 
-  /** Shards cannot go, and workers cannot change shards, while runs have their home there. */
-  private List<String> shardsStillUsed(Configuration next) {
-    return configuration.zones().stream()
-        .filter(z -> next.shardsOf(z.name()) != z.shards())
-        .flatMap(z -> configuration.shards().stream().filter(s -> s.zone().name().equals(z.name())))
-        .filter(works::hasLiveRuns)
-        .map(s -> "zone/" + s.zone() + " changes its shards while " + s + " holds live runs")
-        .toList();
-  }
-
   private List<StateChange> applyNote(long offset, ReleaseNote note) {
     if (notes.contains(note.id())) {
       return List.of();
--- a/cactusspring-core/src/main/java/io/cactusspring/core/state/Works.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/state/Works.java
@@ -90,7 +90,16 @@
         .toList();
   }
 
-  boolean hasLiveRuns(ShardId home) {
+  /** Shards cannot go, and workers cannot change shards, while runs have their home there. */
+  List<String> problemsOfResizing(Configuration before, Configuration after) {
+    return before.shards().stream()
+        .filter(s -> before.shardsOf(s.zone().name()) != after.shardsOf(s.zone().name()))
+        .filter(this::hasLiveRuns)
+        .map(s -> "zone/" + s.zone() + " changes its shards while " + s + " holds live runs")
+        .toList();
+  }
+
+  private boolean hasLiveRuns(ShardId home) {
     return live.values().stream()
         .anyMatch(
             w -> IntStream.range(0, w.size()).anyMatch(i -> w.isLive(i) && w.home(i).equals(home)));
