Adopt a newer attempt only while it runs

Change: an assumed attempt gives way only to one that runs; held runs still take the outcome of one that has ended.

--- a/cactusspring-core/src/main/java/io/cactusspring/core/shard/ShardOwner.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/shard/ShardOwner.java
@@ -659,20 +659,31 @@
     }
   }
 
-  /** Takes over an attempt that the log does not know; returns whether it did. */
+  /** Takes over a running attempt that the log does not know; returns whether it did. */
   private boolean takeOver(WorkerLink link, RunEntry entry, TaskId task, long nowMillis) {
-    if (entry == null || task.attempt() <= entry.attempt) {
-      return false;
-    }
-    if (entry.phase == RunEntry.Phase.HELD) {
-      adoptUnrecorded(link, entry, task, nowMillis);
+    if (takeOverHeld(link, entry, task, nowMillis)) {
       return true;
     }
-    boolean isAssumed = entry.onWorker() && !entry.confirmed && entry.startSentAtMillis == 0;
-    if (isAssumed) {
+    boolean isNewer =
+        entry != null
+            && task.attempt() > entry.attempt
+            && entry.onWorker()
+            && !entry.confirmed
+            && entry.startSentAtMillis == 0;
+    if (isNewer) {
       adoptNewer(link, entry, task, nowMillis);
     }
-    return isAssumed;
+    return isNewer;
+  }
+
+  /** Takes over an attempt of a held run, also one that has ended since. */
+  private boolean takeOverHeld(WorkerLink link, RunEntry entry, TaskId task, long nowMillis) {
+    boolean isUnrecorded =
+        entry != null && entry.phase == RunEntry.Phase.HELD && task.attempt() > entry.attempt;
+    if (isUnrecorded) {
+      adoptUnrecorded(link, entry, task, nowMillis);
+    }
+    return isUnrecorded;
   }
 
   /** The replaced owner saw the recorded attempt end, and started the next one without the log. */
@@ -724,7 +735,7 @@
   private void sawEnded(WorkerLink link, WorkerReport.Ended ended, long nowMillis) {
     TaskId task = ended.task();
     RunEntry entry = runs.get(task.run());
-    takeOver(link, entry, task, nowMillis);
+    takeOverHeld(link, entry, task, nowMillis);
     boolean isCurrent =
         entry != null && entry.attempt == task.attempt() && link.worker.equals(entry.worker);
     if (!isCurrent || entry.phase == RunEntry.Phase.HELD) {
