Handle a start call at most once in the fuzz

A start is sent once over one connection and never again by the adapter, so the fake did what the wire cannot. Heartbeats, acknowledgements, syncs, reads and appends are still repeated.

--- a/cactusspring-core/src/test/java/io/cactusspring/core/fuzz/Host.java
+++ b/cactusspring-core/src/test/java/io/cactusspring/core/fuzz/Host.java
@@ -306,6 +306,7 @@
         this,
         s.worker(),
         trueTick,
+        false,
         w -> w.start(world.seenEpoch(owner.epoch()), s),
         a -> run(() -> started(owner, s, a)));
   }
@@ -320,6 +321,7 @@
         this,
         s.worker(),
         trueTick,
+        true,
         w -> w.sync(world.seenEpoch(owner.epoch()), s),
         a -> run(() -> synced(owner, s.worker(), a, sentAt)));
   }
