Give promises only after catching up with the log

Ruled out: the adoption of a newer attempt, mended before, which only hid it. Change: no promise before the process has caught up, nor to a peer that has not read the last claim on any shard of the zone, whoever made it. Still open: while the log is away for all, a process may catch up from peers that do not know the last claim either.

--- a/cactusspring-core/src/main/java/io/cactusspring/core/membership/ClaimPolicy.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/membership/ClaimPolicy.java
@@ -67,8 +67,10 @@
   /** Notes a claim that replay found valid. */
   public void claimRead(ShardId shard, Claim claim) {
     outstanding.remove(shard);
-    if (isMine(claim)) {
+    if (shard.zone().equals(zone)) {
       lastClaimOffset = Math.max(lastClaimOffset, claim.epoch());
+    }
+    if (isMine(claim)) {
       owned.add(shard);
       losses.remove(shard);
     } else if (owned.remove(shard)) {
@@ -86,7 +88,9 @@
 
   /**
    * Returns whether this host promises a peer, whose heartbeat has just been received, not to claim
-   * that peer's shards until the takeover time has passed.
+   * that peer's shards until the takeover time has passed. An earlier process of this host may have
+   * claimed them, so a process gives promises only once it has caught up with the log, and to peers
+   * that have read the zone's last claim.
    *
    * @param peerNextOffset first offset that the peer has not applied
    */
--- a/cactusspring-core/src/test/java/io/cactusspring/core/fuzz/Host.java
+++ b/cactusspring-core/src/test/java/io/cactusspring/core/fuzz/Host.java
@@ -254,7 +254,7 @@
 
   private void heard(String peer, String from, long next, boolean leaving, long sentAt) {
     peers.heard(peer, from, next, leaving, localMillis());
-    if (policy.promises(next)) {
+    if (hasCaughtUp && policy.promises(next)) {
       world.tell(name, peer, p -> p.acknowledged(name, from, sentAt));
     }
   }
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/control/EntryHost.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/control/EntryHost.java
@@ -114,7 +114,7 @@
           if (heartbeat.isPromise() && acknowledgedSentAtMillis >= 0 && inZone(peer)) {
             authority.promised(peer, acknowledgedSentAtMillis);
           }
-          return claims.promises(heartbeat.getNextOffset());
+          return log.caughtUp() && claims.promises(heartbeat.getNextOffset());
         });
   }
 
