Refuse a waiting request that has too little time left

Cause: a request sent in the last moments before its deadline mostly ends as outcome unknown, though it was known not to have run while it waited. Change: a request that has waited and has less than half the usual service time left is refused as not run, unless nothing is in flight.

--- a/cactusspring-core/src/main/java/io/cactusspring/core/request/ServiceRouter.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/request/ServiceRouter.java
@@ -304,7 +304,7 @@
         return;
       }
       RequestLife life = head.get();
-      if (nowNanos - life.spec().deadlineNanos() >= 0) {
+      if (isTooLate(life, nowNanos)) {
         refuseLife(life, RouterAction.Kind.DEADLINE, out);
         continue;
       }
@@ -319,6 +319,16 @@
     }
   }
 
+  /**
+   * Whether an answer in time is unlikely. A request that has waited and has less than half the
+   * usual service time left is still known not to have run; sent, its outcome would be unknown.
+   */
+  private boolean isTooLate(RequestLife life, long nowNanos) {
+    long remaining = life.spec().deadlineNanos() - nowNanos;
+    boolean waited = nowNanos - life.spec().offeredNanos() >= NANOS_PER_MILLI;
+    return remaining <= 0 || (waited && inFlight > 0 && remaining < latency.nanos() / 2);
+  }
+
   private Optional<EndpointState> choose(RequestLife life, long nowNanos) {
     long waited = nowNanos - life.spec().offeredNanos();
     boolean maySpill = waited >= settings.spillAfterMillis() * NANOS_PER_MILLI;
--- a/cactusspring-core/src/test/java/io/cactusspring/core/request/ServiceRouterTest.java
+++ b/cactusspring-core/src/test/java/io/cactusspring/core/request/ServiceRouterTest.java
@@ -57,6 +57,21 @@
     assertThat(refusal.retryAfterMillis()).isGreaterThan(100);
   }
 
+  @Example
+  void requestThatHasWaitedTooLongIsCalledNotRun() {
+    router.update(List.of(share("near", true, 2)), 0);
+    RouterAction.Send first = sendOf(offer(0, 1_000));
+    router.ended(first.ticket(), 1, new AttemptOutcome.Answered(), 100 * MILLI);
+    RouterAction.Send running = sendOf(offer(100, 1_000));
+    offer(100, 1_000);
+    assertThat(offer(100, 220)).isEmpty();
+    List<RouterAction> actions =
+        router.ended(running.ticket(), 1, new AttemptOutcome.Answered(), 290 * MILLI);
+    RouterAction.Refuse refusal = (RouterAction.Refuse) actions.get(1);
+    assertThat(refusal.ran()).isEqualTo(Ran.NO);
+    assertThat(refusal.kind()).isEqualTo(RouterAction.Kind.DEADLINE);
+  }
+
   @Example
   void failingEndpointIsLeftAlone() {
     router.update(List.of(share("bad", true, 8), share("good", true, 8)), 0);
