--- a/cactusspring-core/src/main/java/io/cactusspring/core/request/ServiceRouter.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/request/ServiceRouter.java
@@ -3,12 +3,9 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
-import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.ToIntFunction;
 import java.util.random.RandomGenerator;
@@ -28,7 +25,6 @@
   private static final long NANOS_PER_MILLI = 1_000_000;
   private static final long MIN_RETRY_AFTER_MILLIS = 50;
   private static final long NO_ENDPOINT_RETRY_MILLIS = 1_000;
-  private static final int LATENCIES_PER_TIMEOUT = 4;
   private static final Comparator<RequestLife> BY_DEADLINE =
       Comparator.<RequestLife>comparingLong(l -> l.spec().deadlineNanos())
           .thenComparingLong(l -> l.spec().ticket());
@@ -42,12 +38,10 @@
   private final RequestSettings settings;
   private final RequestRules rules;
   private final TeamUnits units;
-  private final RandomGenerator random;
-  private final EndpointPicker picker;
+  private final RetryPolicy retries;
+  private final EndpointSet endpoints;
   private final FairQueue<RequestLife> queue = new FairQueue<>();
   private final Map<Long, RequestLife> lives = new HashMap<>();
-  private final Map<String, EndpointState> endpoints = new TreeMap<>();
-  private final Map<String, RetryBudget> teamRetries = new HashMap<>();
   private final TreeSet<RequestLife> deadlines = new TreeSet<>(BY_DEADLINE);
   private final TreeSet<Delayed> delayed = new TreeSet<>(Delayed.ORDER);
   private final LatencyAverage latency = new LatencyAverage();
@@ -65,23 +59,15 @@
     this.settings = settings;
     this.rules = rules;
     this.units = units;
-    this.random = random;
-    this.picker = new EndpointPicker(rules, settings.sampledEndpoints(), random, remoteInFlight);
+    this.retries = new RetryPolicy(settings, random);
+    EndpointPicker picker =
+        new EndpointPicker(rules, settings.sampledEndpoints(), random, remoteInFlight);
+    this.endpoints = new EndpointSet(settings, rules, picker);
   }
 
   /** Takes over a new list of endpoints. */
   public void update(List<EndpointShare> shares, long nowNanos) {
-    Set<String> named = new HashSet<>();
-    for (EndpointShare s : shares) {
-      named.add(s.name());
-      endpoints
-          .computeIfAbsent(s.name(), n -> new EndpointState(s, settings, nowNanos))
-          .setShare(s);
-    }
-    endpoints.values().removeIf(e -> !named.contains(e.share().name()) && e.inFlight() == 0);
-    endpoints.values().stream()
-        .filter(e -> !named.contains(e.share().name()))
-        .forEach(e -> e.setShare(e.share().asLeaving()));
+    endpoints.update(shares, nowNanos);
   }
 
   /** Takes a new request in, or refuses it at once. */
@@ -164,13 +150,11 @@
 
   /** Requests in flight at each endpoint, in order of their names. */
   public List<EndpointInFlight> endpointLoads() {
-    return endpoints.values().stream()
-        .map(e -> new EndpointInFlight(e.share().name(), e.inFlight()))
-        .toList();
+    return endpoints.loads();
   }
 
   private Optional<RouterAction> refusalOf(RequestSpec spec, long nowNanos) {
-    if (endpoints.values().stream().noneMatch(e -> rules.acceptsWork(e.share()))) {
+    if (!endpoints.anyAcceptsWork()) {
       return refuse(spec, RouterAction.Kind.NO_ENDPOINT, NO_ENDPOINT_RETRY_MILLIS);
     }
     if (units.limit(spec.team()) <= 0) {
@@ -245,30 +229,16 @@
 
   private void repeatOrGiveUp(
       RequestLife life, AttemptOutcome outcome, long nowNanos, List<RouterAction> out) {
-    RetryBudget ofTeam = teamRetries(life.spec().team(), nowNanos);
-    RetryBudget ofEndpoint = endpoints.get(life.endpoint()).retries();
-    long ready = nowNanos + backoffNanos(life);
-    boolean hasTime = ready - life.spec().deadlineNanos() < 0;
-    boolean hasAttempts = life.attemptsThatMayHaveRun() < settings.maxAttempts();
-    if (!hasTime || !hasAttempts || !ofTeam.allows(nowNanos) || !ofEndpoint.allows(nowNanos)) {
+    long ready = retries.nextAttemptNanos(life, nowNanos);
+    if (!retries.tryRetry(life, endpoints.get(life.endpoint()), ready, nowNanos)) {
       giveUp(life, nowNanos, out);
       return;
     }
-    ofTeam.spend();
-    ofEndpoint.spend();
     out.add(new RouterAction.Retry(life.spec().ticket(), reasonOf(outcome)));
     life.backOff();
     delayed.add(new Delayed(ready, life));
   }
 
-  private long backoffNanos(RequestLife life) {
-    return Backoff.jitteredNanos(
-        settings.backoffMillis() * NANOS_PER_MILLI,
-        settings.maxBackoffMillis() * NANOS_PER_MILLI,
-        life.attempt(),
-        random);
-  }
-
   private void giveUp(RequestLife life, long nowNanos, List<RouterAction> out) {
     boolean late = nowNanos - life.spec().deadlineNanos() >= 0;
     refuseLife(life, late ? RouterAction.Kind.DEADLINE : RouterAction.Kind.ENDPOINT_FAILED, out);
@@ -332,7 +302,7 @@
   private Optional<EndpointState> choose(RequestLife life, long nowNanos) {
     long waited = nowNanos - life.spec().offeredNanos();
     boolean maySpill = waited >= settings.spillAfterMillis() * NANOS_PER_MILLI;
-    return picker.pick(endpoints.values(), life.endpoint(), maySpill, nowNanos);
+    return endpoints.choose(life, maySpill, nowNanos);
   }
 
   private boolean mayGo(RequestLife life) {
@@ -356,29 +326,18 @@
   private void send(
       RequestLife life, EndpointState endpoint, long nowNanos, List<RouterAction> out) {
     if (life.attempt() == 0) {
-      teamRetries(life.spec().team(), nowNanos).earn();
-      endpoint.retries().earn();
+      retries.firstAttempt(life, endpoint, nowNanos);
     }
     life.send(endpoint.share().name(), nowNanos);
     endpoint.sent();
     inFlight++;
     long remaining = life.spec().deadlineNanos() - nowNanos;
-    long timeout = Math.min(remaining, attemptTimeoutNanos(life, endpoint));
+    long timeout = Math.min(remaining, retries.attemptTimeoutNanos(life, endpoint));
     out.add(
         new RouterAction.Send(
             life.spec().ticket(), life.attempt(), endpoint.share(), timeout, remaining));
   }
 
-  /** A request that cannot be sent again is left all its time. */
-  private long attemptTimeoutNanos(RequestLife life, EndpointState endpoint) {
-    if (!life.spec().idempotent()) {
-      return Long.MAX_VALUE;
-    }
-    long base = settings.attemptTimeoutMillis() * NANOS_PER_MILLI;
-    long usual = LATENCIES_PER_TIMEOUT * endpoint.latencyNanos();
-    return Math.max(base, usual) << Math.min(life.attemptsThatMayHaveRun(), 16);
-  }
-
   private void finish(RequestLife life) {
     RequestSpec spec = life.spec();
     queue.remove(spec.team(), life);
@@ -392,11 +351,6 @@
     }
   }
 
-  private RetryBudget teamRetries(String team, long nowNanos) {
-    return teamRetries.computeIfAbsent(
-        team, t -> new RetryBudget(settings.retryRatio(), settings.retryReserve(), nowNanos));
-  }
-
   private static RouterAction.RetryReason reasonOf(AttemptOutcome outcome) {
     return switch (outcome) {
       case AttemptOutcome.NotRun n -> RouterAction.RetryReason.NOT_RUN;
