Give runs that wait for room to shards where nothing waits

Cause: a submission's runs stayed at their home shard however long they waited there, while another zone stood empty. Change: an owner takes waiting runs out of its queue, then records the move; nothing of them starts here meanwhile, and the record is sent again until it is read back. The age of a relayed read of the log now has the allowance for clock drift that the fuzz already used.

--- a/cactusspring-core/src/main/java/io/cactusspring/core/shard/EndLedger.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/shard/EndLedger.java
@@ -1,6 +1,7 @@
 package io.cactusspring.core.shard;
 
 import io.cactusspring.core.model.LogRecord;
+import io.cactusspring.core.model.RunId;
 import io.cactusspring.core.model.ShardId;
 import io.cactusspring.core.model.TaskId;
 import io.cactusspring.core.state.ClusterState;
@@ -10,9 +11,10 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.function.Predicate;
 
-/** Ends and starts that have to reach the log, appended again until they are read back. */
+/** Starts, ends and moves that have to reach the log, appended again until they are read back. */
 final class EndLedger {
   private static final long RESEND_MILLIS = 2_000;
 
@@ -20,6 +22,7 @@
   private final long epoch;
   private final Map<TaskId, Pending<LogRecord.End>> ends = new LinkedHashMap<>();
   private final Map<TaskId, Pending<LogRecord.Placement>> starts = new LinkedHashMap<>();
+  private final Map<RunId, Pending<ShardId>> moves = new LinkedHashMap<>();
 
   private static final class Pending<T> {
     private final T value;
@@ -52,6 +55,14 @@
     ends.put(end.task(), new Pending<>(end));
   }
 
+  void move(RunId run, ShardId to) {
+    moves.put(run, new Pending<>(to));
+  }
+
+  void moveRead(RunId run) {
+    moves.remove(run);
+  }
+
   void startRead(TaskId task) {
     starts.remove(task);
   }
@@ -76,12 +87,17 @@
   void prune(ClusterState state) {
     starts.keySet().removeIf(t -> state.run(t.run()).map(v -> startIsPast(v, t)).orElse(true));
     ends.keySet().removeIf(t -> state.run(t.run()).map(v -> endIsPast(v, t)).orElse(true));
+    moves.keySet().removeIf(r -> state.run(r).map(this::moveIsPast).orElse(true));
   }
 
   private static boolean startIsPast(RunView view, TaskId task) {
     return view.state() == RunState.ENDED || view.attempt() >= task.attempt();
   }
 
+  private boolean moveIsPast(RunView view) {
+    return view.state() != RunState.PENDING || !view.home().equals(shard);
+  }
+
   private static boolean endIsPast(RunView view, TaskId task) {
     return view.state() == RunState.ENDED || view.attempt() > task.attempt();
   }
@@ -106,9 +122,23 @@
     if (!unrecorded.isEmpty()) {
       records.add(new LogRecord.RunsEnded(shard, epoch, unrecorded));
     }
+    records.addAll(dueMoves(nowMillis));
     return records;
   }
 
+  private List<LogRecord> dueMoves(long nowMillis) {
+    Map<ShardId, List<RunId>> byTarget = new TreeMap<>();
+    moves.forEach(
+        (run, to) -> {
+          if (to.due(nowMillis)) {
+            byTarget.computeIfAbsent(to.send(nowMillis), t -> new ArrayList<>()).add(run);
+          }
+        });
+    return byTarget.entrySet().stream()
+        .<LogRecord>map(e -> new LogRecord.WorkMoved(shard, epoch, e.getKey(), e.getValue()))
+        .toList();
+  }
+
   private static <T> List<T> takeDue(
       Map<TaskId, Pending<T>> from, Predicate<TaskId> which, long nowMillis) {
     return from.entrySet().stream()
--- a/cactusspring-core/src/main/java/io/cactusspring/core/shard/RunEntry.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/shard/RunEntry.java
@@ -13,6 +13,8 @@
     HELD,
     /** In the placement queue. */
     WAITING,
+    /** Given to another shard; the record of the move has not been read back. */
+    MOVING,
     /** Placed; its start record has not been read back. */
     RECORDING,
     /** Placed and recorded; the start call has not been sent. */
--- a/cactusspring-core/src/main/java/io/cactusspring/core/shard/ShardOwner.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/shard/ShardOwner.java
@@ -3,6 +3,7 @@
 import io.cactusspring.core.model.BudgetAccount;
 import io.cactusspring.core.model.LogRecord;
 import io.cactusspring.core.model.Outcome;
+import io.cactusspring.core.model.Resources;
 import io.cactusspring.core.model.RunId;
 import io.cactusspring.core.model.ShardId;
 import io.cactusspring.core.model.TaskId;
@@ -13,6 +14,7 @@
 import io.cactusspring.core.placement.PendingRun;
 import io.cactusspring.core.placement.Placer;
 import io.cactusspring.core.placement.ReleaseReason;
+import io.cactusspring.core.placement.WaitReason;
 import io.cactusspring.core.state.ClusterState;
 import io.cactusspring.core.state.RunState;
 import io.cactusspring.core.state.RunView;
@@ -570,6 +572,12 @@
           entry.stop = RunEntry.StopReason.CANCELLED;
         }
       }
+      case MOVING -> {
+        if (over) {
+          ledger.moveRead(entry.run);
+          runs.remove(entry.run);
+        }
+      }
       case READY -> end(entry, Outcome.CANCELLED, true, ReleaseReason.STOPPED, 0);
       case STARTING, RUNNING -> stop(entry, RunEntry.StopReason.CANCELLED);
       case ENDING -> {}
@@ -582,10 +590,50 @@
     addAll(workload, nowMillis);
   }
 
+  /**
+   * Gives runs that wait for room here to another shard. Nothing of them starts here any more, even
+   * if the record of the move is lost for a while.
+   *
+   * @param room what the runs may need together
+   * @param max greatest number of runs
+   * @return number of runs given
+   */
+  public int moveWaiting(ShardId to, Resources room, int max) {
+    Resources left = room;
+    int moved = 0;
+    for (RunEntry entry : waitingEntries().reversed()) {
+      Resources needs = entry.view.spec().resources();
+      if (moved < max && needs.fitsIn(left) && isMovable(entry)) {
+        placer.remove(entry.run);
+        entry.phase = RunEntry.Phase.MOVING;
+        ledger.move(entry.run, to);
+        left = left.minus(needs);
+        moved++;
+      }
+    }
+    return moved;
+  }
+
+  /** Whether a run waits for room alone, and the log knows that no attempt of it is under way. */
+  private boolean isMovable(RunEntry entry) {
+    boolean lacksRoom =
+        placer.whyWaiting(entry.run).filter(w -> w == WaitReason.NO_ROOM).isPresent();
+    return lacksRoom
+        && entry.view.gangSize() == 1
+        && !hasStray(entry.run)
+        && state.run(entry.run).filter(v -> v.state() == RunState.PENDING).isPresent();
+  }
+
   private void movedAway(RunId run) {
+    ledger.moveRead(run);
     RunEntry entry = runs.get(run);
-    if (entry != null && entry.phase == RunEntry.Phase.WAITING) {
+    if (entry == null) {
+      return;
+    }
+    if (entry.phase == RunEntry.Phase.WAITING) {
       placer.remove(run);
+    }
+    if (entry.phase == RunEntry.Phase.WAITING || entry.phase == RunEntry.Phase.MOVING) {
       runs.remove(run);
     }
   }
--- a/cactusspring-core/src/test/java/io/cactusspring/core/fuzz/Host.java
+++ b/cactusspring-core/src/test/java/io/cactusspring/core/fuzz/Host.java
@@ -6,6 +6,7 @@
 import io.cactusspring.core.model.AvailabilityZone;
 import io.cactusspring.core.model.BudgetAccount;
 import io.cactusspring.core.model.LogRecord;
+import io.cactusspring.core.model.Resources;
 import io.cactusspring.core.model.ShardId;
 import io.cactusspring.core.shard.OwnerCommand;
 import io.cactusspring.core.shard.Permission;
@@ -28,6 +29,7 @@
   private static final long READ_TIMEOUT_MILLIS = 1_000;
   private static final int TICKS_PER_HEARTBEAT = 3;
   private static final int TICKS_PER_LISTING = 10;
+  private static final Resources ANY_ROOM = new Resources(1_000_000, 1_000_000, 100);
 
   private final World world;
   private final String name;
@@ -285,6 +287,18 @@
     commands.forEach(c -> world.events().after(1, () -> run(() -> send(owner, c, now, trueNow))));
   }
 
+  /** Gives waiting runs of each owned shard to another shard, as the balancing of shards does. */
+  void moveRuns(int max) {
+    owners.values().forEach(o -> moveRuns(o, max));
+  }
+
+  private void moveRuns(ShardOwner owner, int max) {
+    state.configuration().shards().stream()
+        .filter(s -> !s.equals(owner.shard()))
+        .findFirst()
+        .ifPresent(to -> owner.moveWaiting(to, ANY_ROOM, max));
+  }
+
   private Permission permission(long now) {
     boolean always = !world.guards().contains(Guards.AUTHORITY);
     return new Permission(
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/Daemon.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/Daemon.java
@@ -16,6 +16,7 @@
 import io.cactusspring.daemon.control.HostListController;
 import io.cactusspring.daemon.control.LogController;
 import io.cactusspring.daemon.control.PeerLogs;
+import io.cactusspring.daemon.control.RebalanceController;
 import io.cactusspring.daemon.control.ShardController;
 import io.cactusspring.daemon.control.SnapshotController;
 import io.cactusspring.daemon.http.RefusalWriter;
@@ -62,6 +63,7 @@
   private static final EventLog LOG = EventLog.of(Daemon.class);
   private static final long TICK_MILLIS = 50;
   private static final long BUDGET_MILLIS = 500;
+  private static final long REBALANCE_MILLIS = 1_000;
   private static final long TEAM_GAUGES_MILLIS = 1_000;
   private static final long HAND_OVER_MILLIS = 5_000;
 
@@ -81,6 +83,7 @@
   private final ShardController shards;
   private final BudgetController budgets;
   private final SnapshotController snapshots;
+  private final RebalanceController balancing;
   private final PeerMesh mesh;
   private final EntryHost entryHost;
   private final HostView view;
@@ -159,6 +162,7 @@
     RefusalWriter refusals = new RefusalWriter(registry);
     ReadBack readBack = new ReadBack(cell, log, context);
     HomeChoice homes = new HomeChoice(cell, hosts, shards, hints, settings.zone(), clock);
+    balancing = new RebalanceController(cell, shards, log, homes);
     StatusApi status =
         new StatusApi(
             new StatusApi.Parts(
@@ -279,6 +283,7 @@
     every(TICK_MILLIS, t -> shards.tick());
     every(BUDGET_MILLIS, t -> budgets.tick());
     every(BUDGET_MILLIS, t -> snapshots.tick());
+    every(REBALANCE_MILLIS, t -> balancing.tick());
     every(TEAM_GAUGES_MILLIS, t -> teamGauges.refresh());
     every(TICK_MILLIS, this::checkReady);
   }
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/control/LogController.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/control/LogController.java
@@ -24,6 +24,9 @@
   private static final EventLog LOG = EventLog.of(LogController.class);
   private static final long RETRY_MILLIS = 250;
 
+  /** Parts in a thousand by which the clocks of two hosts may drift apart. */
+  private static final long DRIFT_PER_MILLE = 20;
+
   private final Vertx vertx;
   private final Cell cell;
   private final PlatformLog log;
@@ -198,7 +201,8 @@
             .map(r -> new LogRead.Entry(r.getOffset(), r.getData()))
             .toList());
     if (cell.nextOffset() >= reply.getNextOffset()) {
-      reachedEnd(sentAtMillis - reply.getLogAgeMillis());
+      long age = reply.getLogAgeMillis();
+      reachedEnd(sentAtMillis - age - age * DRIFT_PER_MILLE / 1000 - 1);
     }
   }
 
