--- a/cactusspring-core/src/main/java/io/cactusspring/core/shard/ShardOwner.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/shard/ShardOwner.java
@@ -3,6 +3,7 @@
 import io.cactusspring.core.model.BudgetAccount;
 import io.cactusspring.core.model.LogRecord;
 import io.cactusspring.core.model.Outcome;
+import io.cactusspring.core.model.Resources;
 import io.cactusspring.core.model.RunId;
 import io.cactusspring.core.model.ShardId;
 import io.cactusspring.core.model.TaskId;
@@ -13,6 +14,7 @@
 import io.cactusspring.core.placement.PendingRun;
 import io.cactusspring.core.placement.Placer;
 import io.cactusspring.core.placement.ReleaseReason;
+import io.cactusspring.core.placement.WaitReason;
 import io.cactusspring.core.state.ClusterState;
 import io.cactusspring.core.state.RunState;
 import io.cactusspring.core.state.RunView;
@@ -570,6 +572,12 @@
           entry.stop = RunEntry.StopReason.CANCELLED;
         }
       }
+      case MOVING -> {
+        if (over) {
+          ledger.moveRead(entry.run);
+          runs.remove(entry.run);
+        }
+      }
       case READY -> end(entry, Outcome.CANCELLED, true, ReleaseReason.STOPPED, 0);
       case STARTING, RUNNING -> stop(entry, RunEntry.StopReason.CANCELLED);
       case ENDING -> {}
@@ -582,10 +590,50 @@
     addAll(workload, nowMillis);
   }
 
+  /**
+   * Gives runs that wait for room here to another shard. Nothing of them starts here any more, even
+   * if the record of the move is lost for a while.
+   *
+   * @param room what the runs may need together
+   * @param max greatest number of runs
+   * @return number of runs given
+   */
+  public int moveWaiting(ShardId to, Resources room, int max) {
+    Resources left = room;
+    int moved = 0;
+    for (RunEntry entry : waitingEntries().reversed()) {
+      Resources needs = entry.view.spec().resources();
+      if (moved < max && needs.fitsIn(left) && isMovable(entry)) {
+        placer.remove(entry.run);
+        entry.phase = RunEntry.Phase.MOVING;
+        ledger.move(entry.run, to);
+        left = left.minus(needs);
+        moved++;
+      }
+    }
+    return moved;
+  }
+
+  /** Whether a run waits for room alone, and the log knows that no attempt of it is under way. */
+  private boolean isMovable(RunEntry entry) {
+    boolean lacksRoom =
+        placer.whyWaiting(entry.run).filter(w -> w == WaitReason.NO_ROOM).isPresent();
+    return lacksRoom
+        && entry.view.gangSize() == 1
+        && !hasStray(entry.run)
+        && state.run(entry.run).filter(v -> v.state() == RunState.PENDING).isPresent();
+  }
+
   private void movedAway(RunId run) {
+    ledger.moveRead(run);
     RunEntry entry = runs.get(run);
-    if (entry != null && entry.phase == RunEntry.Phase.WAITING) {
+    if (entry == null) {
+      return;
+    }
+    if (entry.phase == RunEntry.Phase.WAITING) {
       placer.remove(run);
+    }
+    if (entry.phase == RunEntry.Phase.WAITING || entry.phase == RunEntry.Phase.MOVING) {
       runs.remove(run);
     }
   }
@@ -659,20 +707,31 @@
     }
   }
 
-  /** Takes over an attempt that the log does not know; returns whether it did. */
+  /** Takes over a running attempt that the log does not know; returns whether it did. */
   private boolean takeOver(WorkerLink link, RunEntry entry, TaskId task, long nowMillis) {
-    if (entry == null || task.attempt() <= entry.attempt) {
-      return false;
-    }
-    if (entry.phase == RunEntry.Phase.HELD) {
-      adoptUnrecorded(link, entry, task, nowMillis);
+    if (takeOverHeld(link, entry, task, nowMillis)) {
       return true;
     }
-    boolean isAssumed = entry.onWorker() && !entry.confirmed && entry.startSentAtMillis == 0;
-    if (isAssumed) {
+    boolean isNewer =
+        entry != null
+            && task.attempt() > entry.attempt
+            && entry.onWorker()
+            && !entry.confirmed
+            && entry.startSentAtMillis == 0;
+    if (isNewer) {
       adoptNewer(link, entry, task, nowMillis);
     }
-    return isAssumed;
+    return isNewer;
+  }
+
+  /** Takes over an attempt of a held run, also one that has ended since. */
+  private boolean takeOverHeld(WorkerLink link, RunEntry entry, TaskId task, long nowMillis) {
+    boolean isUnrecorded =
+        entry != null && entry.phase == RunEntry.Phase.HELD && task.attempt() > entry.attempt;
+    if (isUnrecorded) {
+      adoptUnrecorded(link, entry, task, nowMillis);
+    }
+    return isUnrecorded;
   }
 
   /** The replaced owner saw the recorded attempt end, and started the next one without the log. */
@@ -724,7 +783,7 @@
   private void sawEnded(WorkerLink link, WorkerReport.Ended ended, long nowMillis) {
     TaskId task = ended.task();
     RunEntry entry = runs.get(task.run());
-    takeOver(link, entry, task, nowMillis);
+    takeOverHeld(link, entry, task, nowMillis);
     boolean isCurrent =
         entry != null && entry.attempt == task.attempt() && link.worker.equals(entry.worker);
     if (!isCurrent || entry.phase == RunEntry.Phase.HELD) {
