--- a/cactusspring-core/src/test/java/io/cactusspring/core/fuzz/Command.java
+++ b/cactusspring-core/src/test/java/io/cactusspring/core/fuzz/Command.java
@@ -57,6 +57,7 @@
     RACING_NOTES,
     REQUESTS,
     MOVE_BUDGET,
+    MOVE_WORK,
     MOVE_RUNS,
     HEAL
   }
@@ -116,6 +117,7 @@
       case REQUESTS -> w.limits().request(h, team(), 1 + n, fault);
       case MOVE_BUDGET -> moveBudget(w, h, step);
       case MOVE_RUNS -> h.run(() -> h.moveRuns(1 + n));
+      case MOVE_WORK -> h.run(() -> h.moveWaiting(1 + n));
       case HEAL -> w.heal();
     }
     w.events().runFor(pause * PAUSE_UNIT_MILLIS);
--- a/cactusspring-core/src/test/java/io/cactusspring/core/fuzz/Host.java
+++ b/cactusspring-core/src/test/java/io/cactusspring/core/fuzz/Host.java
@@ -245,6 +245,15 @@
     }
   }
 
+  /** Gives runs that wait for room to shards of the other zone. */
+  void moveWaiting(int max) {
+    owners.forEach(
+        (shard, owner) ->
+            state.configuration().shards().stream()
+                .filter(s -> !s.equals(shard))
+                .forEach(s -> owner.moveWaiting(s, World.WORKER_TOTAL.times(2), max)));
+  }
+
   // Peers.
 
   private void heartbeat(String peer) {
