--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/cell/Cell.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/cell/Cell.java
@@ -2,6 +2,7 @@
 
 import io.cactusspring.core.codec.CodecException;
 import io.cactusspring.core.codec.RecordCodec;
+import io.cactusspring.core.codec.SnapshotCodec;
 import io.cactusspring.core.config.Configuration;
 import io.cactusspring.core.model.LogRecord;
 import io.cactusspring.core.state.ClusterState;
@@ -84,9 +85,10 @@
     return locked(() -> keptFrom(offset, limit));
   }
 
-  /** Returns the state encoded as a snapshot, with the first offset that it does not cover. */
+  /** Returns the state as a snapshot, with the first offset that it does not cover. */
   public Snapshot snapshot() {
-    return locked(() -> new Snapshot(state.snapshot(), Math.max(1, state.nextOffset())));
+    Snapshot plain = locked(() -> new Snapshot(state.snapshot(), Math.max(1, state.nextOffset())));
+    return new Snapshot(SnapshotCodec.compress(plain.data()), plain.nextOffset());
   }
 
   /**
@@ -95,7 +97,7 @@
    * @throws CodecException if the snapshot cannot be decoded
    */
   public boolean restore(Snapshot snapshot) throws CodecException {
-    ClusterState restored = ClusterState.restore(snapshot.data());
+    ClusterState restored = ClusterState.restore(SnapshotCodec.expand(snapshot.data()));
     lock.lock();
     try {
       if (restored.nextOffset() <= state.nextOffset()) {
@@ -116,7 +118,7 @@
     return codec.encode(entry);
   }
 
-  /** An encoded state. */
+  /** A state, encoded and compressed. */
   public record Snapshot(String data, long nextOffset) {}
 
   private Optional<List<LogRead.Entry>> keptFrom(long offset, int limit) {
