--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/Cactusspringd.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/Cactusspringd.java
@@ -98,8 +98,7 @@
     try {
       daemon.start().toCompletionStage().toCompletableFuture().get();
     } catch (ExecutionException e) {
-      LOG.event(Event.ADDRESS_IN_USE, settings.callerAddress(), e.getCause().getMessage());
-      System.err.println("cactusspringd: cannot listen: " + e.getCause().getMessage());
+      report(e.getCause());
       return CANNOT_START;
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
@@ -110,6 +109,17 @@
     return 0;
   }
 
+  private static void report(Throwable cause) {
+    switch (cause) {
+      case ListenException e -> {
+        LOG.event(Event.CANNOT_LISTEN, e.address(), e.getMessage());
+        System.err.println(
+            "cactusspringd: cannot listen on " + e.address() + ": " + e.getMessage());
+      }
+      default -> LOG.failure(Event.INTERNAL_ERROR, cause, "start", cause.getMessage());
+    }
+  }
+
   private static void stop(Daemon daemon, DaemonSettings settings, Vertx vertx) {
     try {
       daemon
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/Daemon.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/Daemon.java
@@ -27,6 +27,7 @@
 import io.cactusspring.daemon.platform.HttpWorkerAgent;
 import io.cactusspring.daemon.platform.JsonClient;
 import io.cactusspring.daemon.request.RequestService;
+import io.cactusspring.daemon.settings.Address;
 import io.cactusspring.daemon.settings.DaemonSettings;
 import io.cactusspring.daemon.settings.PeerSettings;
 import io.cactusspring.daemon.work.NoteApi;
@@ -195,14 +196,21 @@
     teamGauges = new TeamGauges(registry, cell, budgets);
   }
 
-  /** Opens the ports and starts the controllers; completes when callers can connect. */
+  /**
+   * Opens the ports and starts the controllers; completes when callers can connect, and fails with
+   * a {@link ListenException} when a port cannot be opened.
+   */
   public Future<Void> start() {
     LOG.event(Event.STARTED, settings.name(), settings.zone(), incarnation);
-    return mesh.listen(settings.peerAddress())
-        .compose(x -> callers.listen())
+    return opened(mesh.listen(settings.peerAddress()), settings.peerAddress())
+        .compose(x -> opened(callers.listen(), settings.callerAddress()))
         .onSuccess(x -> context.runOnContext(y -> startControl()));
   }
 
+  private static Future<Void> opened(Future<Void> listening, Address address) {
+    return listening.recover(e -> Future.failedFuture(new ListenException(address, e)));
+  }
+
   /** Completes when this host knows the configuration and the hosts. */
   public Future<Void> ready() {
     return ready.future();
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/log/Event.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/log/Event.java
@@ -33,11 +33,11 @@
       ERROR,
       "settings refused: {problem}",
       "Mend the line that is named; check with cactusspringd --check."),
-  ADDRESS_IN_USE(
+  CANNOT_LISTEN(
       1007,
       ERROR,
       "cannot listen on {address}: {problem}",
-      "End the other process on that port or change the address."),
+      "End the other process on that port, or mend the address or the files of its TLS."),
   CERTIFICATE_RELOADED(1008, INFO, "certificate of the {port} port reloaded", "None."),
   CERTIFICATE_REFUSED(
       1009,
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/settings/SettingsField.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/settings/SettingsField.java
@@ -75,9 +75,9 @@
       "keepRecords",
       "records",
       200,
-      100_000_000,
+      1_000_000,
       50_000,
-      "Records that the platform keeps for sure; above snapshotEveryRecords."),
+      "Records kept in memory for peers that cannot reach the log; above snapshotEveryRecords."),
   DRAIN_MILLIS(
       "drainMillis", "ms", 0, 600_000, 30_000, "Longest wait for open requests at a shutdown."),
   WAITING_WEIGHT(
--- a/cactusspring-daemon/src/test/java/io/cactusspring/daemon/DaemonTest.java
+++ b/cactusspring-daemon/src/test/java/io/cactusspring/daemon/DaemonTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -16,6 +17,7 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.vertx.core.Vertx;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -27,6 +29,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Pattern;
@@ -71,27 +74,30 @@
   void startDaemon() throws IOException {
     int port = freePort();
     url = "http://127.0.0.1:" + port;
-    Address platformAddress = Address.parse(platform.address());
-    DaemonSettings settings =
-        DaemonSettings.builder()
-            .name("riga-a-1")
-            .zone(new AvailabilityZone("riga-a"))
-            .region("riga")
-            .callerAddress(new Address("127.0.0.1", port))
-            .peerAddress(new Address("127.0.0.1", 0))
-            .platformLog(platformAddress)
-            .hostList(platformAddress)
-            .peers(List.of(UNREACHABLE_PEER))
-            .bootstrapKey(new BootstrapKey("boot", SALT, Keys.hash(SALT, "secret")))
-            .number(SettingsField.WORKER_SYNC_MILLIS, 100)
-            .number(SettingsField.HOST_LIST_MILLIS, 100)
-            .number(SettingsField.LOG_WAIT_MILLIS, 100)
-            .build();
+    DaemonSettings settings = settings(port, new Address("127.0.0.1", 0));
     vertx.exceptionHandler(failures::add);
     daemon = new Daemon(vertx, settings, registry);
     daemon.start().await();
   }
 
+  private DaemonSettings settings(int port, Address peerAddress) {
+    Address platformAddress = Address.parse(platform.address());
+    return DaemonSettings.builder()
+        .name("riga-a-1")
+        .zone(new AvailabilityZone("riga-a"))
+        .region("riga")
+        .callerAddress(new Address("127.0.0.1", port))
+        .peerAddress(peerAddress)
+        .platformLog(platformAddress)
+        .hostList(platformAddress)
+        .peers(List.of(UNREACHABLE_PEER))
+        .bootstrapKey(new BootstrapKey("boot", SALT, Keys.hash(SALT, "secret")))
+        .number(SettingsField.WORKER_SYNC_MILLIS, 100)
+        .number(SettingsField.HOST_LIST_MILLIS, 100)
+        .number(SettingsField.LOG_WAIT_MILLIS, 100)
+        .build();
+  }
+
   @AfterEach
   void stop() {
     daemon.drain().await();
@@ -120,6 +126,24 @@
     assertThat(onPage).isEqualTo(found);
   }
 
+  @Test
+  void startNamesTheAddressThatIsInUse() throws Exception {
+    try (ServerSocket other = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+      Address inUse = new Address("127.0.0.1", other.getLocalPort());
+      Daemon second =
+          new Daemon(
+              vertx,
+              settings(freePort(), inUse),
+              new PrometheusMeterRegistry(PrometheusConfig.DEFAULT));
+      CompletionException e =
+          assertThrows(
+              CompletionException.class,
+              () -> second.start().toCompletionStage().toCompletableFuture().join());
+      assertThat(((ListenException) e.getCause()).address()).isEqualTo(inUse);
+      second.drain().await();
+    }
+  }
+
   @Test
   void cancellationOfEndedWorkIsAnswered() throws Exception {
     applyFirstNote();
