Watch the connection over the limit through a plain socket

connectionOverTheLimitIsClosedAndCounted timed out in 1 of 400 repeats (@RepeatedTest(400), trial): the port had counted and closed the connection (over-limit 1, open 8), but Vert.x had closed the client's socket before the test set its close handler, which is then never called. The test now reads the end of the stream from a java.net.Socket, which cannot miss it, and is otherwise the same: 400 of 400 repeats pass.

--- a/cactusspring-daemon/src/test/java/io/cactusspring/daemon/port/CallerPortTest.java
+++ b/cactusspring-daemon/src/test/java/io/cactusspring/daemon/port/CallerPortTest.java
@@ -11,12 +11,14 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetSocket;
+import java.net.Socket;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
 class CallerPortTest {
   private static final long WAIT_SECONDS = 20;
+  private static final int END_OF_STREAM = -1;
   private static final String SHORT_REQUEST = "GET / HTTP/1.1\r\nhost: h\r\n";
 
   private final Vertx vertx = Vertx.vertx();
@@ -37,7 +39,10 @@
     for (int i = 0; i < 8; i++) {
       assertThat(answer(connect(port), SHORT_REQUEST + "\r\n")).startsWith("HTTP/1.1 200");
     }
-    await(client.connect(port, "127.0.0.1").compose(CallerPortTest::closed));
+    try (Socket over = new Socket("127.0.0.1", port)) {
+      over.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
+      assertThat(over.getInputStream().read()).isEqualTo(END_OF_STREAM);
+    }
     assertThat(closed("over-limit")).isEqualTo(1);
   }
 
