--- a/cactusspring-core/src/main/java/io/cactusspring/core/shard/EndLedger.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/shard/EndLedger.java
@@ -67,6 +67,11 @@
     return end != null && end.value.outcome() == null;
   }
 
+  /** Returns whether the start of an attempt waits for the log. */
+  boolean startUnread(TaskId task) {
+    return starts.containsKey(task);
+  }
+
   /** Drops what can no longer take effect, because replay is past it. */
   void prune(ClusterState state) {
     starts.keySet().removeIf(t -> state.run(t.run()).map(v -> startIsPast(v, t)).orElse(true));
@@ -88,7 +93,9 @@
   List<LogRecord> due(long nowMillis) {
     List<LogRecord.End> recorded = takeDue(ends, t -> !starts.containsKey(t), nowMillis);
     List<LogRecord.End> unrecorded = takeDue(ends, starts::containsKey, nowMillis);
-    List<LogRecord.Placement> placed = takeDue(starts, t -> true, nowMillis);
+    boolean anyStart = starts.values().stream().anyMatch(p -> p.due(nowMillis));
+    List<LogRecord.Placement> placed =
+        anyStart ? starts.values().stream().map(p -> p.send(nowMillis)).toList() : List.of();
     List<LogRecord> records = new ArrayList<>();
     if (!recorded.isEmpty()) {
       records.add(new LogRecord.RunsEnded(shard, epoch, recorded));
--- a/cactusspring-core/src/main/java/io/cactusspring/core/shard/ShardOwner.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/shard/ShardOwner.java
@@ -155,7 +155,7 @@
       return;
     }
     switch (answer) {
-      case STARTED -> confirm(entry);
+      case STARTED -> confirm(entry, nowMillis);
       case NOT_RUN, FENCED -> endNotRun(entry, ReleaseReason.START_FAILED, nowMillis);
       case UNKNOWN -> links.get(entry.worker).urgent = true;
     }
@@ -173,14 +173,17 @@
     }
     boolean restarted = link.incarnation != null && !link.incarnation.equals(report.incarnation());
     link.incarnation = report.incarnation();
+    if (restarted) {
+      link.tasks.values().forEach(e -> e.mayHaveRun = true);
+    }
     link.syncing = false;
     link.failedSyncs = 0;
     link.heard = true;
     placer.setReachable(worker, true);
     report.running().forEach(r -> sawRunning(link, r, nowMillis));
     report.ended().forEach(e -> sawEnded(link, e, nowMillis));
-    forgetGone(link, report);
-    endMissing(link, report, sentAtMillis, restarted, nowMillis);
+    forgetGone(link, report, nowMillis);
+    endMissing(link, report, sentAtMillis, nowMillis);
   }
 
   /** Notes that a sync got no answer. */
@@ -221,6 +224,7 @@
     }
     if (permission.logAvailable()) {
       dropEndedElsewhere();
+      restartUnrecorded(nowMillis);
       ledger.due(nowMillis).forEach(r -> commands.add(new OwnerCommand.Append(r)));
     } else {
       restartWithoutLog(nowMillis);
@@ -269,14 +273,16 @@
   /** Queues a waiting run for placement; the members of a gang only when all of them wait. */
   private void enqueue(RunEntry entry, long nowMillis) {
     if (entry.view.gangSize() == 1) {
-      placer.enqueue(entry.pending(1), nowMillis);
+      enqueueSingle(entry, nowMillis);
       return;
     }
     List<RunEntry> members = gang(entry.run.workload());
     long live =
         state.runs(entry.run.workload()).stream().filter(v -> v.state() != RunState.ENDED).count();
     boolean allWait =
-        members.size() == live && members.stream().allMatch(m -> m.phase == RunEntry.Phase.WAITING);
+        members.size() == live
+            && members.stream().allMatch(m -> m.phase == RunEntry.Phase.WAITING)
+            && members.stream().noneMatch(m -> hasStray(m.run));
     if (allWait) {
       members.forEach(m -> placer.remove(m.run));
       members.forEach(m -> placer.enqueue(m.pending(members.size()), nowMillis));
@@ -285,6 +291,13 @@
     }
   }
 
+  private void enqueueSingle(RunEntry entry, long nowMillis) {
+    if (!hasStray(entry.run)) {
+      placer.remove(entry.run);
+      placer.enqueue(entry.pending(1), nowMillis);
+    }
+  }
+
   private List<RunEntry> gang(String workload) {
     return runs.values().stream().filter(e -> e.run.workload().equals(workload)).toList();
   }
@@ -301,7 +314,14 @@
     List<RunEntry> held =
         runs.values().stream().filter(e -> e.phase == RunEntry.Phase.HELD).toList();
     held.forEach(this::unhold);
-    held.stream().filter(e -> runs.containsKey(e.run)).forEach(e -> enqueue(e, nowMillis));
+    held.stream()
+        .filter(e -> runs.containsKey(e.run) && !backoff.waits(e.run))
+        .forEach(e -> enqueue(e, nowMillis));
+  }
+
+  private void hold(RunEntry entry) {
+    entry.phase = RunEntry.Phase.HELD;
+    count(entry.view.team(), 1);
   }
 
   private void unhold(RunEntry entry) {
@@ -399,6 +419,7 @@
     entry.attempt = place.run().attempt();
     entry.worker = place.worker();
     entry.confirmed = false;
+    entry.mayHaveRun = false;
     entry.stop = RunEntry.StopReason.NONE;
     entry.committed = true;
     entry.phase = RunEntry.Phase.RECORDING;
@@ -457,9 +478,12 @@
     entry.phase = RunEntry.Phase.READY;
   }
 
-  private void confirm(RunEntry entry) {
+  private void confirm(RunEntry entry, long nowMillis) {
     entry.phase = RunEntry.Phase.RUNNING;
-    entry.confirmed = true;
+    if (!entry.confirmed) {
+      entry.confirmed = true;
+      entry.confirmedAtMillis = nowMillis;
+    }
   }
 
   // Limits, cancellation and preemption.
@@ -469,7 +493,7 @@
   }
 
   private void stopOverLimit(String team) {
-    int excess = running(team) - usableBudget(team);
+    int excess = running(team) - held(team) - usableBudget(team);
     if (excess <= 0) {
       return;
     }
@@ -483,6 +507,14 @@
         .forEach(e -> stop(e, RunEntry.StopReason.OVER_LIMIT));
   }
 
+  /** Runs that wait to hear the workers; stopping others would not make up for any of them. */
+  private int held(String team) {
+    return (int)
+        runs.values().stream()
+            .filter(e -> e.phase == RunEntry.Phase.HELD && e.view.team().equals(team))
+            .count();
+  }
+
   private static int costOfStopping(RunEntry entry) {
     TaskSpec spec = entry.view.spec();
     if (spec.idempotent() && spec.checkpointable()) {
@@ -611,12 +643,11 @@
       if (!entry.confirmed) {
         link.urgent = true;
       }
-      confirm(entry);
+      confirm(entry, nowMillis);
       observe(running, nowMillis);
       return;
     }
-    if (isUnrecorded(entry, running.task())) {
-      adoptUnrecorded(link, entry, running.task());
+    if (takeOver(link, entry, running.task(), nowMillis)) {
       return;
     }
     stray(link, running);
@@ -628,18 +659,40 @@
     }
   }
 
-  /** Whether a held run's attempt is one that the log does not know, not even as ended. */
-  private static boolean isUnrecorded(RunEntry entry, TaskId task) {
-    return entry != null && entry.phase == RunEntry.Phase.HELD && task.attempt() > entry.attempt;
+  /** Takes over an attempt that the log does not know; returns whether it did. */
+  private boolean takeOver(WorkerLink link, RunEntry entry, TaskId task, long nowMillis) {
+    if (entry == null || task.attempt() <= entry.attempt) {
+      return false;
+    }
+    if (entry.phase == RunEntry.Phase.HELD) {
+      adoptUnrecorded(link, entry, task, nowMillis);
+      return true;
+    }
+    boolean isAssumed = entry.onWorker() && !entry.confirmed && entry.startSentAtMillis == 0;
+    if (isAssumed) {
+      adoptNewer(link, entry, task, nowMillis);
+    }
+    return isAssumed;
+  }
+
+  /** The replaced owner saw the recorded attempt end, and started the next one without the log. */
+  private void adoptNewer(WorkerLink link, RunEntry entry, TaskId task, long nowMillis) {
+    release(entry, ReleaseReason.LAPSED, nowMillis);
+    ledger.end(new LogRecord.End(entry.task(), null));
+    hold(entry);
+    adoptUnrecorded(link, entry, task, nowMillis);
   }
 
   /** Takes over a task that the replaced owner started while it could not reach the log. */
-  private void adoptUnrecorded(WorkerLink link, RunEntry entry, TaskId task) {
+  private void adoptUnrecorded(WorkerLink link, RunEntry entry, TaskId task, long nowMillis) {
     entry.attempt = task.attempt();
     entry.worker = link.worker;
+    entry.startSentAtMillis = 0;
+    entry.confirmed = false;
+    entry.lapsesAtMillis = nowMillis + settings.takeoverLapseMillis();
     count(entry.view.team(), -1);
     commit(link, entry);
-    confirm(entry);
+    confirm(entry, nowMillis);
     link.urgent = true;
     if (isOver(entry.run)) {
       entry.stop = RunEntry.StopReason.CANCELLED;
@@ -658,6 +711,7 @@
             TaskSpec.builder(running.resources()).build(),
             link.worker,
             false);
+    unqueue(running.task().run());
     placer.commit(stray);
     link.strays.put(running.task(), stray);
     link.urgent = true;
@@ -670,9 +724,7 @@
   private void sawEnded(WorkerLink link, WorkerReport.Ended ended, long nowMillis) {
     TaskId task = ended.task();
     RunEntry entry = runs.get(task.run());
-    if (isUnrecorded(entry, task)) {
-      adoptUnrecorded(link, entry, task);
-    }
+    takeOver(link, entry, task, nowMillis);
     boolean isCurrent =
         entry != null && entry.attempt == task.attempt() && link.worker.equals(entry.worker);
     if (!isCurrent || entry.phase == RunEntry.Phase.HELD) {
@@ -684,23 +736,37 @@
     }
   }
 
-  private void forgetGone(WorkerLink link, WorkerReport report) {
+  private void forgetGone(WorkerLink link, WorkerReport report, long nowMillis) {
     var running =
         report.running().stream().map(WorkerReport.Running::task).collect(Collectors.toSet());
     var ended = report.ended().stream().map(WorkerReport.Ended::task).collect(Collectors.toSet());
     link.forget.retainAll(ended);
     List<TaskId> gone = link.strays.keySet().stream().filter(t -> !running.contains(t)).toList();
-    gone.forEach(t -> releaseStray(link, t));
+    gone.forEach(t -> releaseStray(link, t, nowMillis));
   }
 
-  private void releaseStray(WorkerLink link, TaskId task) {
+  private void releaseStray(WorkerLink link, TaskId task, long nowMillis) {
     link.strays.remove(task);
-    placer.release(task, ReleaseReason.STOPPED, 0);
+    placer.release(task, ReleaseReason.STOPPED, nowMillis);
+    requeue(task.run(), nowMillis);
+  }
+
+  /** Takes a run out of the queue while a stray attempt of it is being stopped. */
+  private void unqueue(RunId run) {
+    Optional.ofNullable(runs.get(run)).filter(e -> e.phase == RunEntry.Phase.WAITING).stream()
+        .flatMap(e -> gang(run.workload()).stream())
+        .filter(e -> e.view.gangSize() > 1 || e.run.equals(run))
+        .forEach(e -> placer.remove(e.run));
+  }
+
+  private boolean hasStray(RunId run) {
+    return links.values().stream()
+        .flatMap(l -> l.strays.keySet().stream())
+        .anyMatch(t -> t.run().equals(run));
   }
 
   /** Ends tasks that the worker neither runs nor has ended. */
-  private void endMissing(
-      WorkerLink link, WorkerReport report, long sentAtMillis, boolean restarted, long nowMillis) {
+  private void endMissing(WorkerLink link, WorkerReport report, long sentAtMillis, long nowMillis) {
     var listed =
         Stream.concat(
                 report.running().stream().map(WorkerReport.Running::task),
@@ -710,20 +776,24 @@
         .filter(e -> e.onWorker() && !listed.contains(e.task()))
         .filter(e -> callsDone(e, sentAtMillis))
         .toList()
-        .forEach(e -> endMissing(e, restarted, nowMillis));
+        .forEach(e -> endMissing(e, nowMillis));
   }
 
-  /** Whether a start call that preceded the sync has certainly been handled or lost. */
+  /**
+   * Whether the sync was certainly handled after the task's start: the worker's word on the start
+   * came before the sync was sent, or the start call can no longer be handled.
+   */
   private boolean callsDone(RunEntry entry, long syncSentAtMillis) {
-    if (entry.phase == RunEntry.Phase.RUNNING) {
-      return entry.startSentAtMillis < syncSentAtMillis;
+    if (entry.confirmed) {
+      return entry.confirmedAtMillis < syncSentAtMillis;
     }
-    return entry.startSentAtMillis + settings.callTimeoutMillis() < syncSentAtMillis;
+    boolean isAdopted = entry.startSentAtMillis == 0;
+    return isAdopted || entry.startSentAtMillis + settings.callTimeoutMillis() < syncSentAtMillis;
   }
 
-  private void endMissing(RunEntry entry, boolean restarted, long nowMillis) {
+  private void endMissing(RunEntry entry, long nowMillis) {
     boolean startedHere = entry.startSentAtMillis > 0;
-    if (startedHere && !entry.confirmed && !restarted) {
+    if (startedHere && !entry.confirmed && !entry.mayHaveRun) {
       endNotRun(entry, ReleaseReason.START_FAILED, nowMillis);
       return;
     }
@@ -846,8 +916,12 @@
   }
 
   private void waitAgain(RunEntry entry, long nowMillis) {
-    entry.phase = RunEntry.Phase.WAITING;
     entry.stop = RunEntry.StopReason.NONE;
+    if (holding && entry.idempotent()) {
+      hold(entry);
+      return;
+    }
+    entry.phase = RunEntry.Phase.WAITING;
     if (!backoff.waits(entry.run)) {
       enqueue(entry, nowMillis);
     }
@@ -875,9 +949,18 @@
 
   /** Lets idempotent runs wait again at once while the log cannot take the record of their end. */
   private void restartWithoutLog(long nowMillis) {
+    restart(e -> true, nowMillis);
+  }
+
+  /** Lets idempotent runs wait again for whose last attempt the log holds no start. */
+  private void restartUnrecorded(long nowMillis) {
+    restart(e -> ledger.startUnread(e.task()), nowMillis);
+  }
+
+  private void restart(Predicate<RunEntry> which, long nowMillis) {
     runs.values().stream()
         .filter(e -> e.phase == RunEntry.Phase.ENDING && e.idempotent())
-        .filter(e -> ledger.pendsAgain(e.task()))
+        .filter(e -> ledger.pendsAgain(e.task()) && which.test(e))
         .toList()
         .forEach(e -> waitAgain(e, nowMillis));
   }
