--- a/cactusspring-benchmarks/src/main/java/io/cactusspring/benchmarks/cell/PlacerScheduler.java
+++ b/cactusspring-benchmarks/src/main/java/io/cactusspring/benchmarks/cell/PlacerScheduler.java
@@ -39,4 +39,9 @@
   public int waitingRuns() {
     return placer.waitingRuns();
   }
+
+  @Override
+  public int waiting(String team) {
+    return placer.waiting(team);
+  }
 }
--- a/cactusspring-benchmarks/src/main/java/io/cactusspring/benchmarks/cell/Scheduler.java
+++ b/cactusspring-benchmarks/src/main/java/io/cactusspring/benchmarks/cell/Scheduler.java
@@ -15,4 +15,6 @@
   List<Decision> decide(long nowMillis);
 
   int waitingRuns();
+
+  int waiting(String team);
 }
--- a/cactusspring-core/src/main/java/io/cactusspring/core/placement/Claim.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/placement/Claim.java
@@ -1,7 +1,7 @@
 package io.cactusspring.core.placement;
 
 import io.cactusspring.core.model.Resources;
-import io.cactusspring.core.model.TaskId;
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -10,7 +10,13 @@
 final class Claim {
   private final WaitingUnit unit;
   private final List<Hold> holds;
-  private final Set<TaskId> victims;
+
+  /** Tasks that are being checkpointed for the unit. */
+  private final Set<TaskState> victims;
+
+  /** Tasks in the room of a reservation that are checkpointed when it is needed. */
+  private final Set<TaskState> guests = new HashSet<>();
+
   private final long earliestMillis;
   private final long replanMillis;
 
@@ -19,16 +25,12 @@
     Resources need() {
       return run.spec().resources();
     }
-
-    boolean isFree() {
-      return need().fitsIn(worker.free());
-    }
   }
 
   private Claim(
       WaitingUnit unit,
       List<Hold> holds,
-      Set<TaskId> victims,
+      Collection<TaskState> victims,
       long earliestMillis,
       long replanMillis) {
     this.unit = unit;
@@ -39,7 +41,7 @@
   }
 
   /** Creates a claim on the room of tasks that are being checkpointed. */
-  static Claim ofVictims(WaitingUnit unit, WorkerState worker, Set<TaskId> victims) {
+  static Claim ofVictims(WaitingUnit unit, WorkerState worker, Collection<TaskState> victims) {
     return new Claim(unit, List.of(new Hold(unit.first(), worker)), victims, 0, Long.MAX_VALUE);
   }
 
@@ -70,12 +72,12 @@
     return earliestMillis;
   }
 
-  Set<TaskId> victims() {
-    return Set.copyOf(victims);
+  Set<TaskState> victims() {
+    return victims;
   }
 
-  void victimEnded(TaskId task) {
-    victims.remove(task);
+  Set<TaskState> guests() {
+    return guests;
   }
 
   boolean holdsOn(WorkerState worker) {
@@ -84,10 +86,16 @@
 
   /** Whether all holds can be used now; members on one worker need their sum. */
   boolean isFree() {
-    if (holds.size() == 1) {
-      return holds.getFirst().isFree();
-    }
-    return holds.stream().allMatch(h -> needOn(h.worker()).fitsIn(h.worker().free()));
+    return holds.stream().map(Hold::worker).distinct().allMatch(w -> needOn(w).fitsIn(w.free()));
+  }
+
+  /** Whether all holds could be used if the guests were gone. */
+  boolean waitsForGuestsOnly() {
+    return !guests.isEmpty()
+        && holds.stream()
+            .map(Hold::worker)
+            .distinct()
+            .allMatch(w -> needOn(w).fitsIn(w.free().plus(usedByGuests(w))));
   }
 
   private Resources needOn(WorkerState worker) {
@@ -97,12 +105,20 @@
         .reduce(Resources.NONE, Resources::plus);
   }
 
+  private Resources usedByGuests(WorkerState worker) {
+    return guests.stream()
+        .filter(g -> g.worker() == worker)
+        .map(TaskState::resources)
+        .reduce(Resources.NONE, Resources::plus);
+  }
+
   /** Whether the claim is to be given up: a worker is lost, or the plan did not come true. */
   boolean isStale(Workers workers, long nowMillis) {
     if (holds.stream().anyMatch(h -> !workers.takesWork(h.worker()))) {
       return true;
     }
     boolean victimsGone = !isReservation() && victims.isEmpty();
-    return (victimsGone || nowMillis >= replanMillis) && !isFree();
+    boolean late = nowMillis >= replanMillis && guests.stream().noneMatch(TaskState::isVictim);
+    return (victimsGone || late) && !isFree();
   }
 }
--- a/cactusspring-core/src/main/java/io/cactusspring/core/placement/Claims.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/placement/Claims.java
@@ -1,18 +1,18 @@
 package io.cactusspring.core.placement;
 
-import io.cactusspring.core.model.TaskId;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 
 /** Claims in force, whose room is held on the workers. */
 final class Claims {
   private final Workers workers;
   private final Map<Long, Claim> bySequence = new LinkedHashMap<>();
-  private final Map<TaskId, Claim> byVictim = new HashMap<>();
+
+  /** The claim that waits for the end of a victim or guest. */
+  private final Map<TaskState, Claim> byTask = new HashMap<>();
 
   Claims(Workers workers) {
     this.workers = workers;
@@ -20,10 +20,16 @@
 
   void add(Claim claim) {
     bySequence.put(claim.unit().sequence(), claim);
-    claim.victims().forEach(v -> byVictim.put(v, claim));
+    claim.victims().forEach(t -> byTask.put(t, claim));
+    claim.guests().forEach(t -> byTask.put(t, claim));
     claim.holds().forEach(h -> workers.hold(h.worker(), h.need()));
   }
 
+  void addGuest(Claim claim, TaskState task) {
+    claim.guests().add(task);
+    byTask.put(task, claim);
+  }
+
   boolean isEmpty() {
     return bySequence.isEmpty();
   }
@@ -36,8 +42,19 @@
     return bySequence.containsKey(unit.sequence());
   }
 
-  Optional<Claim> reservation() {
-    return bySequence.values().stream().filter(Claim::isReservation).findFirst();
+  List<Claim> reservations() {
+    return bySequence.values().stream().filter(Claim::isReservation).toList();
+  }
+
+  /** Returns the number of workers on which reservations hold room. */
+  int reservedWorkers() {
+    return (int)
+        bySequence.values().stream()
+            .filter(Claim::isReservation)
+            .flatMap(c -> c.holds().stream())
+            .map(Claim.Hold::worker)
+            .distinct()
+            .count();
   }
 
   /** Gives the room of a unit's claim up; returns whether there was one. */
@@ -46,7 +63,8 @@
     if (claim == null) {
       return false;
     }
-    claim.victims().forEach(byVictim::remove);
+    claim.victims().forEach(byTask::remove);
+    claim.guests().forEach(byTask::remove);
     claim.holds().forEach(h -> workers.unhold(h.worker(), h.need()));
     return true;
   }
@@ -63,10 +81,11 @@
     return dropped;
   }
 
-  void victimEnded(TaskId task) {
-    Claim claim = byVictim.remove(task);
+  void ended(TaskState task) {
+    Claim claim = byTask.remove(task);
     if (claim != null) {
-      claim.victimEnded(task);
+      claim.victims().remove(task);
+      claim.guests().remove(task);
     }
   }
 }
--- a/cactusspring-core/src/main/java/io/cactusspring/core/placement/Pace.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/placement/Pace.java
@@ -3,7 +3,8 @@
 /** Bounds how often the costly searches are tried again. */
 final class Pace {
   private static final long PREEMPTION_MILLIS = 200;
-  private static final long RESERVATION_MILLIS = 500;
+  private static final long RESERVATION_MILLIS = 20;
+  private static final long FAILED_RESERVATION_MILLIS = 500;
   private static final long GANG_CLAIM_MILLIS = 250;
 
   private long preemptionDueMillis = Long.MIN_VALUE;
@@ -22,8 +23,8 @@
     return nowMillis >= reservationDueMillis;
   }
 
-  void reservationFailed(long nowMillis) {
-    reservationDueMillis = nowMillis + RESERVATION_MILLIS;
+  void planned(boolean found, long nowMillis) {
+    reservationDueMillis = nowMillis + (found ? RESERVATION_MILLIS : FAILED_RESERVATION_MILLIS);
   }
 
   boolean gangClaimIsDue(long nowMillis) {
--- a/cactusspring-core/src/main/java/io/cactusspring/core/placement/PlacementPolicy.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/placement/PlacementPolicy.java
@@ -16,6 +16,7 @@
  * @param backfill whether short runs may use room that is reserved for others
  * @param durationFactor factor on the longest run time seen, before backfill trusts it
  * @param patienceMillis how long a single run waits before room is reserved for it
+ * @param maxReservedWorkers largest part of the workers on which reservations hold room
  * @param quarantineFailures failures in a row, without a success, that quarantine a worker
  * @param quarantineMillis first time in quarantine; doubled after each failed probe
  * @param maxQuarantineMillis longest time in quarantine
@@ -27,6 +28,7 @@
     boolean backfill,
     double durationFactor,
     long patienceMillis,
+    double maxReservedWorkers,
     int quarantineFailures,
     long quarantineMillis,
     long maxQuarantineMillis) {
@@ -39,6 +41,7 @@
     checkRange("packingWeight", packingWeight, 0, 1);
     checkRange("durationFactor", durationFactor, 1, 100);
     Arguments.checkRange("patienceMillis", patienceMillis, 0, MAX_MILLIS);
+    checkRange("maxReservedWorkers", maxReservedWorkers, 0, 1);
     Arguments.checkRange("quarantineFailures", quarantineFailures, 1, 1_000);
     Arguments.checkRange("quarantineMillis", quarantineMillis, 1, MAX_MILLIS);
     Arguments.checkRange("maxQuarantineMillis", maxQuarantineMillis, quarantineMillis, MAX_MILLIS);
@@ -62,6 +65,7 @@
     private boolean backfill = true;
     private double durationFactor = 1.5;
     private long patienceMillis = 10_000;
+    private double maxReservedWorkers = 0.25;
     private int quarantineFailures = 5;
     private long quarantineMillis = 10_000;
     private long maxQuarantineMillis = 600_000;
@@ -93,6 +97,11 @@
       return this;
     }
 
+    public Builder maxReservedWorkers(double value) {
+      maxReservedWorkers = value;
+      return this;
+    }
+
     public Builder quarantineFailures(int value) {
       quarantineFailures = value;
       return this;
@@ -118,6 +127,7 @@
           backfill,
           durationFactor,
           patienceMillis,
+          maxReservedWorkers,
           quarantineFailures,
           quarantineMillis,
           maxQuarantineMillis);
--- a/cactusspring-core/src/main/java/io/cactusspring/core/placement/Placer.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/placement/Placer.java
@@ -6,11 +6,9 @@
 import io.cactusspring.core.model.TaskId;
 import io.cactusspring.core.model.WorkerInfo;
 import java.util.Collection;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.ToIntFunction;
 
 /**
@@ -28,15 +26,11 @@
  * @since 0.1
  */
 public final class Placer {
+  private final PlacerParts parts;
   private final PlacementRules rules;
   private final ShardState state;
-  private final WaitingRuns waiting = new WaitingRuns();
-  private final RunTimes runTimes;
+  private final WaitingRuns waiting;
   private final Claims claims;
-  private final DecisionRound.Parts parts;
-
-  /** Runs that were preempted once; they are spared from then on, until they end. */
-  private final Set<RunId> preempted = new HashSet<>();
 
   /** Creates a placer without workers, teams or work. */
   public Placer(PlacementPolicy policy) {
@@ -45,23 +39,11 @@
 
   Placer(PlacementPolicy policy, PlacementRules rules) {
     Arguments.checkPresent("policy", policy);
+    this.parts = PlacerParts.create(policy, rules);
     this.rules = rules;
-    state = new ShardState(policy, rules);
-    runTimes = new RunTimes(policy.durationFactor());
-    claims = new Claims(state.workers());
-    parts =
-        new DecisionRound.Parts(
-            policy,
-            rules,
-            state,
-            waiting,
-            claims,
-            runTimes,
-            preempted,
-            new UnitPlacer(policy, rules, state, preempted),
-            new Preemptor(state),
-            new ReservationPlanner(state, runTimes),
-            new Pace());
+    this.state = parts.state();
+    this.waiting = parts.waiting();
+    this.claims = parts.claims();
   }
 
   /** Replaces the shares; a team that is not named keeps its work and has a share of 1. */
@@ -117,7 +99,8 @@
     if (state.task(task.task()).isPresent()) {
       throw new IllegalStateException("task " + task.task() + " is committed already");
     }
-    state.start(task, worker, TaskState.UNKNOWN_START, preempted.contains(task.task().run()));
+    state.start(
+        task, worker, TaskState.UNKNOWN_START, parts.preempted().contains(task.task().run()));
   }
 
   /** Frees what a task had committed; does nothing if it is not committed. */
@@ -128,7 +111,7 @@
     }
     TaskState ended = found.get();
     state.end(ended);
-    claims.victimEnded(task);
+    claims.ended(ended);
     learn(ended, reason, nowMillis);
   }
 
@@ -136,7 +119,7 @@
     Workers workers = state.workers();
     switch (reason) {
       case SUCCEEDED -> {
-        runTimes.observe(task, nowMillis);
+        parts.runTimes().observe(task, nowMillis);
         workers.succeeded(task.worker());
       }
       case FAILED -> workers.failed(task, false, nowMillis);
@@ -144,7 +127,7 @@
       case CHECKPOINTED, STOPPED, LAPSED -> workers.endedOtherwise(task, nowMillis);
     }
     if (reason != ReleaseReason.CHECKPOINTED && reason != ReleaseReason.LAPSED) {
-      preempted.remove(task.id().run());
+      parts.preempted().remove(task.id().run());
     }
   }
 
@@ -171,7 +154,7 @@
   public boolean remove(RunId run) {
     Optional<PendingRun> removed = waiting.remove(run, this::withdraw);
     removed.ifPresent(r -> state.team(r.team()).addWaiting(-1));
-    preempted.remove(run);
+    parts.preempted().remove(run);
     return removed.isPresent();
   }
 
--- a/cactusspring-core/src/main/java/io/cactusspring/core/placement/Preemptor.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/placement/Preemptor.java
@@ -29,11 +29,13 @@
     this.state = state;
   }
 
+  /** Tells whether a unit may have tasks checkpointed for it: not a gang, nor above its share. */
+  boolean mayBenefit(WaitingUnit unit) {
+    return unit.size() == 1 && !state.isAboveShare(state.team(unit.team()));
+  }
+
   /** Returns the fewest and youngest victims among the workers looked at. */
   Optional<Plan> plan(WaitingUnit unit) {
-    if (unit.size() > 1 || state.isAboveShare(state.team(unit.team()))) {
-      return Optional.empty();
-    }
     Resources need = unit.first().spec().resources();
     List<TeamState> donors = donors(unit.team());
     Set<String> donorNames = new HashSet<>();
--- /dev/null
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/placement/QueueStep.java
@@ -0,0 +1,115 @@
+package io.cactusspring.core.placement;
+
+import io.cactusspring.core.model.Resources;
+import io.cactusspring.core.model.Urgency;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/** Places queued work in weighted fair order of the teams that wait. */
+final class QueueStep {
+  private final Round round;
+  private final PlacerParts parts;
+
+  /** Sizes that fitted nowhere in this round; nothing larger fits either. */
+  private final List<Resources> failed = new ArrayList<>();
+
+  /** Sizes for which no victims were found in this round. */
+  private final List<Resources> withoutVictims = new ArrayList<>();
+
+  QueueStep(Round round) {
+    this.round = round;
+    this.parts = round.parts();
+  }
+
+  void run(Urgency urgency) {
+    Set<Shape> limited = placeAll(urgency);
+    if (!limited.isEmpty()) {
+      round.state().teams().forEach(t -> t.queue(urgency).unblockIf(limited::contains));
+    }
+  }
+
+  /** Returns the shapes that were set aside for want of budget. */
+  private Set<Shape> placeAll(Urgency urgency) {
+    List<RunGroup> limited = new ArrayList<>();
+    Optional<TeamState> team = neediest(urgency);
+    while (team.isPresent() && !round.isFull()) {
+      RunQueue queue = team.get().queue(urgency);
+      RunGroup group = queue.firstReady();
+      if (!round.withinBudget(group.head())) {
+        queue.block(group);
+        limited.add(group);
+      } else if (!place(queue, group.head())) {
+        queue.block(group);
+      }
+      team = neediest(urgency);
+    }
+    return limited.stream().map(RunGroup::shape).collect(Collectors.toSet());
+  }
+
+  /** Returns the team of the lowest weighted share that has work ready and budget left. */
+  private Optional<TeamState> neediest(Urgency urgency) {
+    Resources total = round.state().total();
+    TeamState best = null;
+    double lowest = Double.POSITIVE_INFINITY;
+    for (TeamState team : round.state().teams()) {
+      if (!team.queue(urgency).hasReady() || !round.withinBudget(team, 1)) {
+        continue;
+      }
+      double share = team.weightedShare(total);
+      if (best == null || share < lowest) {
+        best = team;
+        lowest = share;
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  private boolean place(RunQueue queue, WaitingUnit unit) {
+    Resources need = unit.shape().resources();
+    boolean hopeless = isBeyondAny(failed, need);
+    Optional<Decision> placed =
+        hopeless ? Optional.empty() : parts.placer().place(unit, round.nowMillis());
+    if (placed.isPresent()) {
+      queue.remove(unit);
+      round.finish(unit);
+      round.add(placed.get());
+      return true;
+    }
+    if (!hopeless && !unit.first().inGang()) {
+      failed.add(need);
+    }
+    return unit.urgency() == Urgency.URGENT && preempt(queue, unit);
+  }
+
+  private static boolean isBeyondAny(List<Resources> sizes, Resources need) {
+    for (Resources size : sizes) {
+      if (size.fitsIn(need)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private boolean preempt(RunQueue queue, WaitingUnit unit) {
+    Resources need = unit.shape().resources();
+    if (isBeyondAny(withoutVictims, need) || !parts.preemptor().mayBenefit(unit)) {
+      return false;
+    }
+    Optional<Preemptor.Plan> plan = parts.preemptor().plan(unit);
+    if (plan.isEmpty()) {
+      withoutVictims.add(need);
+      return false;
+    }
+    List<TaskState> victims = plan.get().victims();
+    if (!round.hasRoomFor(victims.size())) {
+      return false;
+    }
+    queue.remove(unit);
+    victims.forEach(v -> round.preempt(v, unit.first()));
+    parts.claims().add(Claim.ofVictims(unit, plan.get().worker(), victims));
+    return true;
+  }
+}
--- a/cactusspring-core/src/main/java/io/cactusspring/core/placement/ReservationPlanner.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/placement/ReservationPlanner.java
@@ -2,6 +2,7 @@
 
 import io.cactusspring.core.model.Resources;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
@@ -9,6 +10,8 @@
 
 /** Finds the workers on which a unit can start soonest, by the run times to reckon with. */
 final class ReservationPlanner {
+  private static final int MIN_WORKERS_SEEN = 128;
+  private static final int WORKERS_SEEN_A_MEMBER = 4;
   private static final long MIN_REPLAN_MILLIS = 5_000;
   private static final long UNKNOWN_END_MILLIS = 30L * 24 * 3_600_000;
 
@@ -25,12 +28,10 @@
 
   /** Returns a claim on the earliest room; empty if there is never enough beside what stays. */
   Optional<Claim> plan(WaitingUnit unit, long nowMillis) {
-    Resources need = unit.first().spec().resources();
-    List<Slot> slots = new ArrayList<>();
-    for (WorkerState worker : state.workers().all()) {
-      if (state.workers().takesWork(worker) && !worker.hasHolds()) {
-        slots.addAll(slotsOn(worker, need, unit.size(), t -> latestEnd(t, nowMillis), nowMillis));
-      }
+    int some = Math.max(MIN_WORKERS_SEEN, unit.size() * WORKERS_SEEN_A_MEMBER);
+    List<Slot> slots = slots(unit, state.workers().next(some), nowMillis);
+    if (slots.size() < unit.size()) {
+      slots = slots(unit, state.workers().all(), nowMillis);
     }
     if (slots.size() < unit.size()) {
       return Optional.empty();
@@ -40,6 +41,17 @@
     return Optional.of(claim(unit, chosen, nowMillis));
   }
 
+  private List<Slot> slots(WaitingUnit unit, Collection<WorkerState> workers, long nowMillis) {
+    Resources need = unit.first().spec().resources();
+    List<Slot> slots = new ArrayList<>();
+    for (WorkerState worker : workers) {
+      if (need.fitsIn(worker.total()) && state.workers().takesWork(worker) && !worker.hasHolds()) {
+        slots.addAll(slotsOn(worker, need, unit.size(), t -> latestEnd(t, nowMillis), nowMillis));
+      }
+    }
+    return slots;
+  }
+
   private Claim claim(WaitingUnit unit, List<Slot> chosen, long nowMillis) {
     List<Claim.Hold> holds = new ArrayList<>();
     for (int i = 0; i < chosen.size(); i++) {
--- /dev/null
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/placement/Round.java
@@ -0,0 +1,108 @@
+package io.cactusspring.core.placement;
+
+import io.cactusspring.core.model.Resources;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.ToIntFunction;
+
+/** What the steps of one call for decisions share: the time, the budgets and the answer so far. */
+final class Round {
+  private final PlacerParts parts;
+  private final long nowMillis;
+  private final int maxDecisions;
+  private final ToIntFunction<String> budgetOfTeam;
+  private final Map<String, Integer> budgets = new HashMap<>();
+  private final List<Decision> decisions = new ArrayList<>();
+
+  Round(PlacerParts parts, long nowMillis, int maxDecisions, ToIntFunction<String> budgetOfTeam) {
+    this.parts = parts;
+    this.nowMillis = nowMillis;
+    this.maxDecisions = maxDecisions;
+    this.budgetOfTeam = budgetOfTeam;
+  }
+
+  PlacerParts parts() {
+    return parts;
+  }
+
+  ShardState state() {
+    return parts.state();
+  }
+
+  Workers workers() {
+    return parts.state().workers();
+  }
+
+  long nowMillis() {
+    return nowMillis;
+  }
+
+  boolean isFull() {
+    return decisions.size() >= maxDecisions;
+  }
+
+  boolean hasRoomFor(int more) {
+    return decisions.size() + more <= maxDecisions;
+  }
+
+  void add(Decision decision) {
+    decisions.add(decision);
+  }
+
+  List<Decision> decisions() {
+    return List.copyOf(decisions);
+  }
+
+  boolean withinBudget(WaitingUnit unit) {
+    return withinBudget(state().team(unit.team()), unit.size());
+  }
+
+  boolean withinBudget(TeamState team, int starting) {
+    return parts.rules().withinBudget(team.running(), starting, budget(team));
+  }
+
+  private int budget(TeamState team) {
+    return budgets.computeIfAbsent(team.name(), this::askBudget);
+  }
+
+  private int askBudget(String team) {
+    int budget = budgetOfTeam.applyAsInt(team);
+    state().team(team).setLastBudget(budget);
+    return budget;
+  }
+
+  /** Counts a unit as waiting no longer. */
+  void finish(WaitingUnit unit) {
+    parts.waiting().finish(unit);
+    state().team(unit.team()).addWaiting(-unit.size());
+  }
+
+  /** Returns the queue that a unit belongs to. */
+  RunQueue queueOf(WaitingUnit unit) {
+    return state().team(unit.team()).queue(unit.urgency());
+  }
+
+  /** Returns the teams with work that waits, lowest weighted share first. */
+  List<TeamState> waitingTeamsByNeed() {
+    Resources total = state().total();
+    List<TeamState> teams = new ArrayList<>();
+    for (TeamState team : state().teams()) {
+      if (team.waiting() > 0) {
+        teams.add(team);
+      }
+    }
+    teams.sort(Comparator.comparingDouble(t -> t.weightedShare(total)));
+    return teams;
+  }
+
+  /** Orders a victim to be checkpointed for a beneficiary. */
+  void preempt(TaskState victim, PendingRun beneficiary) {
+    victim.markVictim();
+    state().team(victim.committed().team()).markVictim(victim);
+    parts.preempted().add(victim.id().run());
+    decisions.add(new Decision.Preempt(victim.id(), beneficiary.run()));
+  }
+}
--- a/cactusspring-core/src/main/java/io/cactusspring/core/placement/RunTimes.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/placement/RunTimes.java
@@ -2,6 +2,7 @@
 
 import io.cactusspring.core.model.Resources;
 import io.cactusspring.core.model.TaskSpec;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.OptionalLong;
@@ -21,9 +22,20 @@
         }
       };
 
-  private record Kind(String team, Resources resources, long expectedMillis) {
+  /** Tasks of a team whose size and declared run time are alike within a factor of two. */
+  private record Kind(String team, int processors, int memory, int accelerators, int expected) {
     static Kind of(String team, TaskSpec spec) {
-      return new Kind(team, spec.resources(), spec.expectedMillis());
+      Resources size = spec.resources();
+      return new Kind(
+          team,
+          magnitude(size.milliProcessors()),
+          magnitude(size.memoryMib()),
+          size.accelerators(),
+          magnitude(spec.expectedMillis()));
+    }
+
+    private static int magnitude(long value) {
+      return Long.SIZE - Long.numberOfLeadingZeros(value);
     }
   }
 
@@ -31,31 +43,19 @@
   private static final class Samples {
     private final long[] millis = new long[SAMPLES];
     private int count;
+    private long longest;
+    private long shortest;
 
     void add(long value) {
       millis[count % SAMPLES] = value;
       count++;
+      longest = Arrays.stream(millis, 0, size()).max().orElse(0);
+      shortest = Arrays.stream(millis, 0, size()).min().orElse(0);
     }
 
     int size() {
       return Math.min(count, SAMPLES);
     }
-
-    long longest() {
-      long found = 0;
-      for (int i = 0; i < size(); i++) {
-        found = Math.max(found, millis[i]);
-      }
-      return found;
-    }
-
-    long shortest() {
-      long found = Long.MAX_VALUE;
-      for (int i = 0; i < size(); i++) {
-        found = Math.min(found, millis[i]);
-      }
-      return found;
-    }
   }
 
   RunTimes(double factor) {
@@ -77,7 +77,7 @@
     if (samples == null || samples.size() < MIN_SAMPLES) {
       return OptionalLong.empty();
     }
-    return OptionalLong.of((long) (samples.longest() * factor));
+    return OptionalLong.of((long) (samples.longest * factor));
   }
 
   /** Returns the shortest run time to reckon with, in milliseconds; 0 with too few samples. */
@@ -86,6 +86,6 @@
     if (samples == null || samples.size() < MIN_SAMPLES) {
       return 0;
     }
-    return (long) (samples.shortest() / factor);
+    return (long) (samples.shortest / factor);
   }
 }
--- a/cactusspring-core/src/main/java/io/cactusspring/core/placement/Workers.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/placement/Workers.java
@@ -2,11 +2,13 @@
 
 import io.cactusspring.core.model.Resources;
 import io.cactusspring.core.model.WorkerInfo;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
@@ -18,6 +20,7 @@
   private final PlacementPolicy policy;
   private final PlacementRules rules;
   private final Map<String, WorkerState> byName = new LinkedHashMap<>();
+  private final List<WorkerState> inTurn = new ArrayList<>();
   private final WorkerIndex index;
   private final Map<String, WorkerIndex> byRack = new LinkedHashMap<>();
   private final Map<Resources, Integer> totals = new HashMap<>();
@@ -26,6 +29,7 @@
   private final Set<WorkerState> raised = new LinkedHashSet<>();
   private Resources total = Resources.NONE;
   private Resources committed = Resources.NONE;
+  private int turn;
   private int quarantined;
   private boolean topologyChanged;
 
@@ -47,6 +51,7 @@
     if (worker == null) {
       worker = new WorkerState(info, policy);
       byName.put(info.name(), worker);
+      inTurn.add(worker);
     } else {
       forgetTotal(worker.total());
       rackIndex(worker.rack()).remove(worker.name());
@@ -61,6 +66,7 @@
 
   void remove(WorkerState worker) {
     byName.remove(worker.name());
+    inTurn.remove(worker);
     forgetTotal(worker.total());
     index.remove(worker.name());
     rackIndex(worker.rack()).remove(worker.name());
@@ -189,6 +195,31 @@
     return part == 0 ? Integer.MAX_VALUE : whole / part;
   }
 
+  int size() {
+    return byName.size();
+  }
+
+  /** Tells whether an amount fits on a worker that may have more available than before. */
+  boolean fitsRaised(Resources need) {
+    for (WorkerState worker : raised) {
+      if (takesWork(worker) && need.fitsIn(worker.available())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Returns workers in turn, each call those after the last, up to all of them. */
+  List<WorkerState> next(int count) {
+    int take = Math.min(count, inTurn.size());
+    List<WorkerState> taken = new ArrayList<>(take);
+    for (int i = 0; i < take; i++) {
+      taken.add(inTurn.get((turn + i) % inTurn.size()));
+    }
+    turn = inTurn.isEmpty() ? 0 : (turn + take) % inTurn.size();
+    return taken;
+  }
+
   /** Workers on which more may be available than when this was last cleared. */
   Set<WorkerState> raised() {
     return raised;
--- a/cactusspring-core/src/test/java/io/cactusspring/core/placement/PlacementHistory.java
+++ b/cactusspring-core/src/test/java/io/cactusspring/core/placement/PlacementHistory.java
@@ -198,6 +198,7 @@
   }
 
   private void decide(int maxDecisions) {
+    oracle.noteReserved(placer);
     List<Decision> decisions = placer.decide(nowMillis, maxDecisions, oracle::budget);
     long infeasible = decisions.stream().filter(Decision.Infeasible.class::isInstance).count();
     if (infeasible == 0) {
--- a/cactusspring-core/src/test/java/io/cactusspring/core/placement/PlacerTest.java
+++ b/cactusspring-core/src/test/java/io/cactusspring/core/placement/PlacerTest.java
@@ -180,6 +180,21 @@
     }
   }
 
+  @Test
+  void checkpointableRunUsesReservedRoomAndLeavesWhenItIsNeeded() {
+    placer.putWorker(worker("w", 4));
+    placer.enqueue(run("long", "l", 3), 0);
+    decide(0);
+    gang("g", "b", 2, 2).forEach(m -> placer.enqueue(m, 1));
+    decide(1);
+    placer.enqueue(run("guest", "a", spec(1).checkpointable(true).build()), 2);
+    assertThat(placed(2)).containsExactly("guest");
+    placer.release(task("long"), ReleaseReason.SUCCEEDED, 500);
+    assertThat(decide(500)).containsExactly(new Decision.Preempt(task("guest"), new RunId("g", 0)));
+    placer.release(task("guest"), ReleaseReason.CHECKPOINTED, 600);
+    assertThat(decide(600).getFirst()).isInstanceOf(Decision.PlaceGang.class);
+  }
+
   @Test
   void urgentWorkTakesTheRoomOfACheckpointedTask() {
     placer.putWorker(worker("w", 4));
