--- a/cactusspring-core/src/main/java/io/cactusspring/core/placement/BackfillStep.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/placement/BackfillStep.java
@@ -13,10 +13,12 @@
 final class BackfillStep {
   private final Round round;
   private final PlacerParts parts;
+  private final FairShares fair;
 
   BackfillStep(Round round) {
     this.round = round;
     this.parts = round.parts();
+    this.fair = new FairShares(round.state(), parts.policy());
   }
 
   void run() {
@@ -41,6 +43,9 @@
 
   private void backfill(RunQueue queue, WaitingUnit unit, List<Claim> reservations) {
     PendingRun run = unit.first();
+    if (!fair.allows(round.state().team(unit.team()), unit)) {
+      return;
+    }
     if (round.isFull() || run.inGang() || run.service() || !round.withinBudget(unit)) {
       return;
     }
--- /dev/null
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/placement/FairShares.java
@@ -0,0 +1,64 @@
+package io.cactusspring.core.placement;
+
+import io.cactusspring.core.model.Resources;
+
+/**
+ * Keeps teams near their shares while the shard is full: a team above its share starts nothing that
+ * others wait for. Room stays free for a short while instead, until it fits work of a team below.
+ */
+final class FairShares {
+  private final ShardState state;
+  private final PlacementPolicy policy;
+  private final Resources total;
+
+  /** Whether the scarcest resource is used so far that shares apply. */
+  private final boolean full;
+
+  /** Mean dominant share for each unit of weight, over the teams that wait. */
+  private final double meanLevel;
+
+  /** Teams that wait and lie below the mean. */
+  private final long needy;
+
+  FairShares(ShardState state, PlacementPolicy policy) {
+    this.state = state;
+    this.policy = policy;
+    this.total = state.total();
+    this.full = state.workers().committed().dominantShareOf(total) >= policy.fullAbove();
+    this.meanLevel = full ? meanLevel() : Double.POSITIVE_INFINITY;
+    this.needy = full ? countNeedy() : 0;
+  }
+
+  private double meanLevel() {
+    double shares = 0;
+    long weights = 0;
+    for (TeamState team : state.teams()) {
+      if (team.waiting() > 0) {
+        shares += team.dominantShare(total);
+        weights += team.share();
+      }
+    }
+    return weights == 0 ? Double.POSITIVE_INFINITY : shares / weights;
+  }
+
+  private long countNeedy() {
+    long count = 0;
+    for (TeamState team : state.teams()) {
+      boolean withinBudget = team.running() < team.lastBudget();
+      if (team.waiting() > 0 && withinBudget && team.weightedShare(total) < meanLevel) {
+        count++;
+      }
+    }
+    return count;
+  }
+
+  /** Tells whether a team may start a unit now; half of the unit may lie above its share. */
+  boolean allows(TeamState team, WaitingUnit unit) {
+    if (!full || needy == 0) {
+      return true;
+    }
+    double unitShare = unit.shape().resources().dominantShareOf(total) * unit.size();
+    double level = (team.dominantShare(total) + unitShare / 2) / team.share();
+    return level <= meanLevel * (1 + policy.shareTolerance());
+  }
+}
--- a/cactusspring-core/src/main/java/io/cactusspring/core/placement/PlacementPolicy.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/placement/PlacementPolicy.java
@@ -12,6 +12,9 @@
  *
  * @param packingWeight weight of tight packing, 0 to 1; the rest goes to even load of workers,
  *     which shortens waiting
+ * @param fullAbove part of the scarcest resource in use from which the shard counts as full
+ * @param shareTolerance how far a team may go above its share, relative to it, while the shard is
+ *     full and a team below its share waits
  * @param spreadServices whether replicas of one service are spread over racks
  * @param backfill whether short runs may use room that is reserved for others
  * @param durationFactor factor on the longest run time seen, before backfill trusts it
@@ -24,6 +27,8 @@
  */
 public record PlacementPolicy(
     double packingWeight,
+    double fullAbove,
+    double shareTolerance,
     boolean spreadServices,
     boolean backfill,
     double durationFactor,
@@ -39,6 +44,8 @@
    */
   public PlacementPolicy {
     checkRange("packingWeight", packingWeight, 0, 1);
+    checkRange("fullAbove", fullAbove, 0, 1);
+    checkRange("shareTolerance", shareTolerance, 0, 1_000);
     checkRange("durationFactor", durationFactor, 1, 100);
     Arguments.checkRange("patienceMillis", patienceMillis, 0, MAX_MILLIS);
     checkRange("maxReservedWorkers", maxReservedWorkers, 0, 1);
@@ -61,6 +68,8 @@
   /** Builds a {@link PlacementPolicy}. */
   public static final class Builder {
     private double packingWeight = 0.8;
+    private double fullAbove = 0.9;
+    private double shareTolerance = 0.02;
     private boolean spreadServices = true;
     private boolean backfill = true;
     private double durationFactor = 1.5;
@@ -77,6 +86,16 @@
       return this;
     }
 
+    public Builder fullAbove(double value) {
+      fullAbove = value;
+      return this;
+    }
+
+    public Builder shareTolerance(double value) {
+      shareTolerance = value;
+      return this;
+    }
+
     public Builder spreadServices(boolean value) {
       spreadServices = value;
       return this;
@@ -123,6 +142,8 @@
     public PlacementPolicy build() {
       return new PlacementPolicy(
           packingWeight,
+          fullAbove,
+          shareTolerance,
           spreadServices,
           backfill,
           durationFactor,
--- a/cactusspring-core/src/main/java/io/cactusspring/core/placement/QueueStep.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/placement/QueueStep.java
@@ -12,6 +12,7 @@
 final class QueueStep {
   private final Round round;
   private final PlacerParts parts;
+  private FairShares fair;
 
   /** Sizes that fitted nowhere in this round; nothing larger fits either. */
   private final List<Resources> failed = new ArrayList<>();
@@ -25,6 +26,7 @@
   }
 
   void run(Urgency urgency) {
+    fair = new FairShares(round.state(), parts.policy());
     Set<Shape> limited = placeAll(urgency);
     if (!limited.isEmpty()) {
       round.state().teams().forEach(t -> t.queue(urgency).unblockIf(limited::contains));
@@ -58,6 +60,10 @@
       if (!team.queue(urgency).hasReady() || !round.withinBudget(team, 1)) {
         continue;
       }
+      WaitingUnit unit = team.queue(urgency).firstReady().head();
+      if (urgency != Urgency.URGENT && !fair.allows(team, unit)) {
+        continue;
+      }
       double share = team.weightedShare(total);
       if (best == null || share < lowest) {
         best = team;
--- a/cactusspring-core/src/main/java/io/cactusspring/core/placement/TeamState.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/placement/TeamState.java
@@ -18,6 +18,11 @@
   private int share;
   private int lastBudget = Integer.MAX_VALUE;
   private Resources used = Resources.NONE;
+
+  /** What the dominant share was last computed for; null when it has to be computed again. */
+  private Resources dominantOf;
+
+  private double dominantShare;
   private int running;
   private int waiting;
 
@@ -72,6 +77,7 @@
 
   void started(TaskState task) {
     used = used.plus(task.resources());
+    dominantOf = null;
     running++;
     if (task.isPreemptible()) {
       preemptible.add(task);
@@ -80,6 +86,7 @@
 
   void ended(TaskState task) {
     used = used.minus(task.resources());
+    dominantOf = null;
     running--;
     preemptible.remove(task);
   }
@@ -93,11 +100,15 @@
   }
 
   double dominantShare(Resources total) {
-    return used.dominantShareOf(total);
+    if (dominantOf != total) {
+      dominantOf = total;
+      dominantShare = used.dominantShareOf(total);
+    }
+    return dominantShare;
   }
 
   /** Returns the dominant share for each unit of weight; the lowest is served first. */
   double weightedShare(Resources total) {
-    return used.dominantShareOf(total) / share;
+    return dominantShare(total) / share;
   }
 }
