Let teams yield only while processors or memory are full

Accelerators that were used up made the whole shard count as full, and a team that was passed over stayed so after the needy team was served.

--- a/cactusspring-benchmarks/src/main/java/io/cactusspring/benchmarks/cell/Site.java
+++ b/cactusspring-benchmarks/src/main/java/io/cactusspring/benchmarks/cell/Site.java
@@ -68,7 +68,11 @@
         classes,
         size(4, 16),
         66,
-        PlacementPolicy.builder().build());
+        PlacementPolicy.builder()
+            .fullAbove(0.95)
+            .maxReservedWorkers(0.07)
+            .patienceMillis(120_000)
+            .build());
   }
 
   /** Long shrinkage runs of unlike shapes on smaller hosts beside short checks at the bench. */
--- a/cactusspring-benchmarks/src/main/java/io/cactusspring/benchmarks/cell/WorkClass.java
+++ b/cactusspring-benchmarks/src/main/java/io/cactusspring/benchmarks/cell/WorkClass.java
@@ -12,7 +12,7 @@
  * @param meanMillis mean run time of a task
  * @param gangSize number of tasks that start together; 1 for a single task
  */
-record WorkClass(
+public record WorkClass(
     String name,
     double weight,
     List<Resources> sizes,
@@ -20,7 +20,7 @@
     Urgency urgency,
     boolean checkpointable,
     int gangSize) {
-  WorkClass {
+  public WorkClass {
     sizes = List.copyOf(sizes);
   }
 
--- a/cactusspring-core/src/main/java/io/cactusspring/core/placement/FairShares.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/placement/FairShares.java
@@ -11,7 +11,7 @@
   private final PlacementPolicy policy;
   private final Resources total;
 
-  /** Whether the scarcest resource is used so far that shares apply. */
+  /** Whether processors or memory are used so far that shares apply. */
   private final boolean full;
 
   /** Mean dominant share for each unit of weight, over the teams that wait. */
@@ -24,11 +24,17 @@
     this.state = state;
     this.policy = policy;
     this.total = state.total();
-    this.full = state.workers().committed().dominantShareOf(total) >= policy.fullAbove();
+    this.full = usedPart() >= policy.fullAbove();
     this.meanLevel = full ? meanLevel() : Double.POSITIVE_INFINITY;
     this.needy = full ? countNeedy() : 0;
   }
 
+  /** Accelerators don't count: work that needs none can go on when they are used up. */
+  private double usedPart() {
+    Resources used = state.workers().committed();
+    return new Resources(used.milliProcessors(), used.memoryMib(), 0).dominantShareOf(total);
+  }
+
   private double meanLevel() {
     double shares = 0;
     long weights = 0;
--- a/cactusspring-core/src/main/java/io/cactusspring/core/placement/PlacementPolicy.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/placement/PlacementPolicy.java
@@ -12,7 +12,7 @@
  *
  * @param packingWeight weight of tight packing, 0 to 1; the rest goes to even load of workers,
  *     which shortens waiting
- * @param fullAbove part of the scarcest resource in use from which the shard counts as full
+ * @param fullAbove part of the processors or the memory in use from which the shard counts as full
  * @param shareTolerance how far a team may go above its share, relative to it, while the shard is
  *     full and a team below its share waits
  * @param spreadServices whether replicas of one service are spread over racks
@@ -68,13 +68,13 @@
   /** Builds a {@link PlacementPolicy}. */
   public static final class Builder {
     private double packingWeight = 0.8;
-    private double fullAbove = 0.9;
+    private double fullAbove = 0.93;
     private double shareTolerance = 0.02;
     private boolean spreadServices = true;
     private boolean backfill = true;
     private double durationFactor = 1.5;
-    private long patienceMillis = 10_000;
-    private double maxReservedWorkers = 0.25;
+    private long patienceMillis = 60_000;
+    private double maxReservedWorkers = 0.1;
     private int quarantineFailures = 5;
     private long quarantineMillis = 10_000;
     private long maxQuarantineMillis = 600_000;
--- a/cactusspring-core/src/main/java/io/cactusspring/core/placement/QueueStep.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/placement/QueueStep.java
@@ -3,6 +3,7 @@
 import io.cactusspring.core.model.Resources;
 import io.cactusspring.core.model.Urgency;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -14,6 +15,9 @@
   private final PlacerParts parts;
   private FairShares fair;
 
+  /** Whether a team above its share was passed over since the shares were computed. */
+  private boolean yielded;
+
   /** Sizes that fitted nowhere in this round; nothing larger fits either. */
   private final List<Resources> failed = new ArrayList<>();
 
@@ -26,8 +30,15 @@
   }
 
   void run(Urgency urgency) {
-    fair = new FairShares(round.state(), parts.policy());
-    Set<Shape> limited = placeAll(urgency);
+    Set<Shape> limited = new HashSet<>();
+    boolean again = true;
+    while (again) {
+      fair = new FairShares(round.state(), parts.policy());
+      yielded = false;
+      int before = round.size();
+      limited.addAll(placeAll(urgency));
+      again = yielded && round.size() > before;
+    }
     if (!limited.isEmpty()) {
       round.state().teams().forEach(t -> t.queue(urgency).unblockIf(limited::contains));
     }
@@ -62,6 +73,7 @@
       }
       WaitingUnit unit = team.queue(urgency).firstReady().head();
       if (urgency != Urgency.URGENT && !fair.allows(team, unit)) {
+        yielded = true;
         continue;
       }
       double share = team.weightedShare(total);
--- a/cactusspring-core/src/main/java/io/cactusspring/core/placement/Round.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/placement/Round.java
@@ -44,6 +44,10 @@
     return decisions.size() >= maxDecisions;
   }
 
+  int size() {
+    return decisions.size();
+  }
+
   boolean hasRoomFor(int more) {
     return decisions.size() + more <= maxDecisions;
   }
