Keep a reservation's place when its plan comes late

Cause: a reservation whose expected time had passed went back to the queue and lost the room that it held, often to another gang. Change: it is planned anew every 5 s and keeps its place.

--- a/cactusspring-benchmarks/src/main/java/io/cactusspring/benchmarks/cell/Site.java
+++ b/cactusspring-benchmarks/src/main/java/io/cactusspring/benchmarks/cell/Site.java
@@ -106,7 +106,12 @@
         classes,
         size(2, 4),
         66,
-        PlacementPolicy.builder().build());
+        PlacementPolicy.builder()
+            .packingWeight(1)
+            .fullAbove(0.9)
+            .maxReservedWorkers(0.15)
+            .patienceMillis(300_000)
+            .build());
   }
 
   static Resources size(int processors, int gib) {
--- a/cactusspring-core/src/main/java/io/cactusspring/core/placement/Claim.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/placement/Claim.java
@@ -112,13 +112,16 @@
         .reduce(Resources.NONE, Resources::plus);
   }
 
-  /** Whether the claim is to be given up: a worker is lost, or the plan did not come true. */
-  boolean isStale(Workers workers, long nowMillis) {
+  /** Whether the claim is to be given up: a worker is lost, or the victims' room is too little. */
+  boolean isStale(Workers workers) {
     if (holds.stream().anyMatch(h -> !workers.takesWork(h.worker()))) {
       return true;
     }
-    boolean victimsGone = !isReservation() && victims.isEmpty();
-    boolean late = nowMillis >= replanMillis && guests.stream().noneMatch(TaskState::isVictim);
-    return (victimsGone || late) && !isFree();
+    return !isReservation() && victims.isEmpty() && !isFree();
+  }
+
+  /** Whether a reservation is to be planned anew with what is known now. */
+  boolean isPlanOld(long nowMillis) {
+    return nowMillis >= replanMillis && guests.stream().noneMatch(TaskState::isVictim);
   }
 }
--- a/cactusspring-core/src/main/java/io/cactusspring/core/placement/ClaimStep.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/placement/ClaimStep.java
@@ -29,7 +29,7 @@
 
   private void serve(Claim claim, boolean gangsDue) {
     WaitingUnit unit = claim.unit();
-    if (claim.isStale(round.workers(), round.nowMillis()) || !round.withinBudget(unit)) {
+    if (claim.isStale(round.workers()) || !round.withinBudget(unit)) {
       claims.drop(unit);
       round.queueOf(unit).add(unit);
       return;
@@ -42,9 +42,29 @@
     }
     boolean worthTrying =
         unit.first().inGang() ? gangsDue : round.workers().fitsRaised(unit.shape().resources());
-    if (!worthTrying || !placeElsewhere(claim)) {
-      sendGuestsAway(claim);
+    if (worthTrying && placeElsewhere(claim)) {
+      return;
+    }
+    if (claim.isReservation() && claim.isPlanOld(round.nowMillis())) {
+      planAnew(claim);
+      return;
+    }
+    sendGuestsAway(claim);
+  }
+
+  /** Keeps the place of a reservation, on the workers that suit it best by now. */
+  private void planAnew(Claim old) {
+    WaitingUnit unit = old.unit();
+    claims.drop(unit);
+    Optional<Claim> plan = round.parts().planner().plan(unit, old.guests(), round.nowMillis());
+    if (plan.isEmpty()) {
+      round.queueOf(unit).add(unit);
+      return;
     }
+    claims.add(plan.get());
+    old.guests().stream()
+        .filter(g -> plan.get().holdsOn(g.worker()))
+        .forEach(g -> claims.addGuest(plan.get(), g));
   }
 
   private boolean placeElsewhere(Claim claim) {
--- a/cactusspring-core/src/main/java/io/cactusspring/core/placement/ReservationPlanner.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/placement/ReservationPlanner.java
@@ -6,13 +6,14 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.ToLongFunction;
 
 /** Finds the workers on which a unit can start soonest, by the run times to reckon with. */
 final class ReservationPlanner {
   private static final int MIN_WORKERS_SEEN = 128;
   private static final int WORKERS_SEEN_A_MEMBER = 4;
-  private static final long MIN_REPLAN_MILLIS = 5_000;
+  private static final long REPLAN_MILLIS = 5_000;
   private static final long UNKNOWN_END_MILLIS = 30L * 24 * 3_600_000;
 
   private final ShardState state;
@@ -26,12 +27,17 @@
     this.runTimes = runTimes;
   }
 
-  /** Returns a claim on the earliest room; empty if there is never enough beside what stays. */
-  Optional<Claim> plan(WaitingUnit unit, long nowMillis) {
+  /**
+   * Returns a claim on the earliest room; empty if there is never enough beside what stays.
+   *
+   * @param guests tasks that leave as soon as the unit can start
+   */
+  Optional<Claim> plan(WaitingUnit unit, Set<TaskState> guests, long nowMillis) {
+    ToLongFunction<TaskState> end = t -> guests.contains(t) ? nowMillis : latestEnd(t, nowMillis);
     int some = Math.max(MIN_WORKERS_SEEN, unit.size() * WORKERS_SEEN_A_MEMBER);
-    List<Slot> slots = slots(unit, state.workers().next(some), nowMillis);
+    List<Slot> slots = slots(unit, state.workers().next(some), end, nowMillis);
     if (slots.size() < unit.size()) {
-      slots = slots(unit, state.workers().all(), nowMillis);
+      slots = slots(unit, state.workers().all(), end, nowMillis);
     }
     if (slots.size() < unit.size()) {
       return Optional.empty();
@@ -41,12 +47,16 @@
     return Optional.of(claim(unit, chosen, nowMillis));
   }
 
-  private List<Slot> slots(WaitingUnit unit, Collection<WorkerState> workers, long nowMillis) {
+  private List<Slot> slots(
+      WaitingUnit unit,
+      Collection<WorkerState> workers,
+      ToLongFunction<TaskState> end,
+      long nowMillis) {
     Resources need = unit.first().spec().resources();
     List<Slot> slots = new ArrayList<>();
     for (WorkerState worker : workers) {
       if (need.fitsIn(worker.total()) && state.workers().takesWork(worker) && !worker.hasHolds()) {
-        slots.addAll(slotsOn(worker, need, unit.size(), t -> latestEnd(t, nowMillis), nowMillis));
+        slots.addAll(slotsOn(worker, need, unit.size(), end, nowMillis));
       }
     }
     return slots;
@@ -57,9 +67,8 @@
     for (int i = 0; i < chosen.size(); i++) {
       holds.add(new Claim.Hold(unit.members().get(i), chosen.get(i).worker()));
     }
-    long expected = chosen.getLast().fromMillis();
-    long replan = Math.max(expected, nowMillis + MIN_REPLAN_MILLIS);
-    return Claim.ofReservation(unit, holds, earliestStart(holds, nowMillis), replan);
+    return Claim.ofReservation(
+        unit, holds, earliestStart(holds, nowMillis), nowMillis + REPLAN_MILLIS);
   }
 
   private long earliestStart(List<Claim.Hold> holds, long nowMillis) {
--- a/cactusspring-core/src/main/java/io/cactusspring/core/placement/ReservationStep.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/placement/ReservationStep.java
@@ -3,6 +3,7 @@
 import io.cactusspring.core.model.Urgency;
 import java.util.Comparator;
 import java.util.Optional;
+import java.util.Set;
 
 /** Reserves room for gangs, and for single runs that were overtaken for long. */
 final class ReservationStep {
@@ -50,7 +51,7 @@
       return;
     }
     plansLeft--;
-    Optional<Claim> claim = parts.planner().plan(unit.get(), round.nowMillis());
+    Optional<Claim> claim = parts.planner().plan(unit.get(), Set.of(), round.nowMillis());
     parts.pace().planned(claim.isPresent(), round.nowMillis());
     if (claim.isPresent()) {
       queue.remove(unit.get());
--- a/cactusspring-core/src/test/java/io/cactusspring/core/placement/PlacerTest.java
+++ b/cactusspring-core/src/test/java/io/cactusspring/core/placement/PlacerTest.java
@@ -195,6 +195,19 @@
     assertThat(decide(600).getFirst()).isInstanceOf(Decision.PlaceGang.class);
   }
 
+  @Test
+  void reservationKeepsItsPlaceWhenTasksRunLongerThanPlanned() {
+    placer.putWorker(worker("w", 8));
+    placer.enqueue(run("long", "l", 5), 0);
+    placer.enqueue(run("other", "b", 1), 0);
+    decide(0);
+    gang("g", "b", 3, 2).forEach(m -> placer.enqueue(m, 1));
+    decide(1);
+    gang("h", "c", 3, 2).forEach(m -> placer.enqueue(m, 2));
+    decide(20_000);
+    assertThat(placer.whyWaiting(new RunId("g", 0))).hasValue(WaitReason.RESERVED);
+  }
+
   @Test
   void urgentWorkTakesTheRoomOfACheckpointedTask() {
     placer.putWorker(worker("w", 4));
