--- a/cactusspring-benchmarks/src/main/java/io/cactusspring/benchmarks/Bench.java
+++ b/cactusspring-benchmarks/src/main/java/io/cactusspring/benchmarks/Bench.java
@@ -1,5 +1,6 @@
 package io.cactusspring.benchmarks;
 
+import io.cactusspring.benchmarks.slopes.SlopeReport;
 import java.io.IOException;
 import java.nio.file.Path;
 import net.sourceforge.argparse4j.ArgumentParsers;
@@ -36,6 +37,17 @@
         .addArgument("--quick")
         .action(Arguments.storeTrue())
         .help("a few seconds instead of about two minutes; the figures are rough");
+    parser
+        .addArgument("what")
+        .nargs("?")
+        .choices("report", "slopes")
+        .setDefault("report")
+        .help("report: decisions beside baselines; slopes: cost of each role by size");
+    parser
+        .addArgument("--plots")
+        .type(String.class)
+        .setDefault("target/bench/plots")
+        .help("directory for the plots of the slopes, as PNG");
     parser
         .addArgument("--csv")
         .type(String.class)
@@ -47,6 +59,10 @@
   private static void run(Namespace options) throws IOException {
     Effort effort = options.getBoolean("quick") ? Effort.quick() : Effort.full();
     Path csv = Path.of(options.getString("csv"));
+    if (options.getString("what").equals("slopes")) {
+      new SlopeReport(csv, Path.of(options.getString("plots"))).run(System.out);
+      return;
+    }
     new Report(effort, options.getLong("seed"), csv).run(System.out);
   }
 }
--- /dev/null
+++ b/cactusspring-benchmarks/src/main/java/io/cactusspring/benchmarks/slopes/Point.java
@@ -0,0 +1,4 @@
+package io.cactusspring.benchmarks.slopes;
+
+/** One measurement: a size and its cost. */
+record Point(double size, double cost) {}
