--- a/cactusspring-core/src/test/java/io/cactusspring/core/fuzz/Command.java
+++ b/cactusspring-core/src/test/java/io/cactusspring/core/fuzz/Command.java
@@ -19,7 +19,7 @@
 record Command(Kind kind, int host, int n, int pause) {
   private static final int MAX_COMMANDS = 40;
   private static final long PAUSE_UNIT_MILLIS = 370;
-  private static final long FAULT_UNIT_MILLIS = 900;
+  private static final long FAULT_UNIT_MILLIS = 1_600;
 
   /** What may happen. */
   enum Kind {
@@ -39,6 +39,8 @@
     CUT_PLATFORM,
     CUT_PEERS,
     CUT_PLATFORM_AND_PEERS,
+    /** A host and a worker of its zone are cut off from all else. */
+    PARTITION,
     CUT_WORKER,
     CUT_WORKER_FROM_HOST,
     RESTART_WORKER,
@@ -90,6 +92,7 @@
         cut(w, h.name(), List.of(Net.LOG), fault);
         cut(w, h.name(), Cell.hosts(), fault);
       }
+      case PARTITION -> partition(w, h, 2 * fault);
       case CUT_WORKER -> cut(w, w.worker(n).info().name(), Cell.hosts(), fault);
       case CUT_WORKER_FROM_HOST -> cut(w, w.worker(n).info().name(), List.of(h.name()), fault);
       case RESTART_WORKER -> w.worker(n).restart();
@@ -110,7 +113,7 @@
         w.callers().limit(w.host(host + 1 + n % 3), "n" + step + "b", team(), limit() + 1);
       }
       case REQUESTS -> w.limits().request(h, team(), 1 + n, fault);
-      case MOVE_BUDGET -> w.limits().move(h, team(), account(), "m" + step);
+      case MOVE_BUDGET -> moveBudget(w, h, step);
       case HEAL -> w.heal();
     }
     w.events().runFor(pause * PAUSE_UNIT_MILLIS);
@@ -156,6 +159,26 @@
     w.events().after(millis, () -> others.forEach(b -> w.net().join(a, b)));
   }
 
+  private void partition(World w, Host h, long millis) {
+    cut(w, h.name(), List.of(Net.LOG), millis);
+    cut(w, h.name(), Cell.hosts(), millis);
+    String zone = h.name().substring(0, 1);
+    String kept = zone + (n % 2 == 0 ? "w1" : "w2");
+    String lost = zone + (n % 2 == 0 ? "w2" : "w1");
+    List<String> others = Cell.hosts().stream().filter(o -> !o.equals(h.name())).toList();
+    cut(w, kept, others, millis);
+    cut(w, lost, List.of(h.name()), millis);
+  }
+
+  private void moveBudget(World w, Host h, int step) {
+    if (n % 4 < 2) {
+      w.limits().move(h, team(), account(), "m" + step);
+    } else {
+      BudgetAccount to = BudgetAccount.ofHost(Cell.hosts().get(pause % Cell.hosts().size()));
+      h.run(() -> h.giveFromShards(team(), to, "m" + step));
+    }
+  }
+
   private void failStarts(World w, long millis) {
     FakeWorker worker = w.worker(n);
     worker.failsStarts = true;
--- a/cactusspring-core/src/test/java/io/cactusspring/core/fuzz/Fuzz.java
+++ b/cactusspring-core/src/test/java/io/cactusspring/core/fuzz/Fuzz.java
@@ -1,15 +1,18 @@
 package io.cactusspring.core.fuzz;
 
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import net.jqwik.api.RandomGenerator;
 import net.jqwik.api.Shrinkable;
 
 /** Draws sequences of commands, runs them, and shrinks one that breaks an invariant. */
 final class Fuzz {
+  private static final int FRAMES = 8;
   private static final int GENERATOR_SIZE = 1_000;
   private static final int MAX_SHRINKS = 2_000;
 
@@ -69,8 +72,8 @@
     try {
       run(world, steps);
     } catch (IllegalStateException | IllegalArgumentException | NullPointerException e) {
-      StackTraceElement at = e.getStackTrace()[0];
-      world.truth().check(false, e + " at " + at);
+      List<StackTraceElement> frames = Arrays.stream(e.getStackTrace()).limit(FRAMES).toList();
+      world.truth().check(false, e + " at " + frames);
     }
     return world;
   }
@@ -85,6 +88,16 @@
     }
   }
 
+  /** Returns the first violation of the first sequence that has one, unshrunk. */
+  Optional<String> firstViolation(int tries) {
+    Random random = new Random(seed);
+    RandomGenerator<List<Command>> generator = Command.sequences().generator(GENERATOR_SIZE);
+    return Stream.generate(() -> generator.next(random).value())
+        .limit(tries)
+        .flatMap(steps -> violations(steps).stream())
+        .findFirst();
+  }
+
   private List<Command> shrink(Shrinkable<List<Command>> failing) {
     Shrinkable<List<Command>> best = failing;
     int left = MAX_SHRINKS;
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/request/RequestService.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/request/RequestService.java
@@ -30,6 +30,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -57,13 +58,14 @@
   private final EndpointDirectory directory;
   private final BodyMemory bodies;
   private final TeamUnits units;
+  private final OverLimitDemand overLimit = new OverLimitDemand();
   private final InFlightIds ids = new InFlightIds();
   private final Map<String, ServiceShard> shards = new ConcurrentHashMap<>();
   private final Map<Long, PendingRequest> pending = new ConcurrentHashMap<>();
   private final AtomicLong tickets = new AtomicLong();
   private final AtomicInteger active = new AtomicInteger();
   private final Promise<Void> drained = Promise.promise();
-  private final long tickTimer;
+  private final AtomicBoolean ticking = new AtomicBoolean();
   private final long refreshTimer;
   private volatile boolean drainAsked;
 
@@ -78,7 +80,6 @@
     this.directory = new EndpointDirectory(cell);
     this.bodies = new BodyMemory(settings.maxHeldBytes());
     this.units = new TeamUnits(cell::requestBudget);
-    this.tickTimer = vertx.setPeriodic(TICK_MILLIS, t -> tick());
     this.refreshTimer = vertx.setPeriodic(REFRESH_MILLIS, t -> refresh());
   }
 
@@ -108,9 +109,10 @@
     return units.held(team);
   }
 
-  /** Requests of a team that wait for an executor. */
+  /** Requests of a team that wait for an executor, or lately found no budget here. */
   public int waiting(String team) {
-    return shards.values().stream().mapToInt(s -> s.waiting(team)).sum();
+    return overLimit.units(team, System.nanoTime())
+        + shards.values().stream().mapToInt(s -> s.waiting(team)).sum();
   }
 
   /** Requests that this entry host has in flight at each endpoint. */
@@ -130,7 +132,6 @@
 
   /** Closes all connections to executors; call it after {@link #drain}. */
   public void close() {
-    vertx.cancelTimer(tickTimer);
     vertx.cancelTimer(refreshTimer);
     executors.close();
   }
@@ -201,6 +202,7 @@
     Buffer body = ctx.body().buffer() == null ? Buffer.buffer() : ctx.body().buffer();
     PendingRequest p = new PendingRequest(spec, ctx, vertx.getOrCreateContext(), body);
     pending.put(spec.ticket(), p);
+    tickLater();
     ServiceShard shard = shard(service);
     ctx.response().closeHandler(v -> perform(shard, shard.abandon(spec.ticket())));
     perform(shard, shard.offer(spec));
@@ -219,8 +221,17 @@
     return shard;
   }
 
+  /** Keeps ticking while there are requests, and not without. */
+  private void tickLater() {
+    if (!pending.isEmpty() && ticking.compareAndSet(false, true)) {
+      vertx.setTimer(TICK_MILLIS, t -> tick());
+    }
+  }
+
   private void tick() {
+    ticking.set(false);
     shards.values().forEach(s -> perform(s, s.tick()));
+    tickLater();
   }
 
   private void refresh() {
@@ -276,6 +287,9 @@
   }
 
   private void refuse(PendingRequest p, RouterAction.Refuse r) {
+    if (r.kind() == RouterAction.Kind.OVER_LIMIT) {
+      overLimit.refused(p.spec().team(), System.nanoTime());
+    }
     RefusalReason reason = RefusalReason.valueOf(r.kind().name());
     forget(p);
     refusals.write(
