--- a/cactusspring-benchmarks/src/main/java/io/cactusspring/benchmarks/slopes/Capacity.java
+++ b/cactusspring-benchmarks/src/main/java/io/cactusspring/benchmarks/slopes/Capacity.java
@@ -11,6 +11,7 @@
   // Sizes of the target.
   private static final int WORKERS = 1_500;
   private static final int TASKS = 12_000;
+
   /** Tasks that run, and ended runs that are remembered. */
   private static final int HELD_RUNS = TASKS + 20_000;
 
@@ -95,10 +96,18 @@
     row("request routing", "requests/s within the core share", 0, h -> requestsWithinBudget());
     row("snapshots", "bytes of one", 0, h -> slope("snapshot-bytes").at(HELD_RUNS));
     row("snapshots", "ms to write, by one host", 0, h -> slope("snapshot-write").at(HELD_RUNS));
-    row("snapshots", "ms to restore, on a new host", 0, h -> slope("snapshot-restore").at(HELD_RUNS));
+    row(
+        "snapshots",
+        "ms to restore, on a new host",
+        0,
+        h -> slope("snapshot-restore").at(HELD_RUNS));
     row("snapshots", "bytes/s read over the day", BYTES_BUDGET, h -> snapshotBytes());
     row("snapshots", "bytes/s read at the peak", BYTES_BUDGET, this::snapshotBytesAtPeak);
-    row("memory", "heap of the replayed state MB", 0, h -> slope("state-memory").at(HELD_RUNS) / 1e6);
+    row(
+        "memory",
+        "heap of the replayed state MB",
+        0,
+        h -> slope("state-memory").at(HELD_RUNS) / 1e6);
     row("memory", "heap of its placers MB", 0, this::placerMegabytes);
     row("all", "core share at the peak", CORE_BUDGET, this::core);
     row("all", "bytes/s at the peak", BYTES_BUDGET, this::bytes);
