--- a/cactusspring-benchmarks/src/main/java/io/cactusspring/benchmarks/speed/PlacementSpeed.java
+++ b/cactusspring-benchmarks/src/main/java/io/cactusspring/benchmarks/speed/PlacementSpeed.java
@@ -46,8 +46,8 @@
     for (int i = 0; i < SHAPES; i++) {
       shapes[i] =
           new Resources(
-              random.nextInt(1, 14) * 1_000L,
-              random.nextInt(1, 56) * 1_024L,
+              random.nextInt(1, 13) * 1_000L,
+              random.nextInt(1, 48) * 1_024L,
               i % ACCELERATED_EVERY == 0 ? 1 : 0);
     }
   }
--- a/cactusspring-core/src/main/java/io/cactusspring/core/placement/Claim.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/placement/Claim.java
@@ -2,7 +2,7 @@
 
 import io.cactusspring.core.model.Resources;
 import java.util.Collection;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 
@@ -15,7 +15,7 @@
   private final Set<TaskState> victims;
 
   /** Tasks in the room of a reservation that are checkpointed when it is needed. */
-  private final Set<TaskState> guests = new HashSet<>();
+  private final Set<TaskState> guests = new LinkedHashSet<>();
 
   private final long earliestMillis;
   private final long replanMillis;
@@ -35,7 +35,7 @@
       long replanMillis) {
     this.unit = unit;
     this.holds = List.copyOf(holds);
-    this.victims = new HashSet<>(victims);
+    this.victims = new LinkedHashSet<>(victims);
     this.earliestMillis = earliestMillis;
     this.replanMillis = replanMillis;
   }
--- a/cactusspring-core/src/main/java/io/cactusspring/core/placement/Placer.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/placement/Placer.java
@@ -181,12 +181,12 @@
 
   /** Returns the number of committed tasks of a team. */
   public int running(String team) {
-    return state.team(team).running();
+    return state.findTeam(team).map(TeamState::running).orElse(0);
   }
 
   /** Returns the number of waiting runs of a team. */
   public int waiting(String team) {
-    return state.team(team).waiting();
+    return state.findTeam(team).map(TeamState::waiting).orElse(0);
   }
 
   /** Tells why a run waits; empty if it doesn't. */
--- a/cactusspring-core/src/main/java/io/cactusspring/core/placement/Preemptor.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/placement/Preemptor.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -59,7 +60,7 @@
   }
 
   private Set<WorkerState> workersOf(List<TeamState> donors) {
-    Set<WorkerState> found = new HashSet<>();
+    Set<WorkerState> found = new LinkedHashSet<>();
     for (TeamState donor : donors) {
       for (TaskState task : donor.preemptible()) {
         if (found.size() == MAX_WORKERS_SEEN) {
--- a/cactusspring-core/src/main/java/io/cactusspring/core/placement/ShardState.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/placement/ShardState.java
@@ -33,6 +33,11 @@
     return teams.computeIfAbsent(name, k -> new TeamState(k, shares.getOrDefault(k, 1)));
   }
 
+  /** Returns a team that has work here, or had. */
+  Optional<TeamState> findTeam(String name) {
+    return Optional.ofNullable(teams.get(name));
+  }
+
   void setShares(Map<String, Integer> shareByTeam) {
     shares = shareByTeam;
     teams.values().forEach(t -> t.setShare(shares.getOrDefault(t.name(), 1)));
--- a/cactusspring-core/src/main/java/io/cactusspring/core/placement/WorkerIndex.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/placement/WorkerIndex.java
@@ -90,31 +90,41 @@
   private WorkerState bestOf(NavigableMap<Integer, TreeSet<Entry>> levels, Resources need) {
     NavigableMap<Integer, TreeSet<Entry>> high =
         levels.tailMap(level(need.milliProcessors()), true);
-    Entry probe = new Entry(0, need.memoryMib(), "", need, null);
-    WorkerState best = null;
-    double bestScore = Double.POSITIVE_INFINITY;
-    int seen = 0;
+    Candidates candidates = new Candidates();
     for (TreeSet<Entry> cell : (fullestFirst ? high : high.descendingMap()).values()) {
-      int seenHere = 0;
-      for (Entry entry : inOrder(cell, probe)) {
-        if (!rules.fits(need, entry.available)) {
-          continue;
-        }
-        double value = score.applyAsDouble(entry.worker, need);
-        if (value < bestScore) {
-          best = entry.worker;
-          bestScore = value;
-        }
-        if (++seenHere == CANDIDATES_A_CELL) {
-          break;
-        }
-      }
-      seen += seenHere;
-      if (seen >= MAX_CANDIDATES) {
+      offerFrom(cell, need, candidates);
+      if (candidates.seen >= MAX_CANDIDATES) {
         break;
       }
     }
-    return best;
+    return candidates.best;
+  }
+
+  private void offerFrom(TreeSet<Entry> cell, Resources need, Candidates candidates) {
+    int enough = candidates.seen + CANDIDATES_A_CELL;
+    for (Entry entry : inOrder(cell, new Entry(0, need.memoryMib(), "", need, null))) {
+      if (rules.fits(need, entry.available)) {
+        candidates.offer(entry.worker, score.applyAsDouble(entry.worker, need));
+      }
+      if (candidates.seen == enough) {
+        return;
+      }
+    }
+  }
+
+  /** The best of the fitting workers seen in a search. */
+  private static final class Candidates {
+    private WorkerState best;
+    private double bestScore = Double.POSITIVE_INFINITY;
+    private int seen;
+
+    void offer(WorkerState worker, double score) {
+      seen++;
+      if (score < bestScore) {
+        best = worker;
+        bestScore = score;
+      }
+    }
   }
 
   private Iterable<Entry> inOrder(TreeSet<Entry> cell, Entry probe) {
