--- a/cactusspring-benchmarks/src/main/java/io/cactusspring/benchmarks/cell/Site.java
+++ b/cactusspring-benchmarks/src/main/java/io/cactusspring/benchmarks/cell/Site.java
@@ -5,6 +5,7 @@
 import io.cactusspring.core.model.Urgency;
 import io.cactusspring.core.model.WorkerInfo;
 import io.cactusspring.core.placement.PlacementPolicy;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.IntStream;
@@ -66,8 +67,12 @@
         SIX_TEAMS,
         classes,
         size(4, 16),
-        60,
-        PlacementPolicy.builder().build());
+        66,
+        PlacementPolicy.builder()
+            .fullAbove(0.95)
+            .maxReservedWorkers(0.07)
+            .patienceMillis(120_000)
+            .build());
   }
 
   /** Long shrinkage runs of unlike shapes on smaller hosts beside short checks at the bench. */
@@ -100,8 +105,8 @@
         SIX_TEAMS,
         classes,
         size(2, 4),
-        60,
-        PlacementPolicy.builder().build());
+        66,
+        PlacementPolicy.builder().fullAbove(0.9).build());
   }
 
   static Resources size(int processors, int gib) {
@@ -119,6 +124,14 @@
         "w" + number, new AvailabilityZone("zone-a"), rack, "127.0.0.1:1", total, false);
   }
 
+  /** Returns each team as often as its share says. */
+  List<String> teamsByShare() {
+    return shares.entrySet().stream()
+        .sorted(Map.Entry.comparingByKey())
+        .flatMap(e -> Collections.nCopies(e.getValue(), e.getKey()).stream())
+        .toList();
+  }
+
   /** Returns what all workers have. */
   public Resources total() {
     return workers.stream().map(WorkerInfo::total).reduce(Resources.NONE, Resources::plus);
--- a/cactusspring-core/src/main/java/io/cactusspring/core/placement/Preemptor.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/placement/Preemptor.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -29,11 +30,13 @@
     this.state = state;
   }
 
+  /** Tells whether a unit may have tasks checkpointed for it: not a gang, nor above its share. */
+  boolean mayBenefit(WaitingUnit unit) {
+    return unit.size() == 1 && !state.isAboveShare(state.team(unit.team()));
+  }
+
   /** Returns the fewest and youngest victims among the workers looked at. */
   Optional<Plan> plan(WaitingUnit unit) {
-    if (unit.size() > 1 || state.isAboveShare(state.team(unit.team()))) {
-      return Optional.empty();
-    }
     Resources need = unit.first().spec().resources();
     List<TeamState> donors = donors(unit.team());
     Set<String> donorNames = new HashSet<>();
@@ -57,7 +60,7 @@
   }
 
   private Set<WorkerState> workersOf(List<TeamState> donors) {
-    Set<WorkerState> found = new HashSet<>();
+    Set<WorkerState> found = new LinkedHashSet<>();
     for (TeamState donor : donors) {
       for (TaskState task : donor.preemptible()) {
         if (found.size() == MAX_WORKERS_SEEN) {
