Check the quickstart for runs in two places across all workers

Each worker is a process of its own there, so none alone can see a run that runs on two of them. The last step now compares the histories of all; the filter finds the double run of a made-up history.

--- a/bin/quickstart.d/steps.sh
+++ b/bin/quickstart.d/steps.sh
@@ -366,6 +366,16 @@
     | awk '{ n += ($2 == "START") ? 1 : -1; if (n > most) most = n } END { print most + 0 }'
 }
 
+# double_runs: prints the runs of which two tasks ran at once, from the histories of all workers.
+double_runs() {
+  local address
+  for address in "${worker_addresses[@]}"; do
+    http GET "$address" /admin/history
+    grep -o '{"task":"[^}]*}' <<<"$HTTP_BODY"
+  done | sed 's/.*"task":"\([^@]*\)@.*"event":"\([A-Z]*\)".*"atNanos":\([0-9]*\).*/\3 \2 \1/' | sort -n \
+    | awk '{ n[$3] += ($2 == "START") ? 1 : -1; if (n[$3] > 1) print $3 }' | sort -u
+}
+
 step_violations() {
   step "  no worker was overcommitted and no run ran twice at once"
   local i
@@ -374,5 +384,6 @@
     http GET "${worker_addresses[$i]}" /admin/violations
     check_equal "violations of w$i" "$HTTP_BODY" '{"overcommits":0,"doubleRuns":0}'
   done
+  check_equal 'runs that ran in two places at once' "$(double_runs)" ''
   end_step
 }
