Send a submission or note again until it is read back

Cause: ReadBack appended once. In the moment in which an outage of the log ends, a host could take the log for reachable through a peer whose own append failed; the record was never sent again, the submission was voided after 4 s, and its id refused for good (ReplacedEntryHostTest, three failures in a row, each answer "voided before it was read"). Ruled out: the newcomer's state (ready, right revision), its reads (back at once). Change: a failed append is tried again every 250 ms until the effect is read or the wait of 4 s is over; records carry ids, so two copies act once.

--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/work/ReadBack.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/work/ReadBack.java
@@ -9,6 +9,7 @@
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.List;
@@ -22,9 +23,11 @@
  */
 public final class ReadBack implements CellListener {
   private static final long WAIT_MILLIS = 4_000;
+  private static final long RETRY_MILLIS = 250;
 
   private final Cell cell;
   private final LogController log;
+  private final Vertx vertx;
   private final Context context;
   private final List<Waiter> waiters = new ArrayList<>();
 
@@ -34,6 +37,7 @@
     this.cell = cell;
     this.log = log;
     this.context = context;
+    this.vertx = context.owner();
   }
 
   /**
@@ -46,12 +50,27 @@
       return Future.succeededFuture(LogOutcome.NOT_SENT);
     }
     Future<Void> read = await(effect);
-    context.runOnContext(x -> log.append(List.of(entry)));
+    context.runOnContext(x -> send(entry, read));
     return read.timeout(WAIT_MILLIS, TimeUnit.MILLISECONDS)
         .map(LogOutcome.READ)
         .otherwise(LogOutcome.UNKNOWN);
   }
 
+  /**
+   * Sends a record until its effect is read or the wait is over. Records carry ids, so that one
+   * that lands twice has its effect once.
+   */
+  private void send(LogRecord entry, Future<Void> read) {
+    log.append(List.of(entry))
+        .onFailure(e -> vertx.setTimer(RETRY_MILLIS, t -> sendAgain(entry, read)));
+  }
+
+  private void sendAgain(LogRecord entry, Future<Void> read) {
+    if (!read.isComplete()) {
+      send(entry, read);
+    }
+  }
+
   @Override
   public void applied(long offset, LogRecord entry, List<StateChange> changes) {
     settle();
