Claim nothing because of one's own pause, and claim anew after a lost state

Cause: two faults found by reading and by a process test's log. A host woken from a pause counted its own pause as its peers' silence and claimed a live owner's shard. Change: after a gap between ticks the silence of peers counts from now; after a restore a host claims its shards anew, with an epoch that fences its late calls, and its own account's gifts stay out of use until they are read back.

--- a/cactusspring-core/src/main/java/io/cactusspring/core/membership/ClaimPolicy.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/membership/ClaimPolicy.java
@@ -39,6 +39,7 @@
   private final Set<ShardId> owned = new HashSet<>();
   private final Map<ShardId, Loss> losses = new HashMap<>();
   private long lastClaimOffset;
+  private long disownedBefore;
 
   /** A claim of another host that superseded this host's own. */
   private record Loss(long epoch, long seenAtMillis) {}
@@ -98,8 +99,21 @@
     return outstanding.isEmpty() && peerNextOffset > lastClaimOffset;
   }
 
-  /** Returns whether a claim is this process's own. */
+  /** Returns whether a claim is this process's own, and it has not given up what it knew of it. */
   public boolean isMine(Claim claim) {
+    return isOfThisProcess(claim) && claim.epoch() >= disownedBefore;
+  }
+
+  /**
+   * Gives up the claims that precede an offset, because this process has lost its knowledge of what
+   * it was doing under them; it claims anew, with an epoch that fences its own late calls.
+   */
+  public void disown(long beforeOffset) {
+    disownedBefore = beforeOffset;
+    owned.clear();
+  }
+
+  private boolean isOfThisProcess(Claim claim) {
     return claim.owner().equals(self) && claim.incarnation().equals(incarnation);
   }
 
@@ -110,7 +124,8 @@
     }
     Optional<Claim> claim = state.claim(shard);
     boolean free = claim.map(c -> isAbandoned(shard, c, peers, nowMillis)).orElse(true);
-    return free && isFirstChoice(shard, peers, nowMillis);
+    boolean disowned = claim.filter(this::isOfThisProcess).isPresent();
+    return free && (disowned || isFirstChoice(shard, peers, nowMillis));
   }
 
   private boolean isAbandoned(ShardId shard, Claim claim, PeerTable peers, long nowMillis) {
--- a/cactusspring-core/src/main/java/io/cactusspring/core/membership/PeerTable.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/membership/PeerTable.java
@@ -35,6 +35,15 @@
         (n, p) -> new Peer(n, p.zone(), Optional.of(incarnation), nowMillis, nextOffset, draining));
   }
 
+  /**
+   * Notes that this process did not run for a while: peers could not be heard, so their silence
+   * tells nothing, and counts from now.
+   */
+  public void resumed(long nowMillis) {
+    peers.replaceAll(
+        (n, p) -> new Peer(n, p.zone(), p.incarnation(), nowMillis, p.nextOffset(), p.draining()));
+  }
+
   public Optional<Peer> peer(String name) {
     return Optional.ofNullable(peers.get(name));
   }
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/control/BudgetController.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/control/BudgetController.java
@@ -132,10 +132,13 @@
     }
   }
 
+  /**
+   * Owners are new after a restore, with new epochs that void their moves; what this host's own
+   * account is giving away stays out of use until its record is read back.
+   */
   @Override
   public void restored() {
-    moves.clear();
-    givenByHost.clear();
+    moves.values().removeIf(m -> !m.entry.from().equals(hostAccount));
   }
 
   private void resend(long nowMillis, List<LogRecord> records) {
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/control/ShardController.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/control/ShardController.java
@@ -47,6 +47,9 @@
   /** An unchanged list is looked at again this often, to drop workers that are gone. */
   private static final long RELIST_MILLIS = 30_000;
 
+  /** A longer time between two ticks means that this process was paused. */
+  private static final long PAUSE_MILLIS = 1_000;
+
   private final Cell cell;
   private final Context context;
   private final MonotonicClock clock;
@@ -62,6 +65,7 @@
   private final Set<ShardOwner> fenced = Collections.newSetFromMap(new WeakHashMap<>());
   private final Map<ShardOwner, Listing> listings = new WeakHashMap<>();
   private Map<String, WorkerInfo> workersByName = Map.of();
+  private long lastTickMillis;
   private boolean hadAuthority = true;
   private boolean tickRequested;
   private boolean draining;
@@ -113,6 +117,7 @@
     cell.locked(
         () -> {
           tickRequested = false;
+          notePause();
           decide(actions);
           return null;
         });
@@ -129,6 +134,7 @@
   @Override
   public void restored() {
     owners.clear();
+    claims.disown(cell.nextOffset());
     cell.read(
         s -> {
           s.configuration().shards().forEach(h -> s.claim(h).ifPresent(c -> claimed(h, c)));
@@ -180,6 +186,15 @@
     }
   }
 
+  /** After a pause of this process, the silence of peers counts from now. */
+  private void notePause() {
+    long now = clock.millis();
+    if (lastTickMillis != 0 && now - lastTickMillis > PAUSE_MILLIS) {
+      peers.resumed(now);
+    }
+    lastTickMillis = now;
+  }
+
   private void decide(List<Runnable> actions) {
     long now = clock.millis();
     boolean mayStart = authority.mayStart(now) && !draining;
