--- a/cactusspring-benchmarks/src/main/java/io/cactusspring/benchmarks/slopes/StateSlopes.java
+++ b/cactusspring-benchmarks/src/main/java/io/cactusspring/benchmarks/slopes/StateSlopes.java
@@ -2,6 +2,7 @@
 
 import io.cactusspring.benchmarks.cell.Site;
 import io.cactusspring.core.codec.CodecException;
+import io.cactusspring.core.codec.SnapshotCodec;
 import io.cactusspring.core.model.Resources;
 import io.cactusspring.core.placement.PendingRun;
 import io.cactusspring.core.placement.PlacementPolicy;
@@ -37,7 +38,7 @@
             "snapshots",
             "runs held",
             "bytes of a snapshot",
-            Measure.points(RUNS, n -> RecordSlopes.bytes(Samples.running((int) n).snapshot()))),
+            Measure.points(RUNS, n -> RecordSlopes.bytes(snapshot((int) n)))),
         new Slope(
             "snapshot-write",
             "snapshots",
@@ -49,11 +50,16 @@
             "snapshots",
             "runs held",
             "ms to restore a snapshot",
-            Measure.warmPoints(RUNS, n -> restoreMillis(Samples.running((int) n).snapshot()))));
+            Measure.warmPoints(RUNS, n -> restoreMillis(snapshot((int) n)))));
+  }
+
+  /** Returns the snapshot as it goes into the log. */
+  private static String snapshot(int runs) {
+    return SnapshotCodec.compress(Samples.running(runs).snapshot());
   }
 
   private static double writeMillis(ClusterState state) {
-    return Measure.nanos(state::snapshot) / MILLI;
+    return Measure.nanos(() -> SnapshotCodec.compress(state.snapshot())) / MILLI;
   }
 
   private static double restoreMillis(String snapshot) {
@@ -62,7 +68,7 @@
 
   private static void restore(String snapshot) {
     try {
-      ClusterState.restore(snapshot);
+      ClusterState.restore(SnapshotCodec.expand(snapshot));
     } catch (CodecException e) {
       throw new IllegalStateException(e);
     }
