Let an entry host keep its last unit of a large team's limit

Cause: the tour of the README shows it: after a batch that takes a team's whole limit, the hosts hold nothing, and the next request of that team is refused until a move has been logged. Change: what accounts give is decided by a pure policy of the core (core.budget.GivingPolicy); a host gives its last unit only of a limit that is small against the number of accounts.

--- /dev/null
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/budget/GivingPolicy.java
@@ -0,0 +1,78 @@
+package io.cactusspring.core.budget;
+
+import io.cactusspring.core.model.BudgetAccount;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.Stream;
+
+/**
+ * Decides what accounts give of their unused budget to accounts that lack some.
+ *
+ * <p>An account gives half of what it does not use, at least one unit, divided among those that
+ * lack. An entry host keeps its last unit of a team whose limit is large, so that a batch that
+ * takes all else does not make the next request wait for a move.
+ *
+ * <pre>{@code
+ * List<Gift> gifts = new GivingPolicy(team.maxRunning(), accounts).gifts(holdings, demands);
+ * }</pre>
+ *
+ * @since 0.1
+ */
+public final class GivingPolicy {
+  /** A limit of at least this many units for each account counts as large. */
+  private static final int LARGE_LIMIT_PER_ACCOUNT = 8;
+
+  private final int keptByHost;
+
+  /**
+   * Creates the policy for one team.
+   *
+   * @param maxRunning the team's upper limit
+   * @param accounts number of accounts that share it
+   */
+  public GivingPolicy(int maxRunning, int accounts) {
+    this.keptByHost = maxRunning >= LARGE_LIMIT_PER_ACCOUNT * accounts ? 1 : 0;
+  }
+
+  /**
+   * Returns what to give.
+   *
+   * @param own accounts of this entry host
+   * @param elsewhere what other accounts lack
+   */
+  public List<Gift> gifts(List<Holding> own, List<Demand> elsewhere) {
+    Stream<Demand> here =
+        own.stream().filter(h -> h.lacking() > 0).map(h -> new Demand(h.account(), h.lacking()));
+    List<Demand> demands =
+        Stream.concat(here, elsewhere.stream())
+            .sorted(Comparator.comparingInt(Demand::units).reversed())
+            .toList();
+    return own.stream().flatMap(h -> gifts(h, demands).stream()).toList();
+  }
+
+  private List<Gift> gifts(Holding giver, List<Demand> demands) {
+    List<Demand> others =
+        demands.stream().filter(d -> !d.account().equals(giver.account())).toList();
+    int left = (spare(giver) + 1) / 2;
+    int each = others.isEmpty() ? 0 : Math.max(1, left / others.size());
+    List<Gift> gifts = new ArrayList<>();
+    for (Demand d : others) {
+      int units = Math.min(Math.min(each, d.units()), left);
+      if (units > 0) {
+        gifts.add(new Gift(giver.account(), d.account(), units));
+        left -= units;
+      }
+    }
+    return gifts;
+  }
+
+  private int spare(Holding holding) {
+    int kept = isHost(holding.account()) ? keptByHost : 0;
+    return Math.max(0, holding.unused() - Math.max(0, kept - holding.running()));
+  }
+
+  private static boolean isHost(BudgetAccount account) {
+    return account.shard().isEmpty();
+  }
+}
--- /dev/null
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/budget/package-info.java
@@ -0,0 +1,2 @@
+/** How parts of a team's upper limit move between accounts. */
+package io.cactusspring.core.budget;
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/control/BudgetController.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/control/BudgetController.java
@@ -1,5 +1,8 @@
 package io.cactusspring.daemon.control;
 
+import io.cactusspring.core.budget.Gift;
+import io.cactusspring.core.budget.GivingPolicy;
+import io.cactusspring.core.budget.Holding;
 import io.cactusspring.core.model.BudgetAccount;
 import io.cactusspring.core.model.ConfigItem;
 import io.cactusspring.core.model.LogRecord;
@@ -9,7 +12,6 @@
 import io.cactusspring.daemon.cell.CellListener;
 import io.cactusspring.daemon.cell.MonotonicClock;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -62,17 +64,6 @@
     }
   }
 
-  /** An account of this host with the units of a team that it holds, uses and lacks. */
-  private record Holding(BudgetAccount account, int budget, int running, int waiting) {
-    int spare() {
-      return Math.max(0, budget - running - waiting);
-    }
-
-    int lacking() {
-      return Math.max(0, running + waiting - budget);
-    }
-  }
-
   public BudgetController(
       Cell cell,
       ShardController shards,
@@ -153,50 +144,27 @@
 
   private void give(
       ConfigItem.Team team, List<ShardOwner> owners, long nowMillis, List<LogRecord> records) {
+    int accounts = cell.configuration().accounts().size();
     List<Holding> own = holdings(team.name(), owners.stream()).toList();
-    Stream<Hints.Demand> here =
-        own.stream()
-            .filter(h -> h.lacking() > 0)
-            .map(h -> new Hints.Demand(h.account(), team.name(), h.lacking()));
-    List<Hints.Demand> demands =
-        Stream.concat(here, hints.demand(team.name(), nowMillis).stream())
-            .sorted(Comparator.comparingInt(Hints.Demand::waiting).reversed())
-            .toList();
-    if (demands.isEmpty()) {
-      return;
-    }
-    own.stream()
-        .filter(h -> h.spare() > 0)
-        .forEach(h -> give(team, h, demands, nowMillis, records));
-  }
-
-  /** Gives half of what is spare, at least one unit, split among those that lack. */
-  private void give(
-      ConfigItem.Team team,
-      Holding giver,
-      List<Hints.Demand> demands,
-      long nowMillis,
-      List<LogRecord> records) {
-    int left = (giver.spare() + 1) / 2;
-    int each = Math.max(1, left / demands.size());
-    for (Hints.Demand d : demands) {
-      int amount = Math.min(Math.min(each, d.waiting()), left);
-      if (amount == 0 || d.account().equals(giver.account())) {
-        continue;
-      }
-      left -= amount;
-      records.add(move(team, giver.account(), d.account(), amount, nowMillis));
-    }
+    new GivingPolicy(team.maxRunning(), accounts)
+        .gifts(own, hints.demand(team.name(), nowMillis)).stream()
+            .map(g -> move(team, g, nowMillis))
+            .forEach(records::add);
   }
 
-  private LogRecord move(
-      ConfigItem.Team team, BudgetAccount from, BudgetAccount to, int amount, long nowMillis) {
+  private LogRecord move(ConfigItem.Team team, Gift gift, long nowMillis) {
     long revision = cell.configuration().revisionOf(team.path());
     LogRecord.BudgetMoved entry =
         new LogRecord.BudgetMoved(
-            UUID.randomUUID().toString(), team.name(), from, to, amount, revision, epochOf(from));
+            UUID.randomUUID().toString(),
+            team.name(),
+            gift.from(),
+            gift.to(),
+            gift.units(),
+            revision,
+            epochOf(gift.from()));
     moves.put(entry.id(), new Move(entry, nowMillis));
-    giveAway(entry, amount);
+    giveAway(entry, gift.units());
     return entry;
   }
 
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/control/Hints.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/control/Hints.java
@@ -1,5 +1,6 @@
 package io.cactusspring.daemon.control;
 
+import io.cactusspring.core.budget.Demand;
 import io.cactusspring.core.model.BudgetAccount;
 import io.cactusspring.protocol.gen.EndpointLoad;
 import io.cactusspring.protocol.gen.Heartbeat;
@@ -24,9 +25,6 @@
 
   private record Heard(Heartbeat heartbeat, long atMillis) {}
 
-  /** Demand for a team's budget at an account. */
-  public record Demand(BudgetAccount account, String team, int waiting) {}
-
   /** Takes the hints of a heartbeat that carries any. */
   public void heard(String peer, Heartbeat heartbeat, long nowMillis) {
     byPeer.put(peer, new Heard(heartbeat, nowMillis));
@@ -37,7 +35,7 @@
     return fresh(nowMillis)
         .flatMap(h -> h.getTeams().stream())
         .filter(t -> t.getTeam().equals(team) && t.getWaiting() > 0)
-        .map(t -> new Demand(new BudgetAccount(t.getAccount()), team, t.getWaiting()))
+        .map(t -> new Demand(new BudgetAccount(t.getAccount()), t.getWaiting()))
         .toList();
   }
 
