Take a full sync answer without "missing"

Change: a full answer is taken as it is; a short one without "missing" is no answer. The tests' agent gives the list, as docs/API.md says.

--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/platform/HttpWorkerAgent.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/platform/HttpWorkerAgent.java
@@ -98,11 +98,11 @@
             full);
     return client
         .post(address, "/sync", body, timeoutMillis)
-        .map(a -> syncAnswer(a, sync.renew()))
+        .map(a -> syncAnswer(a, full ? List.of() : sync.renew()))
         .otherwise(new SyncAnswer.Failed());
   }
 
-  private SyncAnswer syncAnswer(JsonClient.Answer answer, List<TaskId> renewed) {
+  private SyncAnswer syncAnswer(JsonClient.Answer answer, List<TaskId> unlisted) {
     if (answer.status() == CONFLICT) {
       return new SyncAnswer.Fenced();
     }
@@ -110,21 +110,27 @@
       return new SyncAnswer.Failed();
     }
     try {
-      return new SyncAnswer.Reported(
-          report(client.decode(answer.body(), AnswerBody.class), renewed));
+      AnswerBody body = client.decode(answer.body(), AnswerBody.class);
+      return new SyncAnswer.Reported(report(body, unlisted));
     } catch (PlatformException e) {
       return new SyncAnswer.Failed();
     }
   }
 
   /**
-   * Adds the renewed tasks, which the short form of the answer names only when they are missing.
+   * Adds the tasks that the short form of the answer names only when they are missing.
+   *
+   * @throws PlatformException if the short form does not say which are missing
    */
-  private static WorkerReport report(AnswerBody body, List<TaskId> renewed) {
-    Set<TaskId> named = new HashSet<>(body.missing());
+  private static WorkerReport report(AnswerBody body, List<TaskId> unlisted)
+      throws PlatformException {
+    if (!unlisted.isEmpty() && body.missing() == null) {
+      throw new PlatformException("answer to a sync has no \"missing\"; expected a list of tasks");
+    }
+    Set<TaskId> named = new HashSet<>(unlisted.isEmpty() ? List.of() : body.missing());
     body.running().forEach(r -> named.add(r.task()));
     Stream<WorkerReport.Running> unnamed =
-        renewed.stream()
+        unlisted.stream()
             .filter(t -> !named.contains(t))
             .map(t -> new WorkerReport.Running(t, null, null));
     return new WorkerReport(
--- a/cactusspring-daemon/src/test/java/io/cactusspring/daemon/FakePlatform.java
+++ b/cactusspring-daemon/src/test/java/io/cactusspring/daemon/FakePlatform.java
@@ -116,7 +116,15 @@
         ended.add(new JsonObject().put("task", task).put("result", "SUCCEEDED"));
       }
     }
-    return new JsonObject().put("incarnation", "w1-1").put("running", running).put("ended", ended);
+    JsonArray missing = new JsonArray();
+    body.getJsonArray("renew").stream()
+        .filter(t -> running.stream().noneMatch(r -> ((JsonObject) r).getString("task").equals(t)))
+        .forEach(missing::add);
+    return new JsonObject()
+        .put("incarnation", "w1-1")
+        .put("running", running)
+        .put("ended", ended)
+        .put("missing", missing);
   }
 
   private static void answer(HttpServerRequest request, JsonObject body) {
--- a/cactusspring-daemon/src/test/java/io/cactusspring/daemon/platform/HttpWorkerAgentTest.java
+++ b/cactusspring-daemon/src/test/java/io/cactusspring/daemon/platform/HttpWorkerAgentTest.java
@@ -47,6 +47,12 @@
         .containsExactly(KEPT, GONE);
   }
 
+  @Test
+  void shortAnswerThatDoesNotSayWhatIsMissingIsNoAnswer() throws Exception {
+    String answer = "{\"incarnation\":\"i1\",\"running\":[],\"ended\":[]}";
+    assertThat(sync(200, answer)).isEqualTo(new SyncAnswer.Failed());
+  }
+
   @Test
   void higherEpochAndBrokenAnswerAreToldApart() throws Exception {
     assertThat(sync(409, "{\"highestEpoch\":9}")).isEqualTo(new SyncAnswer.Fenced());
@@ -63,7 +69,9 @@
     HttpWorkerAgent agent = new HttpWorkerAgent(client, 15_000, TIMEOUT_MILLIS);
     OwnerCommand.Sync sync =
         new OwnerCommand.Sync("w1", List.of(KEPT, GONE), List.of(), List.of(), List.of());
-    return await(agent.sync("127.0.0.1:" + server.actualPort(), 7, sync));
+    String address = "127.0.0.1:" + server.actualPort();
+    await(agent.sync(address, 7, sync)); // the first sync asks for the full list
+    return await(agent.sync(address, 7, sync));
   }
 
   private static <T> T await(Future<T> future) throws Exception {
