Claim only after a fresh read, and use the terms that advice was asked under

Cause: hosts whose turns lay within one pause of their reading claimed one after the other while jobs came in; and an answer of the advice service read the terms of a queue that a configuration may have taken away meanwhile, which ended the owner's term. Change: the ledger is read once more before a claim; the terms are kept with the call. Shown by: killedOwnerIsReplacedByOneClaim and adviceThatComesAfterTheQueueNeedsNoneIsHarmless, both failing before.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/EntryHost.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/EntryHost.java
@@ -214,25 +214,36 @@
     if (configuration.version() == 0 || !ledgerFollower.isLoaded()) {
       return;
     }
-    OwnerRecord current = ledger.owner();
-    boolean due =
-        settings
-            .claims()
-            .shouldClaim(
-                current,
-                ledger.peer(current.host()),
-                settings.self(),
-                ownerWroteAt,
-                ledgerFollower.unbrokenSince(),
-                lot,
-                now);
-    if (due) {
+    if (claimIsDue(now)) {
       claiming = true;
-      long term = ClaimPolicy.nextTerm(current.term(), random.nextInt());
-      OwnerRecord claim =
-          new OwnerRecord(term, settings.self().host(), settings.self().incarnation(), false);
-      claim(claim, random.nextInt(FIRST_SEQUENCE_BOUND));
+      // Another host may have claimed since the last read, which a busy ledger paces.
+      ledgerFollower.refresh().onComplete(read -> claimIfStillDue(), problem -> claiming = false);
+    }
+  }
+
+  private boolean claimIsDue(long now) {
+    OwnerRecord current = ledger.owner();
+    return settings
+        .claims()
+        .shouldClaim(
+            current,
+            ledger.peer(current.host()),
+            settings.self(),
+            ownerWroteAt,
+            ledgerFollower.unbrokenSince(),
+            lot,
+            now);
+  }
+
+  private void claimIfStillDue() {
+    if (draining || !claimIsDue(timers.nowMillis())) {
+      claiming = false;
+      return;
     }
+    long term = ClaimPolicy.nextTerm(ledger.owner().term(), random.nextInt());
+    OwnerRecord claim =
+        new OwnerRecord(term, settings.self().host(), settings.self().incarnation(), false);
+    claim(claim, random.nextInt(FIRST_SEQUENCE_BOUND));
   }
 
   private void claim(OwnerRecord claim, long sequence) {
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/AdvicePlanner.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/AdvicePlanner.java
@@ -46,7 +46,7 @@
     }
     AdviceTerms terms = queue.advice();
     if (slots.reserve(terms.callMillis(named.size()))) {
-      step.tickets().asked();
+      step.tickets().asked(terms);
       state.actions.add(
           new Action.AskAdvice(step.id(), named.stream().map(LiveExecutor::id).toList(), terms));
     }
@@ -115,7 +115,7 @@
     Queue queue = state.queue(step.job());
     List<LiveExecutor> executors =
         asked.stream().map(state.executors::get).filter(e -> e != null).toList();
-    step.tickets().granted(executors, tickets, now + queue.advice().validityMillis());
+    step.tickets().granted(executors, tickets, now);
     double share = tickets.size() / (double) Math.max(1, asked.size());
     allowedShares.merge(queue.name(), share, (old, s) -> old + AVERAGE_WEIGHT * (s - old));
     state.decisions.made(
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Tickets.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Tickets.java
@@ -1,5 +1,6 @@
 package io.cactusspring.jobs.schedule;
 
+import io.cactusspring.jobs.model.AdviceTerms;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -21,6 +22,7 @@
   private final Set<String> allowed = new HashSet<>();
   private final Set<String> denied = new HashSet<>();
   private boolean asking;
+  private long askedValidityMillis;
   private long askAgainAt;
 
   /** Returns the ticket for an executor if a start that is sent now can use it. */
@@ -49,12 +51,15 @@
     return !asking && now >= askAgainAt;
   }
 
-  void asked() {
+  /** Takes note of a call under terms that a later configuration may drop before its answer. */
+  void asked(AdviceTerms terms) {
     asking = true;
+    askedValidityMillis = terms.validityMillis();
   }
 
-  void granted(Collection<LiveExecutor> asked, Map<String, String> tickets, long validUntil) {
+  void granted(Collection<LiveExecutor> asked, Map<String, String> tickets, long now) {
     asking = false;
+    long validUntil = now + askedValidityMillis;
     for (LiveExecutor e : asked) {
       String text = tickets.get(e.id());
       if (text == null) {
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/JobPathTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/JobPathTest.java
@@ -100,6 +100,35 @@
     assertThat(world.oracle().broken()).isEmpty();
   }
 
+  /** Hosts whose turns lie within one pause of their reading must not claim one after the other. */
+  @Test
+  void killedOwnerIsReplacedByOneClaim() {
+    List.of("d", "e", "f", "g", "h").forEach(world::addHost);
+    world.time().run(1_000);
+    for (int i = 0; i < 5; i++) {
+      long claims = claims();
+      World.Host killed = owner();
+      killed.kill();
+      submitEveryTenthOfASecond("round" + i, 40);
+      assertThat(claims() - claims).isEqualTo(1);
+      killed.start();
+      world.time().run(2_000);
+    }
+  }
+
+  private void submitEveryTenthOfASecond(String prefix, int jobs) {
+    for (int i = 0; i < jobs; i++) {
+      World.Host up =
+          world.hosts().stream().filter(h -> h.entry().isPresent()).findAny().orElseThrow();
+      world.submit(up, job(prefix + "-" + i, quick(), tasks(1).build()));
+      world.time().run(100);
+    }
+  }
+
+  private long claims() {
+    return world.logged().stream().filter(l -> l.contains("\"CLAIMED\"")).count();
+  }
+
   @Test
   void drainedOwnerHandsOverWithinHalfASecond() {
     World.Host before = owner();
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/JobSchedulerTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/JobSchedulerTest.java
@@ -294,6 +294,19 @@
     assertThat(starts()).isEmpty();
   }
 
+  /** A configuration may come while the advice service decides. */
+  @Test
+  void adviceThatComesAfterTheQueueNeedsNoneIsHarmless() {
+    executor("x1");
+    Queue advised = queue(new AdviceTerms(10, 1, 2_000));
+    submit("j1", advised, tasks(1).build());
+    Action.AskAdvice ask = (Action.AskAdvice) scheduler.decide(millis -> true, now, now).get(0);
+    Queue open = new Queue(advised.name(), "host", "/q/", "svc", 0, 2, 1.5, 250, null, false);
+    scheduler.configure(new SiteConfiguration(2, List.of(open), List.of(), List.of()));
+    scheduler.advised(ask.step(), ask.executors(), Map.of("x1", "ticket"), now, now);
+    assertThat(starts()).hasSize(1);
+  }
+
   @Test
   void fillingTaskIsSlowedDownBesideAServingTaskOverItsTarget() {
     executor("x1");
