Keep the owner and two hosts free for short calls for advice

Change: long calls leave two other hosts; short ones go to whichever host has the least to do. Shown by: AdviceDeskTest, a burst of long jobs with quick ones between.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/AdviceDesk.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/AdviceDesk.java
@@ -18,7 +18,8 @@
 
 /**
  * Spreads calls for advice over the entry hosts, because the service takes one call at a time from
- * each. The owner keeps its own turn for short calls as long as others can take the long ones.
+ * each. Long calls leave the owner and some other hosts free for short ones, which quick tasks wait
+ * for.
  */
 final class AdviceDesk implements AdviceSlots {
   /** Calls up to this long are short: several fit into the time of a quick task. */
@@ -27,6 +28,12 @@
   /** Short calls that may wait for one caller at a time. */
   private static final int SHORT_QUEUE = 4;
 
+  /** Other hosts that take no long calls; with the owner about 100 short calls a second. */
+  private static final int SHORT_ONLY_HOSTS = 2;
+
+  /** What a call through another host takes longer. */
+  private static final double HOP_MILLIS = 3;
+
   private static final long CALL_SLACK_MILLIS = 1_500;
   private static final long AVOID_MILLIS = 1_000;
   private static final long MOST_AVOID_MILLIS = 16_000;
@@ -82,18 +89,19 @@
   }
 
   private Optional<Caller> shortCaller() {
-    if (ownCaller.calls < SHORT_QUEUE && ownCaller.busyMillis <= SHORT_CALL_MILLIS) {
-      return Optional.of(ownCaller);
-    }
-    return usable().filter(c -> c.calls < 1).findFirst();
+    return Stream.concat(Stream.of(ownCaller), usable())
+        .filter(c -> c.calls < SHORT_QUEUE && c.busyMillis <= SHORT_CALL_MILLIS)
+        .min(Comparator.comparingDouble(c -> c.busyMillis + (c == ownCaller ? 0 : HOP_MILLIS)));
   }
 
   private Optional<Caller> longCaller() {
-    Optional<Caller> peer = usable().filter(c -> c.calls == 0).findFirst();
-    if (peer.isPresent() || usable().findAny().isPresent()) {
-      return peer;
+    List<Caller> others = usable().toList();
+    if (others.isEmpty()) {
+      return Optional.of(ownCaller).filter(c -> c.calls == 0);
     }
-    return Optional.of(ownCaller).filter(c -> c.calls == 0);
+    long most = Math.max(1, others.size() - SHORT_ONLY_HOSTS);
+    boolean full = others.stream().filter(c -> c.busyMillis > SHORT_CALL_MILLIS).count() >= most;
+    return others.stream().filter(c -> !full && c.calls == 0).findFirst();
   }
 
   private Stream<Caller> usable() {
