Stop checkpointing tasks for urgent ones, and move work off executors that drain

Cause: a quick job that finds no room waits for tasks of seconds; what runs on an executor that leaves is lost, and known to be lost only when its lease has lapsed, 6 s later. Change: queues of priority 0 stop tasks of other queues that resume from a checkpoint, as few as needed; long-running tasks leave a draining executor at once, others when its time is nearly over; checkpoints of the last report are kept, so that a crash costs at most what came after it. Shown by: quickJobTakesTheRoomOfTasksThatResumeFromACheckpoint, tasksWithoutCheckpointsAreNotStopped, longRunningTaskMovesBeforeItsExecutorLeaves, taskOnAnExecutorThatLeavesGoesOnElsewhereFromItsCheckpoint, taskOfACrashedExecutorResumesFromTheCheckpointOfItsLastReport; each failed with its guard taken out.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/AdvicePlanner.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/AdvicePlanner.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Function;
 
 /**
  * Decides which executors an advice call names.
@@ -34,13 +35,22 @@
     this.state = state;
   }
 
-  /** Asks for advice on the tasks of a step that found no executor. */
-  void plan(LiveStep step, int waiting, AdviceSlots slots, long now) {
+  /**
+   * Asks for advice on the tasks of a step that found no executor.
+   *
+   * @param room what an executor has, or can be given, for them
+   */
+  void plan(
+      LiveStep step,
+      int waiting,
+      Function<LiveExecutor, Resources> room,
+      AdviceSlots slots,
+      long now) {
     Queue queue = state.queue(step.job());
     if (!queue.needsAdvice() || !step.tickets().mayAsk(now)) {
       return;
     }
-    List<LiveExecutor> named = candidates(step, queue, waiting, now);
+    List<LiveExecutor> named = candidates(step, queue, waiting, room, now);
     if (named.isEmpty()) {
       return;
     }
@@ -52,11 +62,13 @@
     }
   }
 
-  private List<LiveExecutor> candidates(LiveStep step, Queue queue, int waiting, long now) {
+  private List<LiveExecutor> candidates(
+      LiveStep step, Queue queue, int waiting, Function<LiveExecutor, Resources> room, long now) {
     double share = Math.max(LEAST_ALLOWED, allowedShare(queue));
     List<LiveExecutor> fitting =
         state.executors.values().stream()
-            .filter(e -> e.isUsable(now) && Placement.suits(e, step, queue, 0))
+            .filter(e -> e.isUsable(now) && Placement.mayRun(e, step, queue, 0))
+            .filter(e -> step.spec().committed().fitsIn(room.apply(e)))
             .filter(e -> !step.tickets().isDenied(e))
             .filter(e -> step.tickets().valid(e, now).isEmpty())
             .sorted(preference(step))
@@ -71,7 +83,7 @@
       }
       boolean known = step.tickets().isAllowed(e);
       named.add(e);
-      expected += room(e, step) * (known ? 1 : share);
+      expected += fitting(step, e, room.apply(e)) * (known ? 1 : share);
     }
     return named;
   }
@@ -83,14 +95,13 @@
         Comparator.comparingInt(e -> Placement.disturbs(e, step.spec()) ? 1 : 0);
     return known
         .thenComparing(apart)
-        .thenComparing(Comparator.comparingInt((LiveExecutor e) -> -room(e, step)))
+        .thenComparing(Comparator.comparingInt((LiveExecutor e) -> -fitting(step, e, e.free())))
         .thenComparing(LiveExecutor::id);
   }
 
-  /** Returns how many more tasks of a step an executor has room for. */
-  static int room(LiveExecutor executor, LiveStep step) {
+  /** Returns how many more tasks of a step fit into some room of an executor. */
+  private static int fitting(LiveStep step, LiveExecutor executor, Resources free) {
     Resources one = step.spec().committed();
-    Resources free = executor.free();
     long fits = step.spec().tasks();
     fits = Math.min(fits, quotient(free.milliProcessors(), one.milliProcessors()));
     fits = Math.min(fits, quotient(free.memoryMib(), one.memoryMib()));
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Decisions.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Decisions.java
@@ -16,6 +16,8 @@
     RUN_ENDED,
     RUN_LOST,
     RUN_STOPPED,
+    RUN_PREEMPTED,
+    RUN_MOVED,
     RUN_UNKNOWN,
     JOB_FAILED,
     JOB_COMPLETED,
--- /dev/null
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Evacuation.java
@@ -0,0 +1,38 @@
+package io.cactusspring.jobs.schedule;
+
+import io.cactusspring.jobs.schedule.Decisions.Kind;
+import java.util.List;
+
+/**
+ * Moves work off executors that leave.
+ *
+ * <p>What still runs when an executor leaves is lost, and known to be lost only once its lease has
+ * lapsed. A stop in time makes the end certain and saves a checkpoint. Long-running tasks move at
+ * once; others get the time that is left.
+ */
+final class Evacuation {
+  /** Time for the stop to arrive and for its end to be listed, besides the stop itself. */
+  private static final long MARGIN_MILLIS = 300;
+
+  private final OwnerState state;
+  private final RunLife runs;
+
+  Evacuation(OwnerState state, RunLife runs) {
+    this.state = state;
+    this.runs = runs;
+  }
+
+  void look(long now) {
+    state.executors.values().stream()
+        .filter(e -> e.isDraining() && !e.runs().isEmpty())
+        .forEach(e -> look(e, now));
+  }
+
+  private void look(LiveExecutor executor, long now) {
+    boolean leavesSoon = now >= executor.leavesAt() - state.settings.stopMillis() - MARGIN_MILLIS;
+    List.copyOf(executor.runs()).stream()
+        .filter(r -> r.phase() == Run.Phase.RUNNING && !r.stopping())
+        .filter(r -> leavesSoon || r.spec().longRunning())
+        .forEach(r -> runs.stop(executor, r, Kind.RUN_MOVED, "it drains", now));
+  }
+}
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
@@ -52,6 +52,7 @@
   private final AdvicePlanner advice;
   private final Placement placement;
   private final RunWatch watch;
+  private final Evacuation evacuation;
   private final Throttle throttle;
 
   /** What has to be stored before the starts that depend on it are sent. */
@@ -86,6 +87,7 @@
     advice = new AdvicePlanner(state);
     placement = new Placement(state, runs, advice);
     watch = new RunWatch(state, runs);
+    evacuation = new Evacuation(state, runs);
     throttle = new Throttle(state);
     entries.stream().filter(e -> e.spec().isPresent()).forEach(e -> adopt(e, wallMillis, now));
   }
@@ -139,7 +141,7 @@
   /** Takes note of what an executor announces. */
   public void executorListed(ExecutorInfo info, long now) {
     LiveExecutor executor = state.executor(info.id());
-    executor.announced(info);
+    executor.announced(info, state.settings.drainMillis(), now);
     reports.noteBoot(executor, info.bootMillis(), now);
   }
 
@@ -186,6 +188,7 @@
       }
     }
     watch.look(now);
+    evacuation.look(now);
     placement.place(slots, now);
     List<Action> decided = new ArrayList<>(state.actions);
     state.actions.clear();
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveExecutor.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveExecutor.java
@@ -20,6 +20,7 @@
   private final Map<RunKey, Run> runs = new LinkedHashMap<>();
   private ExecutorInfo info;
   private boolean listed;
+  private long leavesAt;
   private long bootMillis;
   private Resources used = Resources.NONE;
   private long clockMillis;
@@ -64,9 +65,29 @@
     return listed;
   }
 
-  void announced(ExecutorInfo announced) {
+  /**
+   * Takes what the executor announces.
+   *
+   * @param drainMillis how long it goes on after it announced to drain, if it does not say
+   */
+  void announced(ExecutorInfo announced, long drainMillis, long now) {
+    boolean wasDraining = isDraining();
     info = announced;
     listed = true;
+    if (announced.remainingMillis() >= 0) {
+      leavesAt = now + announced.remainingMillis();
+    } else if (!wasDraining) {
+      leavesAt = now + drainMillis;
+    }
+  }
+
+  boolean isDraining() {
+    return info != null && info.draining();
+  }
+
+  /** Returns until when a draining executor goes on at least. */
+  long leavesAt() {
+    return leavesAt;
   }
 
   void unlisted() {
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Placement.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Placement.java
@@ -34,10 +34,11 @@
         }
       }
     }
-    order.sorted(ready, now).forEach(s -> placeStep(s, slots, now));
+    Preemption preemption = new Preemption(state, runs);
+    order.sorted(ready, now).forEach(s -> placeStep(s, slots, preemption, now));
   }
 
-  private void placeStep(LiveStep step, AdviceSlots slots, long now) {
+  private void placeStep(LiveStep step, AdviceSlots slots, Preemption preemption, long now) {
     List<LiveTask> waiting = step.due(now).toList();
     if (step.spec().gang()) {
       placeGang(step, slots, now);
@@ -53,8 +54,17 @@
       placed++;
     }
     int left = waiting.size() - placed;
-    if (left > 0 && withinLimit(step, 1)) {
-      advice.plan(step, left, slots, now);
+    if (left == 0 || !withinLimit(step, 1)) {
+      return;
+    }
+    advice.plan(step, left, LiveExecutor::free, slots, now);
+    Queue queue = state.queue(step.job());
+    boolean urgent = Preemption.mayPreempt(queue) && order.isInTime(step, queue, now);
+    if (urgent && !step.tickets().asking()) {
+      int lacking = left - preemption.makeRoom(step, queue, left, now);
+      if (lacking > 0) {
+        advice.plan(step, lacking, e -> preemption.reach(e, now), slots, now);
+      }
     }
   }
 
@@ -68,7 +78,7 @@
     for (int i = 0; i < members.size(); i++) {
       Optional<LiveExecutor> executor = choose(step, chosen, now);
       if (executor.isEmpty()) {
-        advice.plan(step, members.size(), slots, now);
+        advice.plan(step, members.size(), LiveExecutor::free, slots, now);
         return;
       }
       chosen.add(executor.get());
@@ -109,11 +119,16 @@
    * @param planned further tasks of the step that are planned there
    */
   static boolean suits(LiveExecutor executor, LiveStep step, Queue queue, int planned) {
+    return mayRun(executor, step, queue, planned)
+        && step.spec().committed().times(planned + 1).fitsIn(executor.free());
+  }
+
+  /** Returns whether an executor may run one more task of a step if it has room. */
+  static boolean mayRun(LiveExecutor executor, LiveStep step, Queue queue, int planned) {
     StepSpec spec = step.spec();
     int most = spec.maxPerExecutor();
     return executor.info().service().equals(queue.service())
         && executor.hasLabel(spec.requiredLabel())
-        && spec.committed().times(planned + 1).fitsIn(executor.free())
         && (most == 0 || step.runsOn(executor) + planned < most);
   }
 
--- /dev/null
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Preemption.java
@@ -0,0 +1,140 @@
+package io.cactusspring.jobs.schedule;
+
+import io.cactusspring.core.model.Resources;
+import io.cactusspring.jobs.model.Queue;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Makes room for tasks of the most urgent queues by stopping tasks of less urgent ones that resume
+ * from a checkpoint.
+ *
+ * <p>One object serves one round of placement: it remembers which room that becomes free is meant
+ * for which tasks already, so that no more is stopped than is needed.
+ */
+final class Preemption {
+  private static final int MOST_URGENT = 0;
+
+  /** A task this far is sooner done than stopped and resumed. */
+  private static final int NEARLY_DONE_PERCENT = 75;
+
+  /** A run this young has hardly worked since it resumed. */
+  private static final long LEAST_RUN_MILLIS = 1_000;
+
+  private final OwnerState state;
+  private final RunLife runs;
+  private final Map<LiveExecutor, Resources> promised = new HashMap<>();
+
+  private record Offer(LiveExecutor executor, List<Run> victims) {
+    long processors() {
+      return victims.stream().mapToLong(r -> r.committed().milliProcessors()).sum();
+    }
+  }
+
+  Preemption(OwnerState state, RunLife runs) {
+    this.state = state;
+    this.runs = runs;
+  }
+
+  static boolean mayPreempt(Queue queue) {
+    return queue.priority() == MOST_URGENT;
+  }
+
+  /**
+   * Stops what is in the way of some tasks of a step.
+   *
+   * @return for how many of them room is free or becomes free on executors that may run them
+   */
+  int makeRoom(LiveStep step, Queue queue, int tasks, long now) {
+    List<LiveExecutor> suitable =
+        state.executors.values().stream()
+            .filter(e -> e.isUsable(now) && Placement.mayRun(e, step, queue, 0))
+            .filter(e -> !queue.needsAdvice() || step.tickets().valid(e, now).isPresent())
+            .toList();
+    int made = 0;
+    while (made < tasks && makeRoomForOne(step, suitable, now)) {
+      made++;
+    }
+    return made;
+  }
+
+  private boolean makeRoomForOne(LiveStep step, List<LiveExecutor> suitable, long now) {
+    Resources one = step.spec().committed();
+    Optional<Offer> cheapest =
+        suitable.stream()
+            .flatMap(e -> offer(e, step, one, now).stream())
+            .min(Comparator.comparingLong(Offer::processors));
+    cheapest.ifPresent(
+        offer -> {
+          offer.victims.forEach(
+              r ->
+                  runs.stop(
+                      offer.executor,
+                      r,
+                      Decisions.Kind.RUN_PREEMPTED,
+                      "makes room for " + step.id(),
+                      now));
+          promised.merge(offer.executor, one, Resources::plus);
+        });
+    return cheapest.isPresent();
+  }
+
+  /** Returns which runs of an executor have to be stopped for one more task, if that is enough. */
+  private Optional<Offer> offer(LiveExecutor executor, LiveStep step, Resources one, long now) {
+    int most = step.spec().maxPerExecutor();
+    if (most > 0 && step.runsOn(executor) >= most) {
+      return Optional.empty();
+    }
+    Resources needed = one.plus(promised.getOrDefault(executor, Resources.NONE));
+    Resources room = executor.free().plus(stopping(executor));
+    List<Run> victims = new ArrayList<>();
+    for (Run run : candidates(executor, step, now)) {
+      if (needed.fitsIn(room)) {
+        break;
+      }
+      victims.add(run);
+      room = room.plus(run.committed());
+    }
+    return needed.fitsIn(room) ? Optional.of(new Offer(executor, victims)) : Optional.empty();
+  }
+
+  private static Resources stopping(LiveExecutor executor) {
+    return executor.runs().stream()
+        .filter(Run::stopping)
+        .map(Run::committed)
+        .reduce(Resources.NONE, Resources::plus);
+  }
+
+  private List<Run> candidates(LiveExecutor executor, LiveStep step, long now) {
+    return executor.runs().stream()
+        .filter(r -> isPreemptible(r, now))
+        .sorted(Comparator.comparingLong((Run r) -> r.committed().milliProcessors()).reversed())
+        .toList();
+  }
+
+  private boolean isPreemptible(Run run, long now) {
+    LiveTask task = state.task(run.key().task());
+    return task != null
+        && task.run() == run
+        && run.phase() == Run.Phase.RUNNING
+        && !run.stopping()
+        && run.spec().checkpoints()
+        && !run.spec().gang()
+        && !run.spec().fills()
+        && run.percent() < NEARLY_DONE_PERCENT
+        && now - run.phaseAt() >= LEAST_RUN_MILLIS
+        && !mayPreempt(state.queue(task.step().job()));
+  }
+
+  /** Returns what an executor would have free without the runs that may be stopped. */
+  Resources reach(LiveExecutor executor, long now) {
+    return executor.runs().stream()
+        .filter(r -> r.stopping() || isPreemptible(r, now))
+        .map(Run::committed)
+        .reduce(executor.free(), Resources::plus);
+  }
+}
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ReportReader.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ReportReader.java
@@ -95,6 +95,10 @@
       run.enter(Run.Phase.RUNNING, now);
     }
     run.progressed(listed.percent(), listed.usage(), now);
+    LiveTask task = state.task(key.task());
+    if (task != null && task.run() == run) {
+      task.checkpoint(listed.checkpoint());
+    }
     return key;
   }
 }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/RunLife.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/RunLife.java
@@ -144,6 +144,22 @@
     }
   }
 
+  /** Stops a run whose task goes on later or elsewhere. */
+  void stop(LiveExecutor executor, Run run, Kind kind, String reason, long now) {
+    state.decisions.made(
+        kind,
+        run.key().task().job(),
+        run.key().toString(),
+        reason + ", at " + run.percent() + "% on " + executor.id());
+    run.stop();
+    sendStop(executor, run, now);
+  }
+
+  void sendStop(LiveExecutor executor, Run run, long now) {
+    run.stopSent(now);
+    state.actions.add(new Action.Stop(executor.id(), executor.target(), run.key()));
+  }
+
   /** Stops a run, or drops it if its start was not sent yet. */
   void withdraw(LiveExecutor executor, Run run, long now) {
     if (run.phase() == Run.Phase.DECIDED) {
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/RunWatch.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/RunWatch.java
@@ -59,8 +59,7 @@
       executor.runFailed(run.key().task().job(), now);
     }
     if (executor.isCallable() && run.stopDue(now, STOP_RETRY_MILLIS)) {
-      run.stopSent(now);
-      state.actions.add(new Action.Stop(executor.id(), executor.target(), run.key()));
+      runs.sendStop(executor, run, now);
     }
   }
 
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/SchedulerSettings.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/SchedulerSettings.java
@@ -6,11 +6,16 @@
  * @param leaseMillis how long an executor may go on without a word from the owner
  * @param storeGraceMillis how long an owner goes on without the store
  * @param stopMillis longest time that a stop takes
+ * @param drainMillis how long an executor goes on after it announced to drain, if it does not say
  * @param unreachableMillis silence after which an executor gets no new tasks
  * @since 0.2
  */
 public record SchedulerSettings(
-    long leaseMillis, long storeGraceMillis, long stopMillis, long unreachableMillis) {
+    long leaseMillis,
+    long storeGraceMillis,
+    long stopMillis,
+    long drainMillis,
+    long unreachableMillis) {
   /** An executor's clock may run this much slower than ours. */
   static final double SLOWEST_CLOCK = 0.98;
 
@@ -34,6 +39,7 @@
     // Outages of the store that were announced last up to 4.5 s; a new owner has to wait as long.
     private long storeGraceMillis = 5_000;
     private long stopMillis = 400;
+    private long drainMillis = 2_000;
     // Two answers missed in a row at the pace of the hold calls.
     private long unreachableMillis = 1_200;
 
@@ -55,8 +61,14 @@
       return this;
     }
 
+    public Builder drainMillis(long value) {
+      drainMillis = value;
+      return this;
+    }
+
     public SchedulerSettings build() {
-      return new SchedulerSettings(leaseMillis, storeGraceMillis, stopMillis, unreachableMillis);
+      return new SchedulerSettings(
+          leaseMillis, storeGraceMillis, stopMillis, drainMillis, unreachableMillis);
     }
   }
 }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/StepOrder.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/StepOrder.java
@@ -94,6 +94,11 @@
         step.readySince());
   }
 
+  /** Returns whether a job can still meet its objective. */
+  boolean isInTime(LiveStep step, Queue queue, long now) {
+    return outlook(step, objectiveMillis(step, queue), now) == Outlook.IN_TIME;
+  }
+
   private static Outlook outlook(LiveStep step, long objectiveMillis, long now) {
     double left =
         LEAST_OF_ESTIMATE
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/JobPathTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/JobPathTest.java
@@ -168,6 +168,42 @@
     assertThat(world.oracle().broken()).isEmpty();
   }
 
+  @Test
+  void longRunningTaskMovesBeforeItsExecutorLeaves() {
+    JobSpec spec = job("j1", quick(), tasks(1).longRunning(true).build());
+    submit(spec);
+    world.time().run(500);
+    FakeExecutor leaving = holderOf(spec);
+    leaving.drain(2_000);
+    world.time().run(1_000);
+    assertThat(holderOf(spec).id()).isNotEqualTo(leaving.id());
+    assertThat(world.oracle().broken()).isEmpty();
+  }
+
+  @Test
+  void taskOnAnExecutorThatLeavesGoesOnElsewhereFromItsCheckpoint() {
+    world.work(id -> 4_000L);
+    JobSpec spec = job("j1", quick(), tasks(1).checkpoints(true).build());
+    submit(spec);
+    holderOf(spec).drain(2_000);
+    world.time().run(5_000);
+    assertThat(state(spec)).isEqualTo(JobState.COMPLETED);
+    assertThat(world.oracle().starts()).isEqualTo(2);
+    assertThat(world.oracle().broken()).isEmpty();
+  }
+
+  @Test
+  void taskOfACrashedExecutorResumesFromTheCheckpointOfItsLastReport() {
+    world.work(id -> 9_000L);
+    JobSpec spec = job("j1", quick(), tasks(1).checkpoints(true).build());
+    submit(spec);
+    world.time().run(5_000);
+    holderOf(spec).crash();
+    world.time().run(12_500);
+    assertThat(state(spec)).isEqualTo(JobState.COMPLETED);
+    assertThat(world.oracle().broken()).isEmpty();
+  }
+
   @Test
   void restartedExecutorLosesItsTasksAtOnce() {
     world.work(id -> 3_000L);
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/OverloadTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/OverloadTest.java
@@ -57,4 +57,53 @@
     assertThat(world.oracle().starts()).isEqualTo(161);
     assertThat(world.oracle().broken()).isEmpty();
   }
+
+  /** Fills all room with tasks of a queue that is not urgent. */
+  private JobSpec fillWithLargeTasks(boolean checkpoints) {
+    world.work(id -> id.job().equals("large") ? 6_000L : 500L);
+    StepSpec step =
+        StepSpec.builder()
+            .tasks(8)
+            .resources(TASK)
+            .estimateMillis(6_000)
+            .checkpoints(checkpoints)
+            .build();
+    JobSpec large =
+        new JobSpec(
+            "large",
+            World.queue("long", 2, null),
+            "team",
+            "payload",
+            List.of(step),
+            0,
+            0,
+            0,
+            world.time().now());
+    world.submit(world.hosts().get(0), large);
+    world.time().run(3_000);
+    return large;
+  }
+
+  /** Pattern: large jobs fill the executors when quick ones come. */
+  @Test
+  void quickJobTakesTheRoomOfTasksThatResumeFromACheckpoint() {
+    JobSpec large = fillWithLargeTasks(true);
+    JobSpec quick = submit("quick", 4);
+    world.time().run(1_250);
+    assertThat(world.oracle().isDone(quick)).isTrue();
+    assertThat(world.oracle().starts()).isAtMost(8 + 4 + 4);
+    world.time().run(5_000);
+    assertThat(world.oracle().isDone(large)).isTrue();
+    assertThat(world.oracle().broken()).isEmpty();
+  }
+
+  /** Pattern: quick jobs come while tasks run that would lose their work. */
+  @Test
+  void tasksWithoutCheckpointsAreNotStopped() {
+    fillWithLargeTasks(false);
+    submit("quick", 4);
+    world.time().run(10_000);
+    assertThat(world.oracle().starts()).isEqualTo(8 + 4);
+    assertThat(world.oracle().broken()).isEmpty();
+  }
 }
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/world/FakeExecutor.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/world/FakeExecutor.java
@@ -32,13 +32,15 @@
     private final int run;
     private final StepSpec spec;
     private final long startedAt;
+    private final long savedMillis;
     private boolean over;
 
-    Task(TaskId id, int run, StepSpec spec, long startedAt) {
+    Task(TaskId id, int run, StepSpec spec, long startedAt, long savedMillis) {
       this.id = id;
       this.run = run;
       this.spec = spec;
       this.startedAt = startedAt;
+      this.savedMillis = savedMillis;
     }
   }
 
@@ -107,7 +109,20 @@
     lastEnd = 0;
   }
 
+  /** Announces that it leaves, and leaves after a while. */
+  public void drain(long millis) {
+    draining = true;
+    world.announce(this);
+    time.after(
+        millis,
+        () -> {
+          crash();
+          world.forget(this);
+        });
+  }
+
   public void boot() {
+    draining = false;
     bootedAt = time.now();
     up = true;
   }
@@ -144,11 +159,12 @@
     }
     JobSpec job = world.oracle().started(this, order);
     StepSpec spec = job.steps().get(order.task().step());
-    Task task = new Task(order.task(), order.run(), spec, time.now());
+    long saved = order.checkpoint().isEmpty() ? 0 : Long.parseLong(order.checkpoint());
+    Task task = new Task(order.task(), order.run(), spec, time.now(), saved);
     running.put(task.id, task);
     world.oracle().checkCapacity(this, committed(), capacity);
     if (!stalls && !spec.longRunning()) {
-      time.after(workMillis(task), () -> end(task, world.endOf(task.id, task.run)));
+      time.after(workMillis(task) - saved, () -> end(task, world.endOf(task.id, task.run)));
     }
     return done();
   }
@@ -157,6 +173,13 @@
     return world.workMillis(task.id) * slowness;
   }
 
+  /** Returns the work that a task has done, as its checkpoint tells it. */
+  private String checkpoint(Task task) {
+    return task.spec.checkpoints()
+        ? String.valueOf(task.savedMillis + time.now() - task.startedAt)
+        : "";
+  }
+
   private Resources committed() {
     return running.values().stream()
         .map(t -> t.spec.committed())
@@ -170,7 +193,7 @@
     task.over = true;
     running.remove(task.id);
     highestOver.merge(task.id, task.run, Math::max);
-    ended.add(new Ended(++lastEnd, task.id, task.run, how, ""));
+    ended.add(new Ended(++lastEnd, task.id, task.run, how, checkpoint(task)));
     world.oracle().ended(task.id, task.run, how);
     List<Runnable> readers = List.copyOf(waiting);
     waiting.clear();
@@ -221,7 +244,9 @@
       return new Held.Unknown("down");
     }
     List<Running> rows =
-        running.values().stream().map(t -> new Running(t.id, t.run, "", percent(t), 0)).toList();
+        running.values().stream()
+            .map(t -> new Running(t.id, t.run, checkpoint(t), percent(t), 0))
+            .toList();
     return new Held.Report(clock(), bootedAt, rows, List.copyOf(ended));
   }
 
@@ -229,7 +254,8 @@
     if (stalls) {
       return 0;
     }
-    return (int) Math.min(99, (time.now() - task.startedAt) * 100 / workMillis(task));
+    return (int)
+        Math.min(99, (task.savedMillis + time.now() - task.startedAt) * 100 / workMillis(task));
   }
 
   private void extendLease(long end) {
