Take over after three quarters of a second, and keep the ledger in Thrift's compact form

Change: beats every 200 ms, claim after 0.75 s of silence while the store answers quickly and without failure, 1.5 s for 5 s after a read failed; the ledger's records are Thrift structs; a state that is not final is read from the store when it is asked for, and followers read less often by themselves.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/ClaimPolicy.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/ClaimPolicy.java
@@ -10,11 +10,20 @@
  * <p>A claim is safe at any time, because the store and the executors refuse an owner of a lower
  * term. The policy only keeps hosts from taking over from an owner that is well.
  *
- * @param silenceMillis silence in the ledger after which an owner is taken for lost
+ * @param silenceMillis silence in the ledger after which an owner is taken for lost, if the store
+ *     answers quickly and without failure
+ * @param troubledSilenceMillis the same for some time after reads of our own failed, because the
+ *     owner's writes may fail as well
  * @param staggerMillis hosts wait up to this long more, each its own time, so that one goes first
  * @since 0.2
  */
-public record ClaimPolicy(long silenceMillis, long staggerMillis) {
+public record ClaimPolicy(long silenceMillis, long troubledSilenceMillis, long staggerMillis) {
+  /** How long after a failed read the store is not trusted to serve the owner well. */
+  private static final long TROUBLED_MILLIS = 5_000;
+
+  /** A beat takes an answered write, and a read that may have just missed it. */
+  private static final int ANSWERS_PER_BEAT = 3;
+
   private static final int ROUND_SHIFT = 12;
 
   /**
@@ -25,6 +34,7 @@
    * @param self this process
    * @param wroteAt when a record of the owner was last read
    * @param unbrokenSince since when the ledger is read without failure
+   * @param answerMillis how long the store takes to answer now
    * @param lot this host's own share of the stagger, from 0 to 1
    */
   public boolean shouldClaim(
@@ -33,6 +43,7 @@
       PeerRecord self,
       long wroteAt,
       long unbrokenSince,
+      long answerMillis,
       double lot,
       long now) {
     if (unbrokenSince > now) {
@@ -44,7 +55,9 @@
       boolean ownHost = owner.host().equals(self.host());
       return quiet >= (ownHost ? 0 : stagger);
     }
-    return quiet >= silenceMillis + stagger;
+    boolean troubled = now - unbrokenSince < TROUBLED_MILLIS;
+    long silence = troubled ? troubledSilenceMillis : silenceMillis;
+    return quiet >= silence + ANSWERS_PER_BEAT * answerMillis + stagger;
   }
 
   /** Returns whether the owner's host has announced a newer process. */
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/EntryHost.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/EntryHost.java
@@ -36,8 +36,8 @@
   private static final long CONFIGURATION_WAIT_MILLIS = 800;
   private static final long ANNOUNCEMENTS_WAIT_MILLIS = 1_000;
   private static final long ANNOUNCEMENTS_PAUSE_MILLIS = 200;
-  // A follower's view may lag; each read costs a call to the store.
-  private static final long FOLLOWER_PAUSE_MILLIS = 150;
+  // Each read costs a call to the store; who is asked for a state reads at once.
+  private static final long FOLLOWER_PAUSE_MILLIS = 250;
   private static final long OWNER_PAUSE_MILLIS = 5;
   private static final long CLAIM_RETRY_MILLIS = 150;
   private static final long SWEEP_MILLIS = 10_000;
@@ -214,14 +214,16 @@
     if (configuration.version() == 0 || !ledgerFollower.isLoaded()) {
       return;
     }
-    if (claimIsDue(now)) {
+    if (claimIsDue(0, now)) {
       claiming = true;
       // Another host may have claimed since the last read, which a busy ledger paces.
-      ledgerFollower.refresh().onComplete(read -> claimIfStillDue(), problem -> claiming = false);
+      ledgerFollower
+          .refresh()
+          .onComplete(read -> claimIfStillDue(now), problem -> claiming = false);
     }
   }
 
-  private boolean claimIsDue(long now) {
+  private boolean claimIsDue(long answerMillis, long now) {
     OwnerRecord current = ledger.owner();
     return settings
         .claims()
@@ -231,12 +233,14 @@
             settings.self(),
             ownerWroteAt,
             ledgerFollower.unbrokenSince(),
+            answerMillis,
             lot,
             now);
   }
 
-  private void claimIfStillDue() {
-    if (draining || !claimIsDue(timers.nowMillis())) {
+  private void claimIfStillDue(long askedAt) {
+    long now = timers.nowMillis();
+    if (draining || !claimIsDue(now - askedAt, now)) {
       claiming = false;
       return;
     }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/JobService.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/JobService.java
@@ -147,11 +147,14 @@
 
   private Future<Optional<JobEntry>> find(Queue queue, String organisation, String id) {
     Optional<JobEntry> known = visible(queue, organisation, id);
-    if (known.isPresent()) {
+    if (known.isEmpty()) {
+      // Another host may have accepted it a moment ago.
+      return ledgerFollower.refresh().map(done -> visible(queue, organisation, id));
+    }
+    if (known.get().state().isFinal() || ledgerFollower.isWatching()) {
       return Future.succeededFuture(known);
     }
-    // Another host may have accepted it a moment ago.
-    return ledgerFollower.refresh().map(done -> visible(queue, organisation, id));
+    return ledgerFollower.refresh().otherwiseEmpty().map(done -> visible(queue, organisation, id));
   }
 
   private Optional<JobEntry> visible(Queue queue, String organisation, String id) {
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerController.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerController.java
@@ -38,12 +38,12 @@
  */
 final class OwnerController {
   private static final long TICK_MILLIS = 50;
-  private static final long BEAT_MILLIS = 300;
+  private static final long BEAT_MILLIS = 200;
   private static final long RETRY_MILLIS = 100;
   private static final long SILENT_HOLD_PAUSE_MILLIS = 250;
   private static final int MOST_RECORDS = 200;
   // Below the silence after which another host claims.
-  private static final long START_CONFIRMED_MILLIS = 1_000;
+  private static final long START_CONFIRMED_MILLIS = 600;
 
   private final JobScheduler scheduler;
   private final OwnerRecord record;
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/TopicFollower.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/TopicFollower.java
@@ -44,6 +44,7 @@
   private long answeredAt = Long.MIN_VALUE / 2;
   private long unbrokenSince = Long.MAX_VALUE;
   private boolean lost;
+  private boolean watching;
   private long retryMillis = FIRST_RETRY_MILLIS;
   private int generation;
 
@@ -107,6 +108,11 @@
     return timers.nowMillis() - answeredAt > waitMillis + OVERDUE_MILLIS;
   }
 
+  /** Returns whether a read is under way that brings the next record at once. */
+  public boolean isWatching() {
+    return watching && !isOverdue();
+  }
+
   /** Returns since when every read was answered; far in the future while they are not. */
   public long unbrokenSince() {
     return unbrokenSince;
@@ -140,11 +146,13 @@
     }
     long sentAt = timers.nowMillis();
     long sentWall = timers.wallMillis();
+    watching = loaded;
     Future<Boolean> done =
         loaded ? topic.read(next, waitMillis).map(this::apply) : load().map(true);
     done.onComplete(
         brought -> {
           if (running && started == generation) {
+            watching = false;
             answered(sentAt, sentWall);
             sink.caughtUp();
             timers.after(brought ? pauseMillis.getAsLong() : 0, () -> step(started));
@@ -152,6 +160,7 @@
         },
         problem -> {
           if (running && started == generation) {
+            watching = false;
             failed(problem);
             timers.after(retryMillis, () -> step(started));
           }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/ledger/JobLedger.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/ledger/JobLedger.java
@@ -30,7 +30,7 @@
   public void apply(Entry entry) {
     String key = entry.key();
     if (key.equals(LedgerCodec.OWNER)) {
-      LedgerCodec.decode(entry, OwnerRecord.class).ifPresent(this::applyOwner);
+      LedgerCodec.readOwner(entry).ifPresent(this::applyOwner);
     } else if (key.startsWith(LedgerCodec.PROGRESS)) {
       applyProgress(key.substring(LedgerCodec.PROGRESS.length()), entry);
     } else if (key.startsWith(LedgerCodec.JOB)) {
@@ -38,7 +38,7 @@
     } else if (key.startsWith(LedgerCodec.CANCEL)) {
       applyCancel(key.substring(LedgerCodec.CANCEL.length()), entry);
     } else if (key.startsWith(LedgerCodec.PEER) && entry.value() != null) {
-      LedgerCodec.decode(entry, PeerRecord.class).ifPresent(p -> peers.put(p.host(), p));
+      LedgerCodec.readPeer(entry).ifPresent(p -> peers.put(p.host(), p));
     }
   }
 
@@ -58,7 +58,7 @@
     if (entry.value() == null) {
       return;
     }
-    LedgerCodec.decode(entry, JobProgress.class)
+    LedgerCodec.readProgress(entry)
         .ifPresent(
             p -> {
               entry(id).progress(p, entry.offset());
@@ -71,7 +71,7 @@
       jobs.remove(id);
       return;
     }
-    Optional<JobSpec> spec = LedgerCodec.decode(entry, JobSpec.class);
+    Optional<JobSpec> spec = LedgerCodec.readJob(entry);
     if (spec.isPresent() && entry(id).submit(spec.get(), entry.offset())) {
       listener.submitted(entry(id));
     }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/ledger/JobProgress.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/ledger/JobProgress.java
@@ -1,7 +1,5 @@
 package io.cactusspring.jobs.ledger;
 
-import com.fasterxml.jackson.annotation.JsonInclude;
-import com.fasterxml.jackson.annotation.JsonProperty;
 import io.cactusspring.jobs.model.JobState;
 import java.util.List;
 
@@ -13,12 +11,7 @@
  * @param steps the steps that have begun
  * @since 0.2
  */
-@JsonInclude(JsonInclude.Include.NON_DEFAULT)
-public record JobProgress(
-    @JsonProperty("e") long term,
-    @JsonProperty("st") JobState state,
-    @JsonProperty("go") boolean started,
-    @JsonProperty("p") List<StepProgress> steps) {
+public record JobProgress(long term, JobState state, boolean started, List<StepProgress> steps) {
   public JobProgress {
     steps = steps == null ? List.of() : List.copyOf(steps);
   }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/ledger/LedgerCodec.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/ledger/LedgerCodec.java
@@ -1,20 +1,25 @@
 package io.cactusspring.jobs.ledger;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.DeserializationFeature;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.ObjectReader;
-import com.fasterxml.jackson.databind.ObjectWriter;
 import io.cactusspring.jobs.model.JobSpec;
 import io.cactusspring.jobs.port.KeyedTopic.Entry;
-import java.io.IOException;
-import java.io.UncheckedIOException;
+import io.cactusspring.protocol.gen.ledger.JobProgressRecord;
+import io.cactusspring.protocol.gen.ledger.JobRecord;
+import io.cactusspring.protocol.gen.ledger.OwnerClaimRecord;
+import io.cactusspring.protocol.gen.ledger.PeerAddressRecord;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.Stream;
+import org.apache.thrift.TBase;
+import org.apache.thrift.TException;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.apache.thrift.transport.TMemoryBuffer;
+import org.apache.thrift.transport.TMemoryInputTransport;
 
 /**
- * Keys and values of the ledger's records.
+ * Writes and reads the records of the ledger topic: values in Thrift's compact protocol.
+ *
+ * <p>Its transports are used without their factories, which would load a logging library.
  *
  * @since 0.2
  */
@@ -26,13 +31,18 @@
   static final String OWNER = "owner";
 
   private static final byte[] CANCELLED = {'1'};
-  private static final ObjectMapper JSON =
-      new ObjectMapper().configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false);
+  private static final int FIRST_BUFFER_BYTES = 512;
+
+  /** Reads a value from its Thrift form. */
+  @FunctionalInterface
+  private interface Mapping<R, T> {
+    T map(R read);
+  }
 
   private LedgerCodec() {}
 
   public static Entry job(JobSpec spec) {
-    return entry(JOB + spec.id(), spec);
+    return entry(JOB + spec.id(), JobRecords.record(spec));
   }
 
   public static Entry cancel(String job) {
@@ -40,15 +50,26 @@
   }
 
   public static Entry progress(String job, JobProgress progress) {
-    return entry(PROGRESS + job, progress);
+    return entry(PROGRESS + job, ProgressRecords.record(progress));
   }
 
   public static Entry owner(OwnerRecord owner) {
-    return entry(OWNER, owner);
+    OwnerClaimRecord written =
+        new OwnerClaimRecord()
+            .setTerm(owner.term())
+            .setHost(owner.host())
+            .setIncarnation(owner.incarnation())
+            .setReleased(owner.released());
+    return entry(OWNER, written);
   }
 
   public static Entry peer(PeerRecord peer) {
-    return entry(PEER + peer.host(), peer);
+    PeerAddressRecord written =
+        new PeerAddressRecord()
+            .setHost(peer.host())
+            .setIncarnation(peer.incarnation())
+            .setAddress(peer.address());
+    return entry(PEER + peer.host(), written);
   }
 
   /** Returns records that drop everything about a job, the last one the job itself. */
@@ -56,24 +77,45 @@
     return Stream.of(CANCEL, PROGRESS, JOB).map(key -> new Entry(key + job, null, 0)).toList();
   }
 
-  private static Entry entry(String key, Object value) {
-    try {
-      return new Entry(key, writer(value.getClass()).writeValueAsBytes(value), 0);
-    } catch (JsonProcessingException e) {
-      throw new UncheckedIOException("cannot encode " + key, e);
-    }
+  static Optional<JobSpec> readJob(Entry entry) {
+    return read(entry, new JobRecord(), JobRecords::spec);
+  }
+
+  static Optional<JobProgress> readProgress(Entry entry) {
+    return read(entry, new JobProgressRecord(), ProgressRecords::progress);
   }
 
-  private static ObjectWriter writer(Class<?> type) {
-    return JSON.writerFor(type);
+  static Optional<OwnerRecord> readOwner(Entry entry) {
+    return read(
+        entry,
+        new OwnerClaimRecord(),
+        r -> new OwnerRecord(r.getTerm(), r.getHost(), r.getIncarnation(), r.isReleased()));
+  }
+
+  static Optional<PeerRecord> readPeer(Entry entry) {
+    return read(
+        entry,
+        new PeerAddressRecord(),
+        r -> new PeerRecord(r.getHost(), r.getIncarnation(), r.getAddress()));
+  }
+
+  private static Entry entry(String key, TBase<?, ?> value) {
+    try {
+      TMemoryBuffer buffer = new TMemoryBuffer(FIRST_BUFFER_BYTES);
+      value.write(new TCompactProtocol(buffer));
+      return new Entry(key, Arrays.copyOf(buffer.getArray(), buffer.length()), 0);
+    } catch (TException e) {
+      throw new IllegalArgumentException("cannot encode " + key, e);
+    }
   }
 
-  /** Decodes a value; empty if it is not of that form. */
-  static <T> Optional<T> decode(Entry entry, Class<T> type) {
-    ObjectReader reader = JSON.readerFor(type);
+  /** Reads a value; empty, with a line in the log, if it is not of that form. */
+  private static <R extends TBase<R, ?>, T> Optional<T> read(
+      Entry entry, R record, Mapping<R, T> mapping) {
     try {
-      return Optional.of(reader.readValue(entry.value()));
-    } catch (IOException | IllegalArgumentException e) {
+      record.read(new TCompactProtocol(new TMemoryInputTransport(entry.value())));
+      return Optional.of(mapping.map(record));
+    } catch (TException | IllegalArgumentException e) {
       System.getLogger(LedgerCodec.class.getName())
           .log(
               System.Logger.Level.WARNING,
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/ledger/TaskProgress.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/ledger/TaskProgress.java
@@ -1,8 +1,5 @@
 package io.cactusspring.jobs.ledger;
 
-import com.fasterxml.jackson.annotation.JsonInclude;
-import com.fasterxml.jackson.annotation.JsonProperty;
-
 /**
  * What is stored about one task.
  *
@@ -14,14 +11,8 @@
  * @param checkpoint where the next run resumes; empty for the beginning
  * @since 0.2
  */
-@JsonInclude(JsonInclude.Include.NON_DEFAULT)
 public record TaskProgress(
-    @JsonProperty("d") boolean done,
-    @JsonProperty("r") int run,
-    @JsonProperty("f") int failures,
-    @JsonProperty("x") String executor,
-    @JsonProperty("b") long bootMillis,
-    @JsonProperty("c") String checkpoint) {
+    boolean done, int run, int failures, String executor, long bootMillis, String checkpoint) {
   public TaskProgress {
     executor = executor == null ? "" : executor;
     checkpoint = checkpoint == null ? "" : checkpoint;
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/JobPathTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/JobPathTest.java
@@ -7,6 +7,7 @@
 import io.cactusspring.jobs.model.JobState;
 import io.cactusspring.jobs.model.Queue;
 import io.cactusspring.jobs.model.StepSpec;
+import io.cactusspring.jobs.model.TaskId;
 import io.cactusspring.jobs.port.Executors.End;
 import io.cactusspring.jobs.world.FakeExecutor;
 import io.cactusspring.jobs.world.World;
@@ -80,11 +81,40 @@
     assertThat(world.oracle().broken()).isEmpty();
   }
 
+  /** Pattern: a caller asks again and again until the job is done. */
+  @Test
+  void stateIsAsNewAsTheStoreWhoeverIsAsked() {
+    submitEveryTenthOfASecond("before", 20);
+    JobSpec spec = job("j1", quick(), tasks(1).build());
+    submit(spec);
+    world.time().run(20);
+    for (World.Host host : world.hosts()) {
+      var answer = world.state(host, spec);
+      world.time().run(20);
+      assertThat(answer.result()).hasValue(JobState.RUNNING);
+    }
+  }
+
   @Test
   void exactlyOneHostOwnsTheExecutors() {
     assertThat(world.hosts().stream().filter(World.Host::isOwner).count()).isEqualTo(1);
   }
 
+  /**
+   * Pattern: the host that wrote last is killed under load; quick jobs cannot wait for a second.
+   */
+  @Test
+  void quickJobStartsWithinASecondOfTheOwnersDeath() {
+    submitEveryTenthOfASecond("before", 20);
+    owner().kill();
+    JobSpec spec = job("j1", quick(), tasks(1).build());
+    World.Host up = world.hosts().stream().filter(h -> h.entry().isPresent()).findAny().get();
+    world.submit(up, spec);
+    world.time().run(1_000);
+    assertThat(world.executors().stream().flatMap(e -> e.tasks().stream()).map(TaskId::job))
+        .contains("j1");
+  }
+
   @Test
   void killedOwnerIsReplacedAndItsWorkGoesOn() {
     world.work(id -> 4_000L);
--- /dev/null
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/ledger/LedgerCodecTest.java
@@ -0,0 +1,114 @@
+package io.cactusspring.jobs.ledger;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.cactusspring.core.model.Resources;
+import io.cactusspring.jobs.model.AdviceTerms;
+import io.cactusspring.jobs.model.JobSpec;
+import io.cactusspring.jobs.model.JobState;
+import io.cactusspring.jobs.model.Queue;
+import io.cactusspring.jobs.model.StepSpec;
+import io.cactusspring.jobs.port.KeyedTopic.Entry;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+final class LedgerCodecTest {
+  private static final AdviceTerms ADVICE = new AdviceTerms(21.5, 0.22, 2_500);
+  private static final Queue QUEUE =
+      new Queue("queue", "host", "/queue/", "svc", 2, 4, 2.2, 1_200, ADVICE, true);
+
+  private static JobSpec job(Queue queue, StepSpec... steps) {
+    return new JobSpec("id", queue, "team", "päyload \"{}", List.of(steps), 5, 6, 7, 8);
+  }
+
+  private static StepSpec everything() {
+    return StepSpec.builder()
+        .tasks(3)
+        .resources(new Resources(1_500, 256, 2))
+        .estimateMillis(900)
+        .after(List.of(0))
+        .checkpoints(true)
+        .gang(true)
+        .sameRack(true)
+        .requiredLabel("fast")
+        .dataRack("r1")
+        .maxPerExecutor(2)
+        .speculative(true)
+        .longRunning(true)
+        .image("im")
+        .targetMillis(30)
+        .fills(true)
+        .maxUnavailable(1)
+        .build();
+  }
+
+  @Test
+  void submissionIsReadAsItWasWritten() {
+    JobSpec spec = job(QUEUE, StepSpec.builder().build(), everything());
+    assertThat(LedgerCodec.readJob(LedgerCodec.job(spec))).hasValue(spec);
+  }
+
+  @Test
+  void queueWithoutAdviceIsReadWithoutAdvice() {
+    Queue plain = new Queue("queue", "host", "/q/", "svc", 0, 1, 1.5, 250, null, false);
+    JobSpec spec = job(plain, StepSpec.builder().build());
+    assertThat(LedgerCodec.readJob(LedgerCodec.job(spec))).hasValue(spec);
+  }
+
+  @Test
+  void progressIsReadAsItWasWritten() {
+    TaskProgress running = new TaskProgress(false, 2, 1, "x1", 77, "0000ff");
+    TaskProgress fresh = new TaskProgress(false, 0, 0, "", 0, "");
+    JobProgress progress =
+        new JobProgress(
+            9,
+            JobState.RUNNING,
+            true,
+            List.of(
+                new StepProgress(0, 0, true, List.of()),
+                new StepProgress(3, 1, false, List.of(running, fresh))));
+    assertThat(LedgerCodec.readProgress(LedgerCodec.progress("id", progress))).hasValue(progress);
+  }
+
+  @Test
+  void everyStateIsReadAsItWasWritten() {
+    for (JobState state : JobState.values()) {
+      JobProgress progress = new JobProgress(1, state, false, List.of());
+      assertThat(LedgerCodec.readProgress(LedgerCodec.progress("id", progress))).hasValue(progress);
+    }
+  }
+
+  @Test
+  void ownerAndPeerAreReadAsTheyWereWritten() {
+    OwnerRecord owner = new OwnerRecord(4_097, "host", "boot", true);
+    PeerRecord peer = new PeerRecord("host", "boot", "host:70");
+    assertThat(LedgerCodec.readOwner(LedgerCodec.owner(owner))).hasValue(owner);
+    assertThat(LedgerCodec.readPeer(LedgerCodec.peer(peer))).hasValue(peer);
+  }
+
+  /** Hosts of two versions read each other's records while one replaces the other. */
+  @Test
+  void writtenFormStaysTheSame() {
+    Entry owner = LedgerCodec.owner(new OwnerRecord(5, "h", "b", false));
+    assertThat(HexFormat.of().formatHex(owner.value())).isEqualTo("160a180168180162" + "1200");
+    JobProgress progress = new JobProgress(5, JobState.COMPLETED, true, List.of());
+    assertThat(HexFormat.of().formatHex(LedgerCodec.progress("id", progress).value()))
+        .isEqualTo("160a15061100");
+  }
+
+  @Test
+  void recordThatCannotBeReadIsPassedOver() {
+    byte[] whole = LedgerCodec.job(job(QUEUE, StepSpec.builder().build(), everything())).value();
+    Entry cut = new Entry("job/id", Arrays.copyOf(whole, whole.length / 2), 0);
+    Entry foreign = new Entry("job/id", "{\"id\":1}".getBytes(StandardCharsets.UTF_8), 0);
+    Entry empty = new Entry("job/id", new byte[0], 0);
+    for (Entry entry : List.of(cut, foreign, empty)) {
+      Optional<JobSpec> read = LedgerCodec.readJob(entry);
+      assertThat(read).isEmpty();
+    }
+  }
+}
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/world/FakeLog.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/world/FakeLog.java
@@ -12,6 +12,9 @@
 
 /** A keyed topic as the store holds it: records, the newest of each key, and a fenced writer. */
 public final class FakeLog {
+  private long appends;
+  private long reads;
+
   private record Done(long sequence, long offset) {}
 
   private final List<Entry> records = new ArrayList<>();
@@ -91,4 +94,22 @@
     first = end();
     records.clear();
   }
+
+  void countAppend() {
+    appends++;
+  }
+
+  void countRead() {
+    reads++;
+  }
+
+  /** Returns how many calls wrote to it. */
+  public long appends() {
+    return appends;
+  }
+
+  /** Returns how many calls read from it. */
+  public long reads() {
+    return reads;
+  }
 }
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/world/FakeTopic.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/world/FakeTopic.java
@@ -24,6 +24,7 @@
 
   @Override
   public Future<Long> append(List<Entry> entries, Optional<FencedWriter> writer) {
+    log.countAppend();
     List<Entry> copy = List.copyOf(entries);
     return link.call(() -> tryAppend(copy, writer), FakeTopic::unanswered, ANSWER_MILLIS);
   }
@@ -38,6 +39,7 @@
 
   @Override
   public Future<Batch> read(long from, long waitMillis) {
+    log.countRead();
     return link.call(
         () -> readOrWait(from, waitMillis), FakeTopic::unanswered, waitMillis + ANSWER_MILLIS);
   }
@@ -69,6 +71,7 @@
 
   @Override
   public Future<Page> newest(Optional<String> after) {
+    log.countRead();
     return link.call(
         () -> Future.succeededFuture(new Page(log.newest(), false, log.end())),
         FakeTopic::unanswered,
