Let followers read only the head of a progress record, and strong hosts claim first

Cause: on the grown sites hosts with 0.36 of a core fell behind: their view of the configuration, read with a wait of 0.8 s, was over 1.8 s old in a burst, because each of 34 hosts decoded every task of every progress record; and the owner was one of them as likely as not. Change: the steps of a progress record are a value of their own, read when a host takes over; hosts announce their processing power, and those with clearly less claim later.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/ClaimPolicy.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/ClaimPolicy.java
@@ -2,6 +2,7 @@
 
 import io.cactusspring.jobs.ledger.OwnerRecord;
 import io.cactusspring.jobs.ledger.PeerRecord;
+import java.util.Collection;
 import java.util.Optional;
 
 /**
@@ -26,6 +27,9 @@
 
   private static final int ROUND_SHIFT = 12;
 
+  /** Machines of one kind differ by less. */
+  private static final double CLEARLY_MORE = 1.25;
+
   /**
    * Returns whether to claim now.
    *
@@ -35,7 +39,7 @@
    * @param wroteAt when a record of the owner was last read
    * @param unbrokenSince since when the ledger is read without failure
    * @param answerMillis how long the store takes to answer now
-   * @param lot this host's own share of the stagger, from 0 to 1
+   * @param turn this host's own share of the stagger, see {@link #turn}
    */
   public boolean shouldClaim(
       OwnerRecord owner,
@@ -44,12 +48,12 @@
       long wroteAt,
       long unbrokenSince,
       long answerMillis,
-      double lot,
+      double turn,
       long now) {
     if (unbrokenSince > now) {
       return false;
     }
-    long stagger = Math.round(staggerMillis * lot);
+    long stagger = Math.round(staggerMillis * turn);
     long quiet = now - Math.max(wroteAt, unbrokenSince);
     if (owner.released() || isGone(owner, ownerHost)) {
       boolean ownHost = owner.host().equals(self.host());
@@ -65,6 +69,18 @@
     return ownerHost.map(p -> !p.incarnation().equals(owner.incarnation())).orElse(false);
   }
 
+  /**
+   * Returns when a host's turn to claim comes, as a multiple of the stagger: hosts with the most
+   * processing power go first, because the owner has the most to do.
+   *
+   * @param lot the host's own lot, from 0 to 1
+   */
+  public static double turn(PeerRecord self, Collection<PeerRecord> hosts, double lot) {
+    boolean strongerExists =
+        hosts.stream().anyMatch(h -> h.milliProcessors() > CLEARLY_MORE * self.milliProcessors());
+    return strongerExists ? 1 + lot : lot;
+  }
+
   /** Returns a term above another one that no other claimer is likely to choose. */
   public static long nextTerm(long term, int random) {
     long round = (term >> ROUND_SHIFT) + 1;
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/EntryHost.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/EntryHost.java
@@ -234,7 +234,7 @@
             ownerWroteAt,
             ledgerFollower.unbrokenSince(),
             answerMillis,
-            lot,
+            ClaimPolicy.turn(settings.self(), ledger.peers(), lot),
             now);
   }
 
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/ledger/JobEntry.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/ledger/JobEntry.java
@@ -16,7 +16,7 @@
   private JobSpec spec;
   private long specOffset = NONE;
   private long cancelOffset = NONE;
-  private JobProgress progress;
+  private StoredProgress progress;
   private long progressOffset = NONE;
 
   JobEntry(String id) {
@@ -41,8 +41,9 @@
     return cancelOffset != NONE;
   }
 
+  /** Reads what an owner has stored, with all steps. */
   public Optional<JobProgress> progress() {
-    return Optional.ofNullable(progress);
+    return Optional.ofNullable(progress).map(p -> p.decode(id));
   }
 
   /** Returns what a caller is told. */
@@ -54,6 +55,11 @@
     return cancelled() ? JobState.CANCELLED : stored;
   }
 
+  /** Returns whether an owner has stored the job's end. */
+  public boolean isOver() {
+    return progress != null && progress.state().isFinal();
+  }
+
   /** Returns whether the job waits for its first task. */
   public boolean isUnstarted() {
     return !state().isFinal() && (progress == null || !progress.started());
@@ -77,7 +83,7 @@
     return true;
   }
 
-  void progress(JobProgress stored, long offset) {
+  void progress(StoredProgress stored, long offset) {
     if (offset > progressOffset) {
       progress = stored;
       progressOffset = offset;
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/ledger/LedgerCodec.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/ledger/LedgerCodec.java
@@ -6,20 +6,14 @@
 import io.cactusspring.protocol.gen.ledger.JobRecord;
 import io.cactusspring.protocol.gen.ledger.OwnerClaimRecord;
 import io.cactusspring.protocol.gen.ledger.PeerAddressRecord;
-import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.Stream;
 import org.apache.thrift.TBase;
 import org.apache.thrift.TException;
-import org.apache.thrift.protocol.TCompactProtocol;
-import org.apache.thrift.transport.TMemoryBuffer;
-import org.apache.thrift.transport.TMemoryInputTransport;
 
 /**
- * Writes and reads the records of the ledger topic: values in Thrift's compact protocol.
- *
- * <p>Its transports are used without their factories, which would load a logging library.
+ * Keys and values of the ledger's records; values are in Thrift's compact protocol.
  *
  * @since 0.2
  */
@@ -31,7 +25,12 @@
   static final String OWNER = "owner";
 
   private static final byte[] CANCELLED = {'1'};
-  private static final int FIRST_BUFFER_BYTES = 512;
+
+  /** Gives the Thrift form of a value. */
+  @FunctionalInterface
+  private interface Writing {
+    TBase<?, ?> record() throws TException;
+  }
 
   /** Reads a value from its Thrift form. */
   @FunctionalInterface
@@ -42,7 +41,7 @@
   private LedgerCodec() {}
 
   public static Entry job(JobSpec spec) {
-    return entry(JOB + spec.id(), JobRecords.record(spec));
+    return entry(JOB + spec.id(), () -> JobRecords.record(spec));
   }
 
   public static Entry cancel(String job) {
@@ -50,7 +49,7 @@
   }
 
   public static Entry progress(String job, JobProgress progress) {
-    return entry(PROGRESS + job, ProgressRecords.record(progress));
+    return entry(PROGRESS + job, () -> ProgressRecords.record(progress));
   }
 
   public static Entry owner(OwnerRecord owner) {
@@ -60,7 +59,7 @@
             .setHost(owner.host())
             .setIncarnation(owner.incarnation())
             .setReleased(owner.released());
-    return entry(OWNER, written);
+    return entry(OWNER, () -> written);
   }
 
   public static Entry peer(PeerRecord peer) {
@@ -68,8 +67,9 @@
         new PeerAddressRecord()
             .setHost(peer.host())
             .setIncarnation(peer.incarnation())
-            .setAddress(peer.address());
-    return entry(PEER + peer.host(), written);
+            .setAddress(peer.address())
+            .setMilliProcessors(peer.milliProcessors());
+    return entry(PEER + peer.host(), () -> written);
   }
 
   /** Returns records that drop everything about a job, the last one the job itself. */
@@ -81,8 +81,8 @@
     return read(entry, new JobRecord(), JobRecords::spec);
   }
 
-  static Optional<JobProgress> readProgress(Entry entry) {
-    return read(entry, new JobProgressRecord(), ProgressRecords::progress);
+  static Optional<StoredProgress> readProgress(Entry entry) {
+    return read(entry, new JobProgressRecord(), ProgressRecords::stored);
   }
 
   static Optional<OwnerRecord> readOwner(Entry entry) {
@@ -96,14 +96,14 @@
     return read(
         entry,
         new PeerAddressRecord(),
-        r -> new PeerRecord(r.getHost(), r.getIncarnation(), r.getAddress()));
+        r ->
+            new PeerRecord(
+                r.getHost(), r.getIncarnation(), r.getAddress(), r.getMilliProcessors()));
   }
 
-  private static Entry entry(String key, TBase<?, ?> value) {
+  private static Entry entry(String key, Writing value) {
     try {
-      TMemoryBuffer buffer = new TMemoryBuffer(FIRST_BUFFER_BYTES);
-      value.write(new TCompactProtocol(buffer));
-      return new Entry(key, Arrays.copyOf(buffer.getArray(), buffer.length()), 0);
+      return new Entry(key, ThriftBytes.write(value.record()), 0);
     } catch (TException e) {
       throw new IllegalArgumentException("cannot encode " + key, e);
     }
@@ -111,10 +111,9 @@
 
   /** Reads a value; empty, with a line in the log, if it is not of that form. */
   private static <R extends TBase<R, ?>, T> Optional<T> read(
-      Entry entry, R record, Mapping<R, T> mapping) {
+      Entry entry, R empty, Mapping<R, T> mapping) {
     try {
-      record.read(new TCompactProtocol(new TMemoryInputTransport(entry.value())));
-      return Optional.of(mapping.map(record));
+      return Optional.of(mapping.map(ThriftBytes.read(entry.value(), empty)));
     } catch (TException | IllegalArgumentException e) {
       System.getLogger(LedgerCodec.class.getName())
           .log(
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/ledger/ProgressRecords.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/ledger/ProgressRecords.java
@@ -4,34 +4,40 @@
 import io.cactusspring.protocol.gen.ledger.JobProgressRecord;
 import io.cactusspring.protocol.gen.ledger.JobStateCode;
 import io.cactusspring.protocol.gen.ledger.StepProgressRecord;
+import io.cactusspring.protocol.gen.ledger.StepsProgressRecord;
 import io.cactusspring.protocol.gen.ledger.TaskProgressRecord;
 import java.util.List;
 import java.util.stream.Stream;
+import org.apache.thrift.TException;
 
 /** Maps what an owner has stored about a job to its Thrift form and back. */
 final class ProgressRecords {
   private ProgressRecords() {}
 
-  static JobProgressRecord record(JobProgress progress) {
+  static JobProgressRecord record(JobProgress progress) throws TException {
     JobProgressRecord written =
         new JobProgressRecord().setTerm(progress.term()).setState(code(progress.state()));
     if (progress.started()) {
       written.setStarted(true);
     }
     if (!progress.steps().isEmpty()) {
-      written.setSteps(progress.steps().stream().map(ProgressRecords::record).toList());
+      List<StepProgressRecord> steps =
+          progress.steps().stream().map(ProgressRecords::record).toList();
+      written.setSteps(ThriftBytes.write(new StepsProgressRecord().setSteps(steps)));
     }
     return written;
   }
 
-  static JobProgress progress(JobProgressRecord read) {
-    return new JobProgress(
-        read.getTerm(),
-        state(read.getState()),
-        read.isStarted(),
-        read.isSetSteps()
-            ? read.getSteps().stream().map(ProgressRecords::step).toList()
-            : List.of());
+  static StoredProgress stored(JobProgressRecord read) {
+    byte[] steps = read.isSetSteps() ? read.getSteps() : new byte[0];
+    return new StoredProgress(read.getTerm(), state(read.getState()), read.isStarted(), steps);
+  }
+
+  static List<StepProgress> steps(byte[] bytes) throws TException {
+    StepsProgressRecord read = ThriftBytes.read(bytes, new StepsProgressRecord());
+    return read.isSetSteps()
+        ? read.getSteps().stream().map(ProgressRecords::step).toList()
+        : List.of();
   }
 
   private static StepProgressRecord record(StepProgress step) {
--- /dev/null
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/ledger/ThriftBytes.java
@@ -0,0 +1,31 @@
+package io.cactusspring.jobs.ledger;
+
+import java.util.Arrays;
+import org.apache.thrift.TBase;
+import org.apache.thrift.TException;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.apache.thrift.transport.TMemoryBuffer;
+import org.apache.thrift.transport.TMemoryInputTransport;
+
+/**
+ * Thrift's compact protocol to and from bytes.
+ *
+ * <p>Uses the transports without their factories, which would load a logging library.
+ */
+final class ThriftBytes {
+  private static final int FIRST_BUFFER_BYTES = 512;
+
+  private ThriftBytes() {}
+
+  static byte[] write(TBase<?, ?> value) throws TException {
+    TMemoryBuffer buffer = new TMemoryBuffer(FIRST_BUFFER_BYTES);
+    value.write(new TCompactProtocol(buffer));
+    return Arrays.copyOf(buffer.getArray(), buffer.length());
+  }
+
+  /** Reads into an empty value and returns it. */
+  static <R extends TBase<R, ?>> R read(byte[] bytes, R empty) throws TException {
+    empty.read(new TCompactProtocol(new TMemoryInputTransport(bytes)));
+    return empty;
+  }
+}
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
@@ -97,8 +97,7 @@
   }
 
   private void adopt(JobEntry entry, long wallMillis, long now) {
-    boolean over = entry.progress().map(p -> p.state().isFinal()).orElse(false);
-    if (over) {
+    if (entry.isOver()) {
       return;
     }
     LiveJob job = new LiveJob(entry, wallMillis, now);
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/AdviceDeskTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/AdviceDeskTest.java
@@ -46,7 +46,7 @@
   private void peers(int number) {
     desk.hosts(
         IntStream.range(0, number)
-            .mapToObj(i -> new PeerRecord("host" + i, "1", "host" + i + ":70"))
+            .mapToObj(i -> new PeerRecord("host" + i, "1", "host" + i + ":70", 750))
             .toList());
   }
 
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/ClaimPolicyTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/ClaimPolicyTest.java
@@ -4,14 +4,15 @@
 
 import io.cactusspring.jobs.ledger.OwnerRecord;
 import io.cactusspring.jobs.ledger.PeerRecord;
+import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
 final class ClaimPolicyTest {
   private static final ClaimPolicy POLICY = new ClaimPolicy(750, 1_500, 200);
-  private static final PeerRecord SELF = new PeerRecord("a", "a#1", "a:70");
+  private static final PeerRecord SELF = new PeerRecord("a", "a#1", "a:70", 750);
   private static final OwnerRecord OWNER = new OwnerRecord(5, "b", "b#1", false);
-  private static final PeerRecord SAME_PROCESS = new PeerRecord("b", "b#1", "b:70");
+  private static final PeerRecord SAME_PROCESS = new PeerRecord("b", "b#1", "b:70", 750);
   private static final long READING_SINCE = 0;
 
   private static boolean claims(
@@ -74,10 +75,19 @@
 
   @Test
   void ownerWhoseHostRunsANewerProcessIsReplacedAtOnce() {
-    PeerRecord newer = new PeerRecord("b", "b#2", "b:70");
+    PeerRecord newer = new PeerRecord("b", "b#2", "b:70", 750);
     assertThat(claims(OWNER, newer, 10_000, READING_SINCE, 10_000)).isTrue();
   }
 
+  /** Pattern: most hosts have a quarter of the processing power of some. */
+  @Test
+  void hostsWithMoreProcessingPowerClaimFirst() {
+    PeerRecord strong = new PeerRecord("s", "s#1", "s:70", 1_500);
+    List<PeerRecord> hosts = List.of(SELF, strong, SAME_PROCESS);
+    assertThat(ClaimPolicy.turn(strong, hosts, 0.9)).isLessThan(ClaimPolicy.turn(SELF, hosts, 0.1));
+    assertThat(ClaimPolicy.turn(SELF, List.of(SELF, SAME_PROCESS), 0.1)).isEqualTo(0.1);
+  }
+
   @Test
   void nextTermIsAboveAnyTermOfTheRoundBefore() {
     long highest = ClaimPolicy.nextTerm(0, 0xfff);
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/ledger/LedgerCodecTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/ledger/LedgerCodecTest.java
@@ -71,21 +71,25 @@
             List.of(
                 new StepProgress(0, 0, true, List.of()),
                 new StepProgress(3, 1, false, List.of(running, fresh))));
-    assertThat(LedgerCodec.readProgress(LedgerCodec.progress("id", progress))).hasValue(progress);
+    assertThat(read(progress)).hasValue(progress);
+  }
+
+  private static Optional<JobProgress> read(JobProgress progress) {
+    return LedgerCodec.readProgress(LedgerCodec.progress("id", progress)).map(p -> p.decode("id"));
   }
 
   @Test
   void everyStateIsReadAsItWasWritten() {
     for (JobState state : JobState.values()) {
       JobProgress progress = new JobProgress(1, state, false, List.of());
-      assertThat(LedgerCodec.readProgress(LedgerCodec.progress("id", progress))).hasValue(progress);
+      assertThat(read(progress)).hasValue(progress);
     }
   }
 
   @Test
   void ownerAndPeerAreReadAsTheyWereWritten() {
     OwnerRecord owner = new OwnerRecord(4_097, "host", "boot", true);
-    PeerRecord peer = new PeerRecord("host", "boot", "host:70");
+    PeerRecord peer = new PeerRecord("host", "boot", "host:70", 750);
     assertThat(LedgerCodec.readOwner(LedgerCodec.owner(owner))).hasValue(owner);
     assertThat(LedgerCodec.readPeer(LedgerCodec.peer(peer))).hasValue(peer);
   }
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/world/World.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/world/World.java
@@ -306,7 +306,7 @@
             new FakeAdvice(host),
             new FakeAdvice(host),
             timers);
-    PeerRecord self = new PeerRecord(host.name, host.name + "#" + life, host.name + ":70");
+    PeerRecord self = new PeerRecord(host.name, host.name + "#" + life, host.name + ":70", 750);
     HostSettings settings =
         new HostSettings(self, SCHEDULER, new ClaimPolicy(750, 1_500, 200), 4_200, 1_800);
     return new EntryHost(ports, settings, log, new Random(random.nextLong()));
--- a/cactusspring-protocol/src/main/java/io/cactusspring/protocol/gen/ledger/JobProgressRecord.java
+++ b/cactusspring-protocol/src/main/java/io/cactusspring/protocol/gen/ledger/JobProgressRecord.java
@@ -16,7 +16,7 @@
   private static final org.apache.thrift.protocol.TField TERM_FIELD_DESC = new org.apache.thrift.protocol.TField("term", org.apache.thrift.protocol.TType.I64, (short)1);
   private static final org.apache.thrift.protocol.TField STATE_FIELD_DESC = new org.apache.thrift.protocol.TField("state", org.apache.thrift.protocol.TType.I32, (short)2);
   private static final org.apache.thrift.protocol.TField STARTED_FIELD_DESC = new org.apache.thrift.protocol.TField("started", org.apache.thrift.protocol.TType.BOOL, (short)3);
-  private static final org.apache.thrift.protocol.TField STEPS_FIELD_DESC = new org.apache.thrift.protocol.TField("steps", org.apache.thrift.protocol.TType.LIST, (short)4);
+  private static final org.apache.thrift.protocol.TField STEPS_FIELD_DESC = new org.apache.thrift.protocol.TField("steps", org.apache.thrift.protocol.TType.STRING, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new JobProgressRecordStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new JobProgressRecordTupleSchemeFactory();
@@ -24,7 +24,7 @@
   private long term; // required
   private @org.apache.thrift.annotation.Nullable JobStateCode state; // required
   private boolean started; // optional
-  private @org.apache.thrift.annotation.Nullable java.util.List<StepProgressRecord> steps; // optional
+  private @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer steps; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -35,6 +35,9 @@
      */
     STATE((short)2, "state"),
     STARTED((short)3, "started"),
+    /**
+     * A StepsProgressRecord: every host reads the record, but only an owner needs the steps.
+     */
     STEPS((short)4, "steps");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
@@ -116,8 +119,7 @@
     tmpMap.put(_Fields.STARTED, new org.apache.thrift.meta_data.FieldMetaData("started", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     tmpMap.put(_Fields.STEPS, new org.apache.thrift.meta_data.FieldMetaData("steps", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
-        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
-            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, StepProgressRecord.class))));
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING        , true)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(JobProgressRecord.class, metaDataMap);
   }
@@ -146,11 +148,7 @@
     }
     this.started = other.started;
     if (other.isSetSteps()) {
-      java.util.List<StepProgressRecord> __this__steps = new java.util.ArrayList<StepProgressRecord>(other.steps.size());
-      for (StepProgressRecord other_element : other.steps) {
-        __this__steps.add(new StepProgressRecord(other_element));
-      }
-      this.steps = __this__steps;
+      this.steps = org.apache.thrift.TBaseHelper.copyBinary(other.steps);
     }
   }
 
@@ -248,29 +246,28 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __STARTED_ISSET_ID, value);
   }
 
-  public int getStepsSize() {
-    return (this.steps == null) ? 0 : this.steps.size();
-  }
-
-  @org.apache.thrift.annotation.Nullable
-  public java.util.Iterator<StepProgressRecord> getStepsIterator() {
-    return (this.steps == null) ? null : this.steps.iterator();
+  /**
+   * A StepsProgressRecord: every host reads the record, but only an owner needs the steps.
+   */
+  public byte[] getSteps() {
+    setSteps(org.apache.thrift.TBaseHelper.rightSize(steps));
+    return steps == null ? null : steps.array();
   }
 
-  public void addToSteps(StepProgressRecord elem) {
-    if (this.steps == null) {
-      this.steps = new java.util.ArrayList<StepProgressRecord>();
-    }
-    this.steps.add(elem);
+  public java.nio.ByteBuffer bufferForSteps() {
+    return org.apache.thrift.TBaseHelper.copyBinary(steps);
   }
 
-  @org.apache.thrift.annotation.Nullable
-  public java.util.List<StepProgressRecord> getSteps() {
-    return this.steps;
+  /**
+   * A StepsProgressRecord: every host reads the record, but only an owner needs the steps.
+   */
+  public JobProgressRecord setSteps(byte[] steps) {
+    this.steps = steps == null ? (java.nio.ByteBuffer)null   : java.nio.ByteBuffer.wrap(steps.clone());
+    return this;
   }
 
-  public JobProgressRecord setSteps(@org.apache.thrift.annotation.Nullable java.util.List<StepProgressRecord> steps) {
-    this.steps = steps;
+  public JobProgressRecord setSteps(@org.apache.thrift.annotation.Nullable java.nio.ByteBuffer steps) {
+    this.steps = org.apache.thrift.TBaseHelper.copyBinary(steps);
     return this;
   }
 
@@ -320,7 +317,11 @@
       if (value == null) {
         unsetSteps();
       } else {
-        setSteps((java.util.List<StepProgressRecord>)value);
+        if (value instanceof byte[]) {
+          setSteps((byte[])value);
+        } else {
+          setSteps((java.nio.ByteBuffer)value);
+        }
       }
       break;
 
@@ -535,7 +536,7 @@
       if (this.steps == null) {
         sb.append("null");
       } else {
-        sb.append(this.steps);
+        org.apache.thrift.TBaseHelper.toString(this.steps, sb);
       }
       first = false;
     }
@@ -615,19 +616,8 @@
             }
             break;
           case 4: // STEPS
-            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
-              {
-                org.apache.thrift.protocol.TList _list24 = iprot.readListBegin();
-                struct.steps = new java.util.ArrayList<StepProgressRecord>(_list24.size);
-                @org.apache.thrift.annotation.Nullable StepProgressRecord _elem25;
-                for (int _i26 = 0; _i26 < _list24.size; ++_i26)
-                {
-                  _elem25 = new StepProgressRecord();
-                  _elem25.read(iprot);
-                  struct.steps.add(_elem25);
-                }
-                iprot.readListEnd();
-              }
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.steps = iprot.readBinary();
               struct.setStepsIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
@@ -668,14 +658,7 @@
       if (struct.steps != null) {
         if (struct.isSetSteps()) {
           oprot.writeFieldBegin(STEPS_FIELD_DESC);
-          {
-            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.steps.size()));
-            for (StepProgressRecord _iter27 : struct.steps)
-            {
-              _iter27.write(oprot);
-            }
-            oprot.writeListEnd();
-          }
+          oprot.writeBinary(struct.steps);
           oprot.writeFieldEnd();
         }
       }
@@ -711,13 +694,7 @@
         oprot.writeBool(struct.started);
       }
       if (struct.isSetSteps()) {
-        {
-          oprot.writeI32(struct.steps.size());
-          for (StepProgressRecord _iter28 : struct.steps)
-          {
-            _iter28.write(oprot);
-          }
-        }
+        oprot.writeBinary(struct.steps);
       }
     }
 
@@ -734,17 +711,7 @@
         struct.setStartedIsSet(true);
       }
       if (incoming.get(1)) {
-        {
-          org.apache.thrift.protocol.TList _list29 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.steps = new java.util.ArrayList<StepProgressRecord>(_list29.size);
-          @org.apache.thrift.annotation.Nullable StepProgressRecord _elem30;
-          for (int _i31 = 0; _i31 < _list29.size; ++_i31)
-          {
-            _elem30 = new StepProgressRecord();
-            _elem30.read(iprot);
-            struct.steps.add(_elem30);
-          }
-        }
+        struct.steps = iprot.readBinary();
         struct.setStepsIsSet(true);
       }
     }
--- a/cactusspring-protocol/src/main/java/io/cactusspring/protocol/gen/ledger/PeerAddressRecord.java
+++ b/cactusspring-protocol/src/main/java/io/cactusspring/protocol/gen/ledger/PeerAddressRecord.java
@@ -16,6 +16,7 @@
   private static final org.apache.thrift.protocol.TField HOST_FIELD_DESC = new org.apache.thrift.protocol.TField("host", org.apache.thrift.protocol.TType.STRING, (short)1);
   private static final org.apache.thrift.protocol.TField INCARNATION_FIELD_DESC = new org.apache.thrift.protocol.TField("incarnation", org.apache.thrift.protocol.TType.STRING, (short)2);
   private static final org.apache.thrift.protocol.TField ADDRESS_FIELD_DESC = new org.apache.thrift.protocol.TField("address", org.apache.thrift.protocol.TType.STRING, (short)3);
+  private static final org.apache.thrift.protocol.TField MILLI_PROCESSORS_FIELD_DESC = new org.apache.thrift.protocol.TField("milliProcessors", org.apache.thrift.protocol.TType.I32, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new PeerAddressRecordStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new PeerAddressRecordTupleSchemeFactory();
@@ -23,12 +24,17 @@
   private @org.apache.thrift.annotation.Nullable java.lang.String host; // required
   private @org.apache.thrift.annotation.Nullable java.lang.String incarnation; // required
   private @org.apache.thrift.annotation.Nullable java.lang.String address; // required
+  private int milliProcessors; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     HOST((short)1, "host"),
     INCARNATION((short)2, "incarnation"),
-    ADDRESS((short)3, "address");
+    ADDRESS((short)3, "address"),
+    /**
+     * Processing power in thousandths of a processor.
+     */
+    MILLI_PROCESSORS((short)4, "milliProcessors");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -50,6 +56,8 @@
           return INCARNATION;
         case 3: // ADDRESS
           return ADDRESS;
+        case 4: // MILLI_PROCESSORS
+          return MILLI_PROCESSORS;
         default:
           return null;
       }
@@ -93,6 +101,9 @@
   }
 
   // isset id assignments
+  private static final int __MILLIPROCESSORS_ISSET_ID = 0;
+  private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.MILLI_PROCESSORS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -102,6 +113,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.ADDRESS, new org.apache.thrift.meta_data.FieldMetaData("address", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.MILLI_PROCESSORS, new org.apache.thrift.meta_data.FieldMetaData("milliProcessors", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(PeerAddressRecord.class, metaDataMap);
   }
@@ -124,6 +137,7 @@
    * Performs a deep copy on <i>other</i>.
    */
   public PeerAddressRecord(PeerAddressRecord other) {
+    __isset_bitfield = other.__isset_bitfield;
     if (other.isSetHost()) {
       this.host = other.host;
     }
@@ -133,6 +147,7 @@
     if (other.isSetAddress()) {
       this.address = other.address;
     }
+    this.milliProcessors = other.milliProcessors;
   }
 
   @Override
@@ -145,6 +160,8 @@
     this.host = null;
     this.incarnation = null;
     this.address = null;
+    setMilliProcessorsIsSet(false);
+    this.milliProcessors = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -222,6 +239,35 @@
     }
   }
 
+  /**
+   * Processing power in thousandths of a processor.
+   */
+  public int getMilliProcessors() {
+    return this.milliProcessors;
+  }
+
+  /**
+   * Processing power in thousandths of a processor.
+   */
+  public PeerAddressRecord setMilliProcessors(int milliProcessors) {
+    this.milliProcessors = milliProcessors;
+    setMilliProcessorsIsSet(true);
+    return this;
+  }
+
+  public void unsetMilliProcessors() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __MILLIPROCESSORS_ISSET_ID);
+  }
+
+  /** Returns true if field milliProcessors is set (has been assigned a value) and false otherwise */
+  public boolean isSetMilliProcessors() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __MILLIPROCESSORS_ISSET_ID);
+  }
+
+  public void setMilliProcessorsIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __MILLIPROCESSORS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -249,6 +295,14 @@
       }
       break;
 
+    case MILLI_PROCESSORS:
+      if (value == null) {
+        unsetMilliProcessors();
+      } else {
+        setMilliProcessors((java.lang.Integer)value);
+      }
+      break;
+
     }
   }
 
@@ -265,6 +319,9 @@
     case ADDRESS:
       return getAddress();
 
+    case MILLI_PROCESSORS:
+      return getMilliProcessors();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -283,6 +340,8 @@
       return isSetIncarnation();
     case ADDRESS:
       return isSetAddress();
+    case MILLI_PROCESSORS:
+      return isSetMilliProcessors();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -327,6 +386,15 @@
         return false;
     }
 
+    boolean this_present_milliProcessors = true && this.isSetMilliProcessors();
+    boolean that_present_milliProcessors = true && that.isSetMilliProcessors();
+    if (this_present_milliProcessors || that_present_milliProcessors) {
+      if (!(this_present_milliProcessors && that_present_milliProcessors))
+        return false;
+      if (this.milliProcessors != that.milliProcessors)
+        return false;
+    }
+
     return true;
   }
 
@@ -346,6 +414,10 @@
     if (isSetAddress())
       hashCode = hashCode * 8191 + address.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetMilliProcessors()) ? 131071 : 524287);
+    if (isSetMilliProcessors())
+      hashCode = hashCode * 8191 + milliProcessors;
+
     return hashCode;
   }
 
@@ -387,6 +459,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetMilliProcessors(), other.isSetMilliProcessors());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetMilliProcessors()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.milliProcessors, other.milliProcessors);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -434,6 +516,12 @@
       sb.append(this.address);
     }
     first = false;
+    if (isSetMilliProcessors()) {
+      if (!first) sb.append(", ");
+      sb.append("milliProcessors:");
+      sb.append(this.milliProcessors);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -462,6 +550,8 @@
 
   private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
     try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
       read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
     } catch (org.apache.thrift.TException te) {
       throw new java.io.IOException(te);
@@ -512,6 +602,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 4: // MILLI_PROCESSORS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.milliProcessors = iprot.readI32();
+              struct.setMilliProcessorsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -543,6 +641,11 @@
         oprot.writeString(struct.address);
         oprot.writeFieldEnd();
       }
+      if (struct.isSetMilliProcessors()) {
+        oprot.writeFieldBegin(MILLI_PROCESSORS_FIELD_DESC);
+        oprot.writeI32(struct.milliProcessors);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -564,6 +667,14 @@
       oprot.writeString(struct.host);
       oprot.writeString(struct.incarnation);
       oprot.writeString(struct.address);
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetMilliProcessors()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetMilliProcessors()) {
+        oprot.writeI32(struct.milliProcessors);
+      }
     }
 
     @Override
@@ -575,6 +686,11 @@
       struct.setIncarnationIsSet(true);
       struct.address = iprot.readString();
       struct.setAddressIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        struct.milliProcessors = iprot.readI32();
+        struct.setMilliProcessorsIsSet(true);
+      }
     }
   }
 
--- a/cactusspring-protocol/src/main/thrift/ledger.thrift
+++ b/cactusspring-protocol/src/main/thrift/ledger.thrift
@@ -88,12 +88,17 @@
   4: optional list<TaskProgressRecord> tasks
 }
 
+struct StepsProgressRecord {
+  1: optional list<StepProgressRecord> steps
+}
+
 /** What an owner has stored about a job. */
 struct JobProgressRecord {
   1: required i64 term
   2: required JobStateCode state
   3: optional bool started
-  4: optional list<StepProgressRecord> steps
+  /** A StepsProgressRecord: every host reads the record, but only an owner needs the steps. */
+  4: optional binary steps
 }
 
 /** Who owns the executors. */
@@ -109,4 +114,6 @@
   1: required string host
   2: required string incarnation
   3: required string address
+  /** Processing power in thousandths of a processor. */
+  4: optional i32 milliProcessors
 }
