Give no more tasks to an executor that leaves a start unanswered

Change: 150 ms after a start without any answer since, an executor gets nothing more until it answers. Shown by: executorThatLeavesAStartUnansweredGetsNothingMoreUntilItAnswers.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveExecutor.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveExecutor.java
@@ -28,6 +28,7 @@
   private long leaseLapsesAt = NEVER;
   private long silentSince = NEVER;
   private boolean surveyed;
+  private boolean suspect;
   private long endsSeen;
   private long endsStored;
   private long endsTold;
@@ -102,6 +103,7 @@
     endsStored = 0;
     endsTold = 0;
     surveyed = false;
+    suspect = false;
     silentSince = NEVER;
     failingStreak = 0;
     quarantinedUntil = NEVER;
@@ -156,9 +158,15 @@
         && surveyed
         && !info.draining()
         && silentSince == NEVER
+        && !suspect
         && now >= quarantinedUntil;
   }
 
+  /** Keeps new tasks away while a start is overdue and nothing was answered since it was sent. */
+  void suspect(boolean value) {
+    suspect = value;
+  }
+
   boolean surveyed() {
     return surveyed;
   }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Run.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Run.java
@@ -32,6 +32,7 @@
   private Phase phase;
   private long phaseAt;
   private int startsSent;
+  private long startSentAt;
   private long unansweredAt = Long.MIN_VALUE / 2;
   private boolean stopping;
   private long stopSentAt = Long.MIN_VALUE;
@@ -104,9 +105,20 @@
 
   void startSent(long now) {
     startsSent++;
+    startSentAt = now;
     enter(Phase.STARTING, now);
   }
 
+  /** Returns whether the answer to its start is overdue. */
+  boolean startOverdue(long overdueMillis, long now) {
+    return (phase == Phase.STARTING || phase == Phase.IN_DOUBT)
+        && now - startSentAt >= overdueMillis;
+  }
+
+  long startSentAt() {
+    return startSentAt;
+  }
+
   /** Takes note that a start got no answer. */
   void startUnanswered(long now) {
     unansweredAt = now;
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/RunWatch.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/RunWatch.java
@@ -9,6 +9,8 @@
   // A healthy executor answers a start in a few milliseconds.
   private static final long START_RETRY_MILLIS = 200;
   private static final int MOST_STARTS = 3;
+  // Many times what a healthy executor takes, and a fraction of what a hold takes to find out.
+  private static final long START_OVERDUE_MILLIS = 150;
   // A task of a few seconds shows a new percentage several times a second.
   private static final long STALLED_MILLIS = 2_500;
 
@@ -25,6 +27,7 @@
   }
 
   private void look(LiveExecutor executor, long now) {
+    executor.suspect(isSuspect(executor, now));
     if (executor.runs().isEmpty()) {
       return;
     }
@@ -38,6 +41,15 @@
     }
   }
 
+  /** An executor that was cut off must not get more tasks until a hold has found out. */
+  private static boolean isSuspect(LiveExecutor executor, long now) {
+    return executor.runs().stream()
+        .anyMatch(
+            r ->
+                r.startOverdue(START_OVERDUE_MILLIS, now)
+                    && r.startSentAt() >= executor.answeredAt());
+  }
+
   private void look(LiveExecutor executor, Run run, long now) {
     if (run.phase() == Run.Phase.IN_DOUBT
         && !run.stopping()
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/JobSchedulerTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/JobSchedulerTest.java
@@ -212,6 +212,25 @@
     assertThat(again.get(0)).isEqualTo(start);
   }
 
+  /**
+   * Pattern: a zone with executors is cut off; what is placed there is stuck until leases lapse.
+   */
+  @Test
+  void executorThatLeavesAStartUnansweredGetsNothingMoreUntilItAnswers() {
+    executor("x1");
+    submit("j1", queue(null), tasks(1).build());
+    Action.Start start = starts().get(0);
+    assertThat(scheduler.startOrder(start.executor(), start.run(), now)).isPresent();
+    now += 200;
+    assertThat(starts()).isEmpty();
+    submit("j2", queue(null), tasks(1).build());
+    assertThat(starts()).isEmpty();
+    Running listed = new Running(start.run().task(), start.run().number(), "", 10, 0);
+    report("x1", List.of(listed), List.of());
+    scheduler.decide(millis -> true, now, now);
+    assertThat(scheduler.takeChanges().jobs()).containsKey("j2");
+  }
+
   @Test
   void refusedStartIsTriedElsewhereWithAHigherRun() {
     executor("x1");
