Take over as soon after the store dropped its history, and let few hosts make long calls

With two or three other hosts left, long calls for advice had one of them. Change: that answer counts as one; at most every third other host is kept for short calls.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/AdviceDesk.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/AdviceDesk.java
@@ -31,6 +31,9 @@
   /** Other hosts that take no long calls; with the owner about 100 short calls a second. */
   private static final int SHORT_ONLY_HOSTS = 2;
 
+  /** While few hosts are left, long calls must not starve: at most one in so many is kept. */
+  private static final int SHORT_ONLY_SHARE = 3;
+
   /** What a call through another host takes longer. */
   private static final double HOP_MILLIS = 3;
 
@@ -99,7 +102,7 @@
     if (others.isEmpty()) {
       return Optional.of(ownCaller).filter(c -> c.calls == 0);
     }
-    long most = Math.max(1, others.size() - SHORT_ONLY_HOSTS);
+    long most = others.size() - Math.min(SHORT_ONLY_HOSTS, others.size() / SHORT_ONLY_SHARE);
     boolean full = others.stream().filter(c -> c.busyMillis > SHORT_CALL_MILLIS).count() >= most;
     return others.stream().filter(c -> !full && c.calls == 0).findFirst();
   }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/TopicFollower.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/TopicFollower.java
@@ -190,12 +190,13 @@
   }
 
   private void failed(Throwable problem) {
-    unbrokenSince = Long.MAX_VALUE;
     if (StoreException.kindOf(problem) == StoreException.Kind.TRIMMED) {
+      // An answer all the same: the store is well, and has dropped its history.
       loaded = false;
       retryMillis = 0;
       return;
     }
+    unbrokenSince = Long.MAX_VALUE;
     retryMillis =
         retryMillis == 0 ? FIRST_RETRY_MILLIS : Math.min(LAST_RETRY_MILLIS, retryMillis * 2);
     if (!lost) {
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/JobPathTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/JobPathTest.java
@@ -378,6 +378,21 @@
     assertThat(answer.result().isPresent()).isFalse();
   }
 
+  /** Pattern: the store forgets its history, and the owner is killed soon after; Riga scale-1. */
+  @Test
+  void droppedHistoryDoesNotDelayATakeover() {
+    world.time().run(3_000);
+    submitEveryTenthOfASecond("before", 10);
+    for (int i = 0; i < 4; i++) {
+      world.submit(owner(), job("more" + i, quick(), tasks(1).build()));
+      world.time().run(20);
+    }
+    world.ledger().compact();
+    owner().kill();
+    world.time().run(1_350);
+    assertThat(world.hosts().stream().anyMatch(World.Host::isOwner)).isTrue();
+  }
+
   @Test
   void droppedHistoryIsReadAgainFromTheNewestRecords() {
     JobSpec spec = job("j1", quick(), tasks(2).build());
