Send starts while the store is slower than the owner's beats

Cause: read in the code. Shown by: tasksStartWhileTheStoreIsSlowerThanTheOwnersBeats, failing before.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/AnswerTimes.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/AnswerTimes.java
@@ -15,6 +15,11 @@
     averageMillis += WEIGHT_OF_NEWEST * (millis - averageMillis);
   }
 
+  /** Returns how long answers took, the newest ones counting most. */
+  long averageMillis() {
+    return Math.round(averageMillis);
+  }
+
   /** Returns after how long an answer that has not come is probably lost. */
   long overdueMillis() {
     return Math.max(LEAST_OVERDUE_MILLIS, Math.round(OVERDUE_FACTOR * averageMillis));
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerController.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerController.java
@@ -43,6 +43,8 @@
   private static final int MOST_RECORDS = 200;
   // Below the silence after which another host claims.
   private static final long START_CONFIRMED_MILLIS = 600;
+  // Others wait three answers of the store longer before they claim.
+  private static final int ANSWERS_TO_CONFIRM = 2;
 
   private final JobScheduler scheduler;
   private final OwnerRecord record;
@@ -292,7 +294,9 @@
   }
 
   private void sendStart(Action.Start start) {
-    if (timers.nowMillis() - storedAt > START_CONFIRMED_MILLIS) {
+    long confirmedWithin =
+        Math.max(START_CONFIRMED_MILLIS, ANSWERS_TO_CONFIRM * answers.averageMillis());
+    if (timers.nowMillis() - storedAt > confirmedWithin) {
       // Another owner may have taken over; the run stays in doubt until the store answers.
       pendingStarts.add(start);
       return;
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/JobPathTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/JobPathTest.java
@@ -146,6 +146,17 @@
     }
   }
 
+  /** Pattern: the store is a hundred times as slow; Riga trouble-2. */
+  @Test
+  void tasksStartWhileTheStoreIsSlowerThanTheOwnersBeats() {
+    world.hosts().forEach(h -> h.store().slowMillis(700));
+    world.time().run(2_000);
+    world.submit(world.hosts().get(0), job("j1", quick(), tasks(1).build()));
+    world.time().run(8_000);
+    assertThat(world.oracle().starts()).isEqualTo(1);
+    assertThat(world.oracle().broken()).isEmpty();
+  }
+
   /** Pattern: the store is sixty times as slow when the owner goes; Tema trouble-2. */
   @Test
   void ownerIsReplacedByFewClaimsWhileTheStoreIsSlow() {
