--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/AdviceDeskTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/AdviceDeskTest.java
@@ -3,7 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import io.cactusspring.jobs.ledger.PeerRecord;
-import io.cactusspring.jobs.port.Timers;
+import io.cactusspring.jobs.world.VirtualTime;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import java.util.ArrayList;
@@ -25,24 +25,9 @@
             called.add(address);
             return Promise.<Map<String, String>>promise().future();
           },
-          new StoppedTimers(),
+          new VirtualTime().timers(),
           "self");
 
-  private static final class StoppedTimers implements Timers {
-    @Override
-    public long nowMillis() {
-      return 0;
-    }
-
-    @Override
-    public long wallMillis() {
-      return 0;
-    }
-
-    @Override
-    public void after(long millis, Runnable task) {}
-  }
-
   private void peers(int number) {
     desk.hosts(
         IntStream.range(0, number)
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/StoreWritesTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/StoreWritesTest.java
@@ -19,26 +19,9 @@
   private static final long TIME_OUT_MILLIS = 1_000;
 
   private final VirtualTime time = new VirtualTime();
-  private final Timers timers = new VirtualTimers();
+  private final Timers timers = time.timers();
   private final SlowTopic topic = new SlowTopic();
 
-  private final class VirtualTimers implements Timers {
-    @Override
-    public long nowMillis() {
-      return time.now();
-    }
-
-    @Override
-    public long wallMillis() {
-      return time.now();
-    }
-
-    @Override
-    public void after(long millis, Runnable task) {
-      time.after(millis, task);
-    }
-  }
-
   /** Answers after a while; the answers to some appends are lost. */
   private final class SlowTopic implements KeyedTopic {
     private final List<Integer> appends = new ArrayList<>();
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/world/VirtualTime.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/world/VirtualTime.java
@@ -1,5 +1,6 @@
 package io.cactusspring.jobs.world;
 
+import io.cactusspring.jobs.port.Timers;
 import java.util.Comparator;
 import java.util.PriorityQueue;
 
@@ -30,4 +31,24 @@
     }
     now = end;
   }
+
+  /** Returns timers that run on this time, which is the time of day as well. */
+  public Timers timers() {
+    return new Timers() {
+      @Override
+      public long nowMillis() {
+        return now;
+      }
+
+      @Override
+      public long wallMillis() {
+        return now;
+      }
+
+      @Override
+      public void after(long millis, Runnable task) {
+        VirtualTime.this.after(millis, task);
+      }
+    };
+  }
 }
