--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/peers/PeerLink.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/peers/PeerLink.java
@@ -2,6 +2,8 @@
 
 import io.cactusspring.daemon.cell.MonotonicClock;
 import io.cactusspring.daemon.settings.PeerSettings;
+import io.cactusspring.protocol.Frames;
+import io.cactusspring.protocol.PeerCodec;
 import io.cactusspring.protocol.gen.Heartbeat;
 import io.cactusspring.protocol.gen.PeerMessage;
 import io.vertx.core.buffer.Buffer;
@@ -40,7 +42,7 @@
     this.peer = peer;
     this.client = client;
     this.clock = clock;
-    this.hello = FrameParser.frame(hello);
+    this.hello = Frames.encode(PeerCodec.encode(hello));
   }
 
   /** Sends a heartbeat if connected; otherwise starts to connect and sends nothing. */
@@ -74,7 +76,7 @@
     if (socket.writeQueueFull()) {
       return false;
     }
-    socket.write(FrameParser.frame(message));
+    socket.write(Frames.encode(PeerCodec.encode(message)));
     return true;
   }
 
--- a/cactusspring-daemon/src/main/java/io/cactusspring/daemon/peers/PeerMesh.java
+++ b/cactusspring-daemon/src/main/java/io/cactusspring/daemon/peers/PeerMesh.java
@@ -7,6 +7,9 @@
 import io.cactusspring.daemon.port.PeerConnectionOptions;
 import io.cactusspring.daemon.settings.Address;
 import io.cactusspring.daemon.settings.DaemonSettings;
+import io.cactusspring.protocol.Frames;
+import io.cactusspring.protocol.PeerCodec;
+import io.cactusspring.protocol.ProtocolException;
 import io.cactusspring.protocol.gen.AppendReply;
 import io.cactusspring.protocol.gen.AppendRequest;
 import io.cactusspring.protocol.gen.Heartbeat;
@@ -125,12 +128,22 @@
   private void accept(NetSocket socket) {
     InboundConnection inbound = new InboundConnection(socket);
     socket.exceptionHandler(e -> {});
-    FrameParser.attach(
+    Frames.read(
         socket,
-        m -> context.runOnContext(x -> inbound.onMessage(m)),
+        PeerCodec.MAX_FRAME_BYTES,
+        frame -> decode(frame, socket, inbound),
         e -> refuse(socket, e.getMessage()));
   }
 
+  private void decode(byte[] frame, NetSocket socket, InboundConnection inbound) {
+    try {
+      PeerMessage message = PeerCodec.decode(frame);
+      context.runOnContext(x -> inbound.onMessage(message));
+    } catch (ProtocolException e) {
+      refuse(socket, e.getMessage());
+    }
+  }
+
   private static void refuse(NetSocket socket, String reason) {
     LOG.event(Event.PEER_REFUSED, socket.remoteAddress(), reason);
     socket.close();
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/AdviceDispatcher.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/AdviceDispatcher.java
@@ -1,8 +1,6 @@
 package io.cactusspring.jobs.control;
 
-import io.cactusspring.jobs.ledger.PeerRecord;
 import io.cactusspring.jobs.port.AdviceService;
-import io.cactusspring.jobs.port.PeerClient;
 import io.cactusspring.jobs.port.Timers;
 import io.cactusspring.jobs.schedule.Action;
 import io.cactusspring.jobs.schedule.AdviceSlots;
@@ -50,40 +48,42 @@
   private static final long MAX_BACKOFF_MILLIS = 16_000;
 
   private static final class Caller {
-    private final Optional<String> address;
+    private final AdviceService service;
     private int calls;
     private double busyMillis;
     private long backoffUntil = Long.MIN_VALUE;
     private long backoffMillis = INITIAL_BACKOFF_MILLIS;
 
-    Caller(Optional<String> address) {
-      this.address = address;
+    Caller(AdviceService service) {
+      this.service = service;
     }
   }
 
   private record Reservation(Caller caller, double millis) {}
 
-  private final AdviceService localService;
-  private final PeerClient peers;
   private final Timers timers;
-  private final String localHost;
-  private final Caller localCaller = new Caller(Optional.empty());
+  private final Caller localCaller;
   private final Map<String, Caller> callers = new LinkedHashMap<>();
   private final Deque<Reservation> reserved = new ArrayDeque<>();
 
-  AdviceDispatcher(AdviceService localService, PeerClient peers, Timers timers, String localHost) {
-    this.localService = localService;
-    this.peers = peers;
+  AdviceDispatcher(AdviceService localService, Timers timers) {
     this.timers = timers;
-    this.localHost = localHost;
+    localCaller = new Caller(localService);
   }
 
-  /** Sets the entry hosts that can make calls. */
-  void updateHosts(List<PeerRecord> records) {
-    records.stream()
-        .filter(p -> !p.host().equals(localHost))
-        .forEach(p -> callers.computeIfAbsent(p.address(), a -> new Caller(Optional.of(a))));
-    callers.keySet().removeIf(a -> records.stream().noneMatch(p -> p.address().equals(a)));
+  /**
+   * Adds another entry host that can make calls.
+   *
+   * @param host identifies the host
+   * @param service makes a call through the host
+   */
+  void addHost(String host, AdviceService service) {
+    callers.put(host, new Caller(service));
+  }
+
+  /** Removes a host that cannot be reached any more. */
+  void removeHost(String host) {
+    callers.remove(host);
   }
 
   @Override
@@ -143,13 +143,9 @@
     Reservation slot = reserved.remove();
     Caller caller = slot.caller;
     long timeout = Math.round(caller.busyMillis) + TIMEOUT_MARGIN_MILLIS;
-    Future<Map<String, String>> answer =
-        caller
-            .address
-            .map(a -> peers.requestAdvice(a, action.step(), action.executors(), timeout))
-            .orElseGet(
-                () -> localService.requestAdvice(action.step(), action.executors(), timeout));
-    return answer
+    return caller
+        .service
+        .requestAdvice(action.step(), action.executors(), timeout)
         .onSuccess(tickets -> caller.backoffMillis = INITIAL_BACKOFF_MILLIS)
         .onFailure(problem -> backOff(caller))
         .onComplete(
--- /dev/null
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/HeartbeatWriter.java
@@ -0,0 +1,212 @@
+package io.cactusspring.jobs.control;
+
+import io.cactusspring.jobs.ledger.LedgerCodec;
+import io.cactusspring.jobs.ledger.OwnerRecord;
+import io.cactusspring.jobs.port.KeyedTopic;
+import io.cactusspring.jobs.port.KeyedTopic.Batch;
+import io.cactusspring.jobs.port.StoreException;
+import io.cactusspring.jobs.port.Timers;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/**
+ * Writes the owner's heartbeats, and at last its release, to the ownership partition.
+ *
+ * <p>Each record is appended only if it directly follows the one before. A stored heartbeat
+ * therefore proves that no other host had claimed ownership until then.
+ */
+final class HeartbeatWriter {
+  private static final long INTERVAL_MILLIS = 200;
+  private static final long RETRY_MILLIS = 50;
+
+  private final KeyedTopic topic;
+  private final Timers timers;
+  private final Consumer<String> onSuperseded;
+  private final ResponseTimes responseTimes = new ResponseTimes();
+  private OwnerRecord last;
+  private long end;
+  private Optional<Write> write = Optional.empty();
+  private Optional<Promise<Void>> release = Optional.empty();
+  private long lastStoredSentAt;
+  private boolean stopped;
+
+  /** One record on its way to the store, of which several copies may be sent. */
+  private static final class Write {
+    private final OwnerRecord record;
+    private final long sentAt;
+    private int inFlight;
+
+    Write(OwnerRecord record, long sentAt) {
+      this.record = record;
+      this.sentAt = sentAt;
+    }
+  }
+
+  /**
+   * Creates a writer.
+   *
+   * @param claim the stored claim
+   * @param end offset that follows the claim
+   * @param onSuperseded called with the reason when another host has claimed ownership
+   */
+  HeartbeatWriter(
+      KeyedTopic topic, OwnerRecord claim, long end, Timers timers, Consumer<String> onSuperseded) {
+    this.topic = topic;
+    this.end = end;
+    this.timers = timers;
+    this.onSuperseded = onSuperseded;
+    last = claim;
+    lastStoredSentAt = timers.nowMillis();
+  }
+
+  /** Returns when the last record was sent that is known to be stored. */
+  long lastStoredSentAt() {
+    return lastStoredSentAt;
+  }
+
+  /** Writes a heartbeat if one is due. */
+  void tick() {
+    if (!stopped && write.isEmpty() && timers.nowMillis() - lastStoredSentAt >= INTERVAL_MILLIS) {
+      start(last.nextHeartbeat());
+    }
+  }
+
+  /** Ends the heartbeats without a release. */
+  void stop() {
+    stopped = true;
+  }
+
+  /** Records that the owner gives up its term; completes when that is stored. */
+  Future<Void> release() {
+    Promise<Void> promise = Promise.promise();
+    release = Optional.of(promise);
+    if (write.isEmpty()) {
+      startRelease();
+    }
+    return promise.future();
+  }
+
+  private void startRelease() {
+    start(last.release());
+  }
+
+  private void start(OwnerRecord record) {
+    Write started = new Write(record, timers.nowMillis());
+    write = Optional.of(started);
+    send(started);
+  }
+
+  private void send(Write current) {
+    if (stopped || !isCurrent(current)) {
+      return;
+    }
+    current.inFlight++;
+    long sentAt = timers.nowMillis();
+    topic
+        .appendAt(end, List.of(LedgerCodec.owner(current.record)))
+        .onComplete(
+            done -> {
+              responseTimes.add(timers.nowMillis() - sentAt);
+              stored(current, end + 1);
+            },
+            problem -> {
+              current.inFlight--;
+              failed(current, problem);
+            });
+    timers.after(responseTimes.overdueMillis(), () -> sendDuplicate(current));
+  }
+
+  private void sendDuplicate(Write current) {
+    if (isCurrent(current) && current.inFlight == 1) {
+      send(current);
+    }
+  }
+
+  private boolean isCurrent(Write checked) {
+    return write.filter(w -> w == checked).isPresent();
+  }
+
+  private void stored(Write done, long newEnd) {
+    if (!isCurrent(done)) {
+      return;
+    }
+    write = Optional.empty();
+    end = newEnd;
+    last = done.record;
+    lastStoredSentAt = Math.max(lastStoredSentAt, done.sentAt);
+    if (done.record.released()) {
+      stopped = true;
+      release.ifPresent(Promise::tryComplete);
+    } else if (release.isPresent()) {
+      startRelease();
+    }
+  }
+
+  private void failed(Write current, Throwable problem) {
+    if (!isCurrent(current)) {
+      return;
+    }
+    if (StoreException.kindOf(problem) == StoreException.Kind.CONFLICT) {
+      verify(current);
+    } else {
+      timers.after(RETRY_MILLIS, () -> retry(current));
+    }
+  }
+
+  private void retry(Write current) {
+    if (isCurrent(current) && current.inFlight == 0) {
+      send(current);
+    }
+  }
+
+  /** Reads whether an earlier copy of the record or the claim of another host is stored. */
+  private void verify(Write current) {
+    topic
+        .read(end, 0)
+        .onComplete(
+            batch -> {
+              if (isCurrent(current)) {
+                verified(current, batch);
+              }
+            },
+            problem -> {
+              if (StoreException.kindOf(problem) == StoreException.Kind.TRIMMED) {
+                superseded("the history of the ownership partition was dropped");
+              } else {
+                timers.after(RETRY_MILLIS, () -> verifyAgain(current));
+              }
+            });
+  }
+
+  private void verifyAgain(Write current) {
+    if (!stopped && isCurrent(current)) {
+      verify(current);
+    }
+  }
+
+  private void verified(Write current, Batch batch) {
+    boolean foreign =
+        batch.entries().stream()
+            .map(LedgerCodec::ownerOf)
+            .anyMatch(o -> o.filter(last::isSameClaim).isEmpty());
+    if (foreign) {
+      superseded("the ledger names a later owner");
+    } else if (!batch.entries().isEmpty()) {
+      stored(current, batch.next());
+    } else {
+      timers.after(RETRY_MILLIS, () -> retry(current));
+    }
+  }
+
+  private void superseded(String reason) {
+    if (!stopped) {
+      stopped = true;
+      write = Optional.empty();
+      release.ifPresent(Promise::tryComplete);
+      onSuperseded.accept(reason);
+    }
+  }
+}
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/JobService.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/JobService.java
@@ -1,21 +1,23 @@
 package io.cactusspring.jobs.control;
 
 import io.cactusspring.jobs.ledger.JobEntry;
-import io.cactusspring.jobs.ledger.JobLedger;
 import io.cactusspring.jobs.ledger.LedgerCodec;
 import io.cactusspring.jobs.log.JobEvent;
 import io.cactusspring.jobs.log.JobLog;
+import io.cactusspring.jobs.model.JobReference;
 import io.cactusspring.jobs.model.JobSpec;
 import io.cactusspring.jobs.model.JobState;
 import io.cactusspring.jobs.model.Organisation;
 import io.cactusspring.jobs.model.Queue;
 import io.cactusspring.jobs.model.SiteConfiguration;
-import io.cactusspring.jobs.port.KeyedTopic;
 import io.cactusspring.jobs.port.KeyedTopic.Entry;
+import io.cactusspring.jobs.port.PeerException;
 import io.cactusspring.jobs.port.StoreException;
 import io.cactusspring.jobs.port.Timers;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Supplier;
 
@@ -23,6 +25,9 @@
  * Handles requests of callers: submits, shows, counts and cancels jobs. Every entry host runs this
  * service.
  *
+ * <p>Requests go to the owner of the executors. If this host cannot reach it, submissions and
+ * cancellations go to the inbox in the store, and states are read from the store.
+ *
  * @since 0.2
  */
 public final class JobService {
@@ -37,31 +42,45 @@
   /** Part of the caller's time budget that is reserved for sending the response. */
   private static final long RESPONSE_MARGIN_MILLIS = 150;
 
+  /** How long the owner may take to answer what needs no write to the store. */
+  private static final long OWNER_READ_TIMEOUT_MILLIS = 300;
+
+  /** A count may be this old if a newer one cannot be had. */
+  private static final long MAX_COUNT_AGE_MILLIS = 2_000;
+
   private static final int RETRY_AFTER_SECONDS = 1;
 
-  private final JobLedger ledger;
-  private final TopicFollower ledgerFollower;
+  private record Count(long jobs, long at) {}
+
+  private final Supplier<Optional<OwnerRequests>> owner;
+  private final InboxWriter inbox;
+  private final LedgerReader reader;
   private final TopicFollower configurationFollower;
   private final Supplier<SiteConfiguration> configuration;
-  private final BatchingWriter writer;
   private final HostSettings settings;
   private final Timers timers;
   private final JobLog log;
+  private final ResponseTimes ownerWrites = new ResponseTimes();
+  private final FinalStates finalStates = new FinalStates();
+  private final Map<String, Count> counts = new HashMap<>();
 
+  /**
+   * @param owner returns the owner of the executors; empty while this host cannot reach it
+   */
   JobService(
-      JobLedger ledger,
-      TopicFollower ledgerFollower,
+      Supplier<Optional<OwnerRequests>> owner,
+      InboxWriter inbox,
+      LedgerReader reader,
       TopicFollower configurationFollower,
       Supplier<SiteConfiguration> configuration,
-      KeyedTopic topic,
       HostSettings settings,
       Timers timers,
       JobLog log) {
-    this.ledger = ledger;
-    this.ledgerFollower = ledgerFollower;
+    this.owner = owner;
+    this.inbox = inbox;
+    this.reader = reader;
     this.configurationFollower = configurationFollower;
     this.configuration = configuration;
-    writer = new BatchingWriter(topic, timers);
     this.settings = settings;
     this.timers = timers;
     this.log = log;
@@ -104,27 +123,88 @@
    * @param budgetMillis how long the caller waits for the response
    */
   public Future<Outcome> submit(JobSpec spec, long budgetMillis) {
-    if (ledger.job(spec.id()).isPresent()) {
-      return logAndReturn(JobEvent.SUBMISSION, spec.id(), new Outcome.Accepted());
-    }
-    return store(LedgerCodec.job(spec), budgetMillis)
+    long deadline = deadline(budgetMillis);
+    return owner
+        .get()
+        .map(o -> submitTo(o, spec, deadline))
+        .orElseGet(() -> toInbox(spec.id(), LedgerCodec.job(spec), deadline, false))
         .compose(outcome -> logAndReturn(JobEvent.SUBMISSION, spec.id(), outcome));
   }
 
+  private Future<Outcome> submitTo(OwnerRequests reached, JobSpec spec, long deadline) {
+    return timed(reached.submit(spec, ownerWriteTimeoutMillis(deadline)))
+        .compose(
+            verdict ->
+                switch (verdict.kind()) {
+                  case STORED -> Future.succeededFuture(new Outcome.Accepted());
+                  case REFUSED -> Future.succeededFuture(new Outcome.Conflict(verdict.reason()));
+                  case UNDECIDED, UNKNOWN_JOB ->
+                      toInbox(spec.id(), LedgerCodec.job(spec), deadline, true);
+                },
+            problem -> toInbox(spec.id(), LedgerCodec.job(spec), deadline, maybeExecuted(problem)));
+  }
+
+  private long deadline(long budgetMillis) {
+    return timers.nowMillis() + budgetMillis - RESPONSE_MARGIN_MILLIS;
+  }
+
+  private long ownerWriteTimeoutMillis(long deadline) {
+    long left = deadline - timers.nowMillis();
+    return Math.max(1, Math.min(ownerWrites.overdueMillis(), left));
+  }
+
+  private Future<VerdictReason> timed(Future<VerdictReason> answer) {
+    long sentAt = timers.nowMillis();
+    return answer.onSuccess(v -> ownerWrites.add(timers.nowMillis() - sentAt));
+  }
+
+  private static boolean maybeExecuted(Throwable problem) {
+    return !(problem instanceof PeerException e) || e.maybeExecuted();
+  }
+
   /**
    * Cancels a job; accepted once the cancellation is stored.
    *
    * @param budgetMillis how long the caller waits for the response
    */
   public Future<Outcome> cancel(Queue queue, String organisation, String id, long budgetMillis) {
-    return find(queue, organisation, id)
+    JobReference job = JobReference.of(id, queue, organisation);
+    long deadline = deadline(budgetMillis);
+    return owner
+        .get()
+        .map(o -> cancelAt(o, job, deadline))
+        .orElseGet(() -> cancelInInbox(job, deadline, false))
+        .compose(outcome -> logAndReturn(JobEvent.CANCELLATION, id, outcome));
+  }
+
+  private Future<Outcome> cancelAt(OwnerRequests reached, JobReference job, long deadline) {
+    return timed(reached.cancel(job, ownerWriteTimeoutMillis(deadline)))
+        .compose(
+            verdict ->
+                switch (verdict.kind()) {
+                  case STORED -> Future.succeededFuture(new Outcome.Accepted());
+                  case REFUSED, UNKNOWN_JOB -> cancelInInbox(job, deadline, false);
+                  case UNDECIDED -> cancelInInbox(job, deadline, true);
+                },
+            problem -> cancelInInbox(job, deadline, maybeExecuted(problem)));
+  }
+
+  private Future<Outcome> cancelInInbox(JobReference job, long deadline, boolean maybeStored) {
+    if (configurationFollower.isOverdue()) {
+      return storeUnreachable(maybeStored);
+    }
+    return reader
+        .job(job.id())
         .compose(
             found ->
-                found.isEmpty()
+                found.filter(j -> j.isVisibleTo(job)).isEmpty()
                     ? Future.succeededFuture(new Outcome.NoSuchJob())
-                    : store(LedgerCodec.cancel(id), budgetMillis))
-        .recover(problem -> refused(String.valueOf(problem)))
-        .compose(outcome -> logAndReturn(JobEvent.CANCELLATION, id, outcome));
+                    : toInbox(job.id(), LedgerCodec.cancel(job.id()), deadline, maybeStored),
+            problem ->
+                Future.succeededFuture(
+                    maybeStored
+                        ? new Outcome.Undecided("the ledger cannot be read: " + problem)
+                        : refused("the ledger cannot be read: " + problem)));
   }
 
   private Future<Outcome> logAndReturn(JobEvent event, String id, Outcome outcome) {
@@ -137,14 +217,12 @@
         "configuration",
         configuration.get().version(),
         "configurationAgeMillis",
-        configurationFollower.ageMillis(),
-        "ledgerAgeMillis",
-        ledgerFollower.ageMillis());
+        configurationFollower.ageMillis());
     return Future.succeededFuture(outcome);
   }
 
-  private static Future<Outcome> refused(String reason) {
-    return Future.succeededFuture(new Outcome.Refused(reason, RETRY_AFTER_SECONDS));
+  private static Outcome refused(String reason) {
+    return new Outcome.Refused(reason, RETRY_AFTER_SECONDS);
   }
 
   /**
@@ -152,59 +230,85 @@
    * state.
    */
   public Future<Optional<JobState>> state(Queue queue, String organisation, String id) {
-    return find(queue, organisation, id).map(found -> found.map(JobEntry::state));
-  }
-
-  private Future<Optional<JobEntry>> find(Queue queue, String organisation, String id) {
-    Optional<JobEntry> known = visible(queue, organisation, id);
-    if (known.isEmpty()) {
-      // Another host may have accepted the job just before.
-      return ledgerFollower.refresh().map(done -> visible(queue, organisation, id));
-    }
-    if (known.get().state().isFinal() || ledgerFollower.isWatching()) {
+    JobReference job = JobReference.of(id, queue, organisation);
+    Optional<JobState> known = finalStates.find(job);
+    if (known.isPresent()) {
       return Future.succeededFuture(known);
     }
-    return ledgerFollower.refresh().otherwiseEmpty().map(done -> visible(queue, organisation, id));
+    return owner
+        .get()
+        .map(
+            o ->
+                o.state(job, OWNER_READ_TIMEOUT_MILLIS)
+                    .compose(
+                        state ->
+                            state.isPresent()
+                                ? Future.succeededFuture(state)
+                                // Another host may have stored the job in the inbox just before.
+                                : storedState(job),
+                        problem -> storedState(job)))
+        .orElseGet(() -> storedState(job))
+        .onSuccess(state -> state.ifPresent(s -> finalStates.add(job, s)));
   }
 
-  private Optional<JobEntry> visible(Queue queue, String organisation, String id) {
-    return ledger
-        .job(id)
-        .filter(
-            job -> {
-              JobSpec spec = job.spec().orElseThrow();
-              return spec.queue().name().equals(queue.name())
-                  && (queue.open() || spec.organisation().equals(organisation));
-            });
+  private Future<Optional<JobState>> storedState(JobReference job) {
+    if (configurationFollower.isOverdue()) {
+      return Future.failedFuture(
+          new StoreException(StoreException.Kind.REFUSED, "the store does not answer"));
+    }
+    return reader
+        .job(job.id())
+        .map(found -> found.filter(j -> j.isVisibleTo(job)).map(JobEntry::state));
   }
 
   /**
-   * Returns how many accepted jobs of a queue wait for their first task to start; empty if the data
-   * of this host is too old.
+   * Returns how many accepted jobs of a queue wait for their first task to start. Fails if this
+   * host cannot determine the number.
    */
-  public Optional<Long> waiting(Queue queue) {
-    boolean known = ledgerFollower.ageMillis() <= settings.staleMillis();
-    return known ? Optional.of(ledger.countUnstarted(queue.name())) : Optional.empty();
+  public Future<Long> waiting(Queue queue) {
+    return owner
+        .get()
+        .map(
+            o ->
+                o.countUnstarted(queue.name(), OWNER_READ_TIMEOUT_MILLIS)
+                    .recover(problem -> storedCount(queue.name())))
+        .orElseGet(() -> storedCount(queue.name()))
+        .onSuccess(n -> counts.put(queue.name(), new Count(n, timers.nowMillis())));
   }
 
-  private Future<Outcome> store(Entry entry, long budgetMillis) {
-    if (ledgerFollower.isOverdue()) {
-      return refused("the last read of the ledger is overdue");
+  private Future<Long> storedCount(String queue) {
+    Count last = counts.get(queue);
+    if (last != null && timers.nowMillis() - last.at <= MAX_COUNT_AGE_MILLIS) {
+      return Future.succeededFuture(last.jobs);
+    }
+    return reader.read().map(snapshot -> snapshot.countUnstarted(queue));
+  }
+
+  private static Future<Outcome> storeUnreachable(boolean maybeStored) {
+    return Future.succeededFuture(
+        maybeStored
+            ? new Outcome.Undecided("the owner did not answer, and the store does not answer")
+            : refused("the store does not answer"));
+  }
+
+  private Future<Outcome> toInbox(String job, Entry entry, long deadline, boolean maybeStored) {
+    if (configurationFollower.isOverdue()) {
+      return storeUnreachable(maybeStored);
     }
     Promise<Outcome> promise = Promise.promise();
-    long deadline = timers.nowMillis() + budgetMillis - RESPONSE_MARGIN_MILLIS;
-    store(entry, deadline, 0, false, promise);
+    append(job, entry, deadline, 0, maybeStored, promise);
     return promise.future();
   }
 
-  private void store(
+  private void append(
+      String job,
       Entry entry,
       long deadline,
       int refusals,
       boolean earlierMaybeStored,
       Promise<Outcome> promise) {
-    writer
-        .append(entry)
+    inbox
+        .append(job, entry)
         .onComplete(
             stored -> promise.complete(new Outcome.Accepted()),
             problem -> {
@@ -213,18 +317,17 @@
               int count = refusals + (refused ? 1 : 0);
               // While the store is unreachable, further retries would not change the outcome.
               boolean stopRetrying =
-                  ledgerFollower.isOverdue() || timers.nowMillis() + RETRY_MILLIS >= deadline;
+                  configurationFollower.isOverdue()
+                      || timers.nowMillis() + RETRY_MILLIS >= deadline;
               if (!maybeStored && (stopRetrying || count >= MAX_REFUSALS)) {
-                promise.complete(
-                    new Outcome.Refused(
-                        "the store refused the append: " + problem, RETRY_AFTER_SECONDS));
+                promise.complete(refused("the store refused the append: " + problem));
               } else if (stopRetrying) {
                 promise.complete(
                     new Outcome.Undecided(
                         "the append may or may not have been stored: " + problem));
               } else {
                 timers.after(
-                    RETRY_MILLIS, () -> store(entry, deadline, count, maybeStored, promise));
+                    RETRY_MILLIS, () -> append(job, entry, deadline, count, maybeStored, promise));
               }
             });
   }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/Outcome.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/Outcome.java
@@ -12,6 +12,9 @@
   /** The request is not stored and never will be. */
   record Refused(String reason, int retryAfterSeconds) implements Outcome {}
 
+  /** The request contradicts an earlier one; it is not stored and never will be. */
+  record Conflict(String reason) implements Outcome {}
+
   /** The job does not exist. */
   record NoSuchJob() implements Outcome {}
 
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerController.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerController.java
@@ -1,45 +1,54 @@
 package io.cactusspring.jobs.control;
 
+import io.cactusspring.jobs.ledger.JobEntry;
+import io.cactusspring.jobs.ledger.JobProgress;
 import io.cactusspring.jobs.ledger.LedgerCodec;
-import io.cactusspring.jobs.ledger.OwnerRecord;
+import io.cactusspring.jobs.link.PeerMessage.VerdictKind;
 import io.cactusspring.jobs.log.JobEvent;
 import io.cactusspring.jobs.log.JobLog;
+import io.cactusspring.jobs.model.JobReference;
+import io.cactusspring.jobs.model.JobSpec;
+import io.cactusspring.jobs.model.JobState;
 import io.cactusspring.jobs.port.ExecutorClient;
 import io.cactusspring.jobs.port.ExecutorClient.CommandResult;
 import io.cactusspring.jobs.port.ExecutorClient.LeaseRenewalRequest;
 import io.cactusspring.jobs.port.ExecutorClient.LeaseRenewalResult;
 import io.cactusspring.jobs.port.ExecutorClient.Refusal;
-import io.cactusspring.jobs.port.KeyedTopic;
 import io.cactusspring.jobs.port.KeyedTopic.Entry;
-import io.cactusspring.jobs.port.KeyedTopic.FencedWriter;
+import io.cactusspring.jobs.port.PeerException;
 import io.cactusspring.jobs.port.StoreException;
 import io.cactusspring.jobs.port.Timers;
 import io.cactusspring.jobs.schedule.Action;
 import io.cactusspring.jobs.schedule.JobScheduler;
 import io.cactusspring.jobs.schedule.JobScheduler.Changes;
+import io.cactusspring.jobs.schedule.JobScheduler.ReceivedEnds;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import java.io.PrintWriter;
 import java.io.StringWriter;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Executes one term as owner of the executors.
  *
- * <p>Decisions are stored in batches, one append at a time, with the term as the writer's epoch. A
- * start is sent, and the end of a run acknowledged, only after the batch that contains it is
- * stored.
+ * <p>Decisions are stored in batches, with the term as the writer's epoch. A submission is
+ * accepted, a start is sent, and the end of a run acknowledged, only after the batch that contains
+ * it is stored.
  */
 final class OwnerController {
   private static final long TICK_MILLIS = 50;
-  private static final long HEARTBEAT_MILLIS = 200;
+  private static final long SWEEP_INTERVAL_MILLIS = 5_000;
   private static final long FAILED_RENEWAL_PAUSE_MILLIS = 250;
   private static final int MAX_BATCH_RECORDS = 200;
   // Shorter than the time without heartbeats after which another host claims ownership.
@@ -47,51 +56,94 @@
   // Other hosts add three response times of the store to that time before they claim.
   private static final int CONFIRMATION_RESPONSES = 2;
 
+  /**
+   * Time without a stored record, of which several are sent each second, after which the store is
+   * considered unavailable.
+   */
+  private static final long MIN_STORE_TIMEOUT_MILLIS = 1_200;
+
+  private static final int STORE_TIMEOUT_RESPONSES = 4;
+
+  /** What is stored by one append, and what may be done afterwards. */
+  private static final class Batch {
+    private final List<JobSpec> submissions;
+    private final Map<String, JobProgress> progress;
+
+    /** Starts that may be sent once the batch is stored. */
+    private final List<Action.Start> starts;
+
+    /** Ends that may be acknowledged once this batch and all batches before are stored. */
+    private final List<ReceivedEnds> ends;
+
+    private boolean stored;
+
+    Batch(List<JobSpec> submissions, Changes changes, List<Action.Start> starts) {
+      this.submissions = submissions;
+      this.starts = starts;
+      progress = changes.jobs();
+      ends = changes.ends();
+    }
+
+    boolean hasRecords() {
+      return !submissions.isEmpty() || !progress.isEmpty();
+    }
+
+    List<Entry> entries() {
+      List<Entry> entries = new ArrayList<>();
+      submissions.forEach(s -> entries.add(LedgerCodec.job(s)));
+      progress.forEach((id, p) -> entries.add(LedgerCodec.progress(id, p)));
+      return entries;
+    }
+  }
+
   private final JobScheduler scheduler;
-  private final OwnerRecord record;
-  private final KeyedTopic topic;
+  private final OwnedJobs jobs;
+  private final LaneWriter lanes;
+  private final HeartbeatWriter heartbeats;
   private final ExecutorClient executors;
   private final AdviceDispatcher adviceDispatcher;
   private final Timers timers;
   private final JobLog log;
   private final long storeGraceMillis;
-  private final Runnable onSuperseded;
-  private final ResponseTimes responseTimes = new ResponseTimes();
+  private final Runnable onEnd;
   private final Set<String> leaseRenewalsInFlight = new HashSet<>();
   private final Map<String, Long> leaseRenewalNotBefore = new HashMap<>();
   private final Set<Action.Start> pendingStarts = new LinkedHashSet<>();
-  private long sequence;
-  private boolean appending;
+  private final Deque<Batch> unconfirmed = new ArrayDeque<>();
   private boolean active = true;
   private boolean roundScheduled;
-  private long lastStoredAppendSentAt;
-  private Runnable onReleased = () -> {};
+  private boolean writeScheduled;
+  private long lastSweepAt;
+  private Optional<Promise<Void>> flushed = Optional.empty();
 
+  /**
+   * @param onEnd called when the term has ended because of another owner or an internal error
+   */
   OwnerController(
       JobScheduler scheduler,
-      OwnerRecord record,
-      long sequence,
-      KeyedTopic topic,
+      OwnedJobs jobs,
+      LaneWriter lanes,
+      HeartbeatWriter heartbeats,
       ExecutorClient executors,
       AdviceDispatcher adviceDispatcher,
       Timers timers,
       JobLog log,
       long storeGraceMillis,
-      Runnable onSuperseded) {
+      Runnable onEnd) {
     this.scheduler = scheduler;
-    this.record = record;
-    this.sequence = sequence;
-    this.topic = topic;
+    this.jobs = jobs;
+    this.lanes = lanes;
+    this.heartbeats = heartbeats;
     this.executors = executors;
     this.adviceDispatcher = adviceDispatcher;
     this.timers = timers;
     this.log = log;
     this.storeGraceMillis = storeGraceMillis;
-    this.onSuperseded = onSuperseded;
-    lastStoredAppendSentAt = timers.nowMillis();
+    this.onEnd = onEnd;
   }
 
   void start() {
+    lastSweepAt = timers.nowMillis();
     tick();
   }
 
@@ -100,48 +152,107 @@
   }
 
   long term() {
-    return record.term();
+    return scheduler.term();
+  }
+
+  /** Ends the decisions of the term; completes when the batches in flight are stored. */
+  Future<Void> finish() {
+    if (!active) {
+      return Future.succeededFuture();
+    }
+    storeChanges();
+    active = false;
+    Promise<Void> promise = Promise.promise();
+    flushed = Optional.of(promise);
+    completeFlush();
+    return promise.future().onComplete(done -> jobs.abandon());
   }
 
   /**
-   * Ends the term at once. Executors refuse requests that are still in flight as soon as they have
-   * seen the fencing token of a later owner.
+   * Submits a job; completes when the submission is stored or cannot be. Fails with a {@link
+   * PeerException}, without effect, while the store does not answer.
    */
-  void stop() {
-    active = false;
+  Future<VerdictReason> submit(JobSpec spec) {
+    if (!jobs.contains(spec.id())) {
+      if (isStoreUnavailable()) {
+        return Future.failedFuture(new PeerException(false, "the store does not answer"));
+      }
+      jobs.add(spec);
+      JobEntry entry = JobEntry.submitted(spec);
+      scheduler.submitted(entry, timers.wallMillis(), timers.nowMillis());
+      scheduleRound();
+    } else if (!jobs.isSameSubmission(spec)) {
+      return Future.succeededFuture(
+          new VerdictReason(VerdictKind.REFUSED, "another job has the id " + spec.id()));
+    }
+    return jobs.submission(spec.id())
+        .map(VerdictReason.STORED)
+        .otherwise(OwnerController::undecided);
+  }
+
+  /** Cancels a job; completes when a final state of the job is stored. */
+  Future<VerdictReason> cancel(JobReference job) {
+    if (!jobs.isVisible(job)) {
+      return Future.succeededFuture(new VerdictReason(VerdictKind.UNKNOWN_JOB, ""));
+    }
+    scheduler.cancelled(job.id(), timers.nowMillis());
+    scheduleRound();
+    return jobs.end(job.id()).map(VerdictReason.STORED).otherwise(OwnerController::undecided);
+  }
+
+  private static VerdictReason undecided(Throwable problem) {
+    return new VerdictReason(VerdictKind.UNDECIDED, String.valueOf(problem.getMessage()));
   }
 
   /**
-   * Ends the term and records the release in the ledger, so that another host can claim ownership
-   * without waiting for a timeout.
+   * Returns the stored state of a job; empty if this owner does not know it. Fails if another host
+   * may own the executors by now.
    */
-  Future<Void> release() {
-    if (!active) {
-      return Future.succeededFuture();
+  Future<Optional<JobState>> state(JobReference job) {
+    if (!isConfirmed()) {
+      return Future.failedFuture(new PeerException(false, "ownership is not confirmed"));
     }
-    active = false;
-    if (!appending) {
-      return appendRelease();
+    if (!jobs.isVisible(job)) {
+      return Future.succeededFuture(Optional.empty());
     }
-    Promise<Void> released = Promise.promise();
-    onReleased = () -> appendRelease().onComplete(released);
-    return released.future();
+    return jobs.submission(job.id()).map(done -> Optional.of(jobs.state(job.id())));
   }
 
-  private Future<Void> appendRelease() {
-    OwnerRecord last = new OwnerRecord(record.term(), record.host(), record.incarnation(), true);
-    List<Entry> entries = new ArrayList<>();
-    scheduler.takeChanges().jobs().forEach((id, p) -> entries.add(LedgerCodec.progress(id, p)));
-    entries.add(LedgerCodec.owner(last));
-    return topic
-        .append(entries, Optional.of(new FencedWriter(record.term(), ++sequence)))
-        .mapEmpty();
+  /** Returns the number of stored jobs of a queue that have not begun. */
+  long countUnstarted(String queue) {
+    return jobs.countUnstarted(queue);
+  }
+
+  /** Applies a record of the inbox. */
+  void inboxRecord(Entry entry) {
+    LedgerCodec.submission(entry).ifPresent(this::submittedToInbox);
+    LedgerCodec.cancelledJob(entry).ifPresent(this::cancelledInInbox);
+  }
+
+  private void submittedToInbox(JobSpec spec) {
+    if (jobs.contains(spec.id())) {
+      jobs.foundInInbox(spec.id());
+      return;
+    }
+    jobs.addStored(spec);
+    scheduler.submitted(JobEntry.submitted(spec), timers.wallMillis(), timers.nowMillis());
+    if (jobs.wasCancelledBefore(spec.id())) {
+      cancelledInInbox(spec.id());
+    }
+    scheduleRound();
+  }
+
+  private void cancelledInInbox(String id) {
+    jobs.cancellationInInbox(id, timers.nowMillis());
+    scheduler.cancelled(id, timers.nowMillis());
+    scheduleRound();
   }
 
   private void tick() {
     if (!active) {
       return;
     }
+    heartbeats.tick();
     guarded(this::runRound);
     timers.after(TICK_MILLIS, this::tick);
   }
@@ -185,8 +296,12 @@
     }
     long now = timers.nowMillis();
     scheduler.decide(adviceDispatcher, timers.wallMillis(), now).forEach(this::execute);
-    storeChanges(now);
+    storeChanges();
     renewLeases(now);
+    if (now - lastSweepAt >= SWEEP_INTERVAL_MILLIS) {
+      lastSweepAt = now;
+      jobs.sweep(scheduler::hasRuns, now);
+    }
   }
 
   private void execute(Action action) {
@@ -235,85 +350,108 @@
     }
   }
 
-  private void stepDown(String reason) {
+  /** Ends the term because another host owns the executors, or because of an error. */
+  void stepDown(String reason) {
     if (active) {
       active = false;
       log.event(JobEvent.STEPPED_DOWN, "term", term(), "reason", reason);
-      onSuperseded.run();
+      jobs.abandon();
+      onEnd.run();
     }
   }
 
-  private void storeChanges(long now) {
-    if (appending) {
-      return;
-    }
-    Changes changes = scheduler.takeChanges();
-    List<Action.Start> starts = List.copyOf(pendingStarts);
-    pendingStarts.clear();
-    if (changes.jobs().isEmpty() && now - lastStoredAppendSentAt < HEARTBEAT_MILLIS) {
-      completeBatch(changes, starts);
-      return;
+  private void storeChanges() {
+    for (OptionalInt lane = lanes.free(); lane.isPresent(); lane = lanes.free()) {
+      Batch batch = takeBatch();
+      unconfirmed.add(batch);
+      if (!batch.hasRecords()) {
+        batch.stored = true;
+        batchStored(batch);
+        return;
+      }
+      write(lane.getAsInt(), batch);
     }
-    List<Entry> entries = new ArrayList<>();
-    changes.jobs().forEach((id, p) -> entries.add(LedgerCodec.progress(id, p)));
-    if (entries.isEmpty()) {
-      entries.add(LedgerCodec.owner(record));
+    if (!writeScheduled && (jobs.hasUnsent() || scheduler.hasChanges())) {
+      writeScheduled = true;
+      timers.after(
+          Math.max(1, lanes.waitMillis()),
+          () -> {
+            writeScheduled = false;
+            guarded(this::storeChanges);
+          });
     }
-    appending = true;
-    appendParts(entries, changes, starts);
-  }
-
-  private void appendParts(List<Entry> entries, Changes changes, List<Action.Start> starts) {
-    int size = Math.min(MAX_BATCH_RECORDS, entries.size());
-    append(
-        entries.subList(0, size),
-        ++sequence,
-        () -> {
-          if (size < entries.size()) {
-            appendParts(entries.subList(size, entries.size()), changes, starts);
-            return;
-          }
-          appending = false;
-          if (!active) {
-            onReleased.run();
-            return;
-          }
-          guarded(() -> completeBatch(changes, starts));
-          scheduleRound();
-        });
-  }
-
-  /** Appends records, and retries until they are stored. */
-  private void append(List<Entry> entries, long number, Runnable done) {
-    new RetryingAppend(topic, timers, responseTimes, entries, new FencedWriter(term(), number))
-        .run(() -> active)
+  }
+
+  private Batch takeBatch() {
+    List<JobSpec> submissions = jobs.takeUnsent(MAX_BATCH_RECORDS);
+    Set<String> inBatch = submissions.stream().map(JobSpec::id).collect(Collectors.toSet());
+    Changes changes =
+        scheduler.takeChanges(
+            MAX_BATCH_RECORDS - submissions.size(),
+            id -> jobs.isStored(id) || inBatch.contains(id));
+    List<Action.Start> starts =
+        pendingStarts.stream().filter(s -> !scheduler.hasChanges(s.run().task().job())).toList();
+    starts.forEach(pendingStarts::remove);
+    return new Batch(submissions, changes, starts);
+  }
+
+  private void write(int lane, Batch batch) {
+    lanes
+        .write(lane, batch.entries())
         .onComplete(
-            sentAt -> {
-              lastStoredAppendSentAt = Math.max(lastStoredAppendSentAt, sentAt);
-              done.run();
+            done -> {
+              batch.submissions.forEach(s -> jobs.submissionStored(s.id(), lane));
+              batch.progress.forEach(
+                  (id, p) -> jobs.progressStored(id, p, lane, timers.nowMillis()));
+              batch.stored = true;
+              guarded(() -> batchStored(batch));
+              completeFlush();
             },
             problem -> {
-              appending = false;
               if (StoreException.kindOf(problem) == StoreException.Kind.SUPERSEDED) {
                 stepDown("the store has seen the epoch of a later owner");
               }
-              log.event(
-                  JobEvent.APPEND_FAILED, "term", term(), "sequence", number, "reason", problem);
-              onReleased.run();
+              unconfirmed.remove(batch);
+              completeFlush();
             });
   }
 
-  private void completeBatch(Changes changes, List<Action.Start> starts) {
-    scheduler.endsStored(changes.ends());
-    starts.forEach(this::sendStart);
+  private void completeFlush() {
+    if (unconfirmed.stream().allMatch(b -> b.stored)) {
+      flushed.ifPresent(Promise::tryComplete);
+    }
   }
 
-  private void sendStart(Action.Start start) {
+  private void batchStored(Batch batch) {
+    while (!unconfirmed.isEmpty() && unconfirmed.peek().stored) {
+      scheduler.endsStored(unconfirmed.remove().ends);
+    }
+    batch.starts.forEach(this::sendStart);
+    if (batch.hasRecords()) {
+      scheduleRound();
+    }
+  }
+
+  private boolean isStoreUnavailable() {
+    long timeoutMillis =
+        Math.max(MIN_STORE_TIMEOUT_MILLIS, STORE_TIMEOUT_RESPONSES * lanes.averageMillis());
+    return timers.nowMillis() - lastStoredSentAt() > timeoutMillis;
+  }
+
+  /** Returns whether no other host can have begun a term for longer than a moment. */
+  private boolean isConfirmed() {
     long confirmationMillis =
-        Math.max(
-            MIN_OWNERSHIP_CONFIRMATION_MILLIS,
-            CONFIRMATION_RESPONSES * responseTimes.averageMillis());
-    if (timers.nowMillis() - lastStoredAppendSentAt > confirmationMillis) {
+        Math.max(MIN_OWNERSHIP_CONFIRMATION_MILLIS, CONFIRMATION_RESPONSES * lanes.averageMillis());
+    return timers.nowMillis() - lastStoredSentAt() <= confirmationMillis;
+  }
+
+  /** Returns when the last record was sent that is known to be stored. */
+  long lastStoredSentAt() {
+    return Math.max(lanes.lastStoredSentAt(), heartbeats.lastStoredSentAt());
+  }
+
+  private void sendStart(Action.Start start) {
+    if (!isConfirmed()) {
       // Another owner may have taken over. The start is postponed until an append succeeds;
       // until then, the run stays in doubt.
       pendingStarts.add(start);
@@ -346,7 +484,7 @@
   }
 
   private void sendLeaseRenewal(String id, long now) {
-    boolean renew = now - lastStoredAppendSentAt < storeGraceMillis;
+    boolean renew = now - lastStoredSentAt() < storeGraceMillis;
     LeaseRenewalRequest request = scheduler.leaseRenewalRequest(id, renew, now);
     executors
         .renewLeases(scheduler.target(id), request)
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/TopicFollower.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/TopicFollower.java
@@ -5,15 +5,10 @@
 import io.cactusspring.jobs.port.KeyedTopic;
 import io.cactusspring.jobs.port.KeyedTopic.Batch;
 import io.cactusspring.jobs.port.KeyedTopic.Entry;
-import io.cactusspring.jobs.port.KeyedTopic.Page;
 import io.cactusspring.jobs.port.StoreException;
 import io.cactusspring.jobs.port.Timers;
 import io.vertx.core.Future;
-import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.List;
-import java.util.Optional;
-import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
 
@@ -145,27 +140,35 @@
       return Future.failedFuture(
           new StoreException(StoreException.Kind.REFUSED, name + " is not loaded yet"));
     }
+    int expectedGeneration = generation;
     return topic
         .read(next, 0)
         .compose(
             batch -> {
+              if (!isCurrent(expectedGeneration)) {
+                return Future.failedFuture(
+                    new StoreException(StoreException.Kind.REFUSED, name + " was stopped"));
+              }
               apply(batch);
               return next < batch.end() ? refresh() : Future.succeededFuture();
             });
   }
 
   private void readNext(int expectedGeneration) {
-    if (!running || expectedGeneration != generation) {
+    if (!isCurrent(expectedGeneration)) {
       return;
     }
     long sentAt = timers.nowMillis();
     long sentAtWallMillis = timers.wallMillis();
     watching = loaded;
     long wait = waitMillis - Math.min(waitMillis / 2, 2 * lastReadDelayMillis);
-    Future<Boolean> done = loaded ? topic.read(next, wait).map(this::apply) : load().map(true);
+    Future<Boolean> done =
+        loaded
+            ? topic.read(next, wait).map(batch -> isCurrent(expectedGeneration) && apply(batch))
+            : PageLoader.load(topic).map(page -> isCurrent(expectedGeneration) && finishLoad(page));
     done.onComplete(
         hasRecords -> {
-          if (running && expectedGeneration == generation) {
+          if (isCurrent(expectedGeneration)) {
             watching = false;
             lastReadDelayMillis = hasRecords ? 0 : Math.max(0, timers.nowMillis() - sentAt - wait);
             readSucceeded(sentAt, sentAtWallMillis);
@@ -175,7 +178,7 @@
           }
         },
         problem -> {
-          if (running && expectedGeneration == generation) {
+          if (isCurrent(expectedGeneration)) {
             watching = false;
             readFailed(problem);
             timers.after(retryMillis, () -> readNext(expectedGeneration));
@@ -183,6 +186,11 @@
         });
   }
 
+  /** Returns whether the follower was neither stopped nor started again since a generation. */
+  private boolean isCurrent(int expectedGeneration) {
+    return running && expectedGeneration == generation;
+  }
+
   private void readSucceeded(long sentAt, long sentAtWallMillis) {
     confirmedAt = Math.max(confirmedAt, sentAt);
     confirmedAtWallMillis = sentAtWallMillis;
@@ -214,41 +222,19 @@
     }
   }
 
+  /** Applies the records that no other read has applied meanwhile; returns whether any was read. */
   private boolean apply(Batch batch) {
-    batch.entries().forEach(sink::apply);
+    long applied = next;
     next = Math.max(next, batch.next());
+    batch.entries().stream().filter(e -> e.offset() >= applied).forEach(sink::apply);
     return !batch.entries().isEmpty();
   }
 
-  private Future<Void> load() {
-    return loadPages(Optional.empty(), new ArrayList<>(), -1);
-  }
-
-  private Future<Void> loadPages(Optional<String> after, List<Entry> read, long endOfFirstPage) {
-    return topic
-        .newest(after)
-        .compose(
-            page -> {
-              read.addAll(page.entries());
-              // Pages are not a snapshot: records written during the load are read again from here.
-              long end = endOfFirstPage < 0 ? page.end() : endOfFirstPage;
-              if (page.more() && !page.entries().isEmpty()) {
-                return loadPages(Optional.of(lastKey(page)), read, end);
-              }
-              finishLoad(read, end);
-              return Future.succeededFuture();
-            });
-  }
-
-  private static String lastKey(Page page) {
-    return page.entries().get(page.entries().size() - 1).key();
-  }
-
-  private void finishLoad(List<Entry> read, long end) {
-    read.stream().sorted(Comparator.comparingLong(Entry::offset)).forEach(sink::apply);
-    Set<String> keys = read.stream().map(Entry::key).collect(Collectors.toSet());
-    next = end;
+  private boolean finishLoad(PageLoader.Loaded page) {
+    next = page.end();
     loaded = true;
-    sink.loaded(keys);
+    page.entries().stream().sorted(Comparator.comparingLong(Entry::offset)).forEach(sink::apply);
+    sink.loaded(page.entries().stream().map(Entry::key).collect(Collectors.toSet()));
+    return true;
   }
 }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/ledger/JobEntry.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/ledger/JobEntry.java
@@ -1,48 +1,53 @@
 package io.cactusspring.jobs.ledger;
 
+import io.cactusspring.jobs.model.JobReference;
 import io.cactusspring.jobs.model.JobSpec;
 import io.cactusspring.jobs.model.JobState;
 import java.util.Optional;
 
 /**
- * The ledger state of one job: its submission, its cancellation and its newest progress record.
+ * The stored state of one job: its submission, its cancellation and its newest progress record.
  *
  * @since 0.2
  */
 public final class JobEntry {
-  private static final long NO_OFFSET = -1;
+  /** The queue and the organisation that a job belongs to. */
+  public record Ownership(String queue, String organisation) {}
 
   private final String id;
+  private final RecordLocations locations = new RecordLocations();
   private JobSpec spec;
-  private long specOffset = NO_OFFSET;
-  private long cancelOffset = NO_OFFSET;
+  private boolean cancelled;
   private StoredProgress progress;
-  private long progressOffset = NO_OFFSET;
 
-  JobEntry(String id) {
+  public JobEntry(String id) {
     this.id = id;
   }
 
+  /** Returns an entry of a job that was just submitted. */
+  public static JobEntry submitted(JobSpec spec) {
+    JobEntry entry = new JobEntry(spec.id());
+    entry.applySubmission(spec);
+    return entry;
+  }
+
   public String id() {
     return id;
   }
 
-  /**
-   * Returns the submitted job; empty if only a cancellation or progress record has been applied
-   * yet.
-   */
-  public Optional<JobSpec> spec() {
-    return Optional.ofNullable(spec);
+  /** Returns where the records of the job are stored. */
+  public RecordLocations locations() {
+    return locations;
   }
 
-  /** Returns the offset of the first submission record, or -1 if none has been applied yet. */
-  public long specOffset() {
-    return specOffset;
+  /** Returns the submitted job; empty if it was not read, or was deleted after the job's end. */
+  public Optional<JobSpec> spec() {
+    return Optional.ofNullable(spec);
   }
 
   /** Returns whether a cancellation record has been applied. */
   public boolean cancelled() {
-    return cancelOffset != NO_OFFSET;
+    return cancelled;
   }
 
   /**
@@ -52,6 +57,16 @@
     return Optional.ofNullable(progress).map(p -> p.decode(id));
   }
 
+  /** Returns whether the job exists: its submission is stored, or was before the job's end. */
+  public boolean exists() {
+    return ownership().isPresent();
+  }
+
+  /** Returns whether the job exists and a caller may see it. */
+  public boolean isVisibleTo(JobReference reference) {
+    return ownership().filter(o -> reference.matches(o.queue, o.organisation)).isPresent();
+  }
+
   /**
    * Returns the state that callers see: the stored state if it is final, otherwise {@link
    * JobState#CANCELLED} once a cancellation record has been applied, otherwise the stored state.
@@ -61,7 +76,20 @@
     if (stored.isFinal()) {
       return stored;
     }
-    return cancelled() ? JobState.CANCELLED : stored;
+    return cancelled ? JobState.CANCELLED : stored;
+  }
+
+  /**
+   * Returns the name of the job's queue and its organisation; empty if neither the submission nor a
+   * final progress record was applied.
+   */
+  public Optional<Ownership> ownership() {
+    if (spec != null) {
+      return Optional.of(new Ownership(spec.queue().name(), spec.organisation()));
+    }
+    return isFinalStateStored()
+        ? Optional.of(new Ownership(progress.queue(), progress.organisation()))
+        : Optional.empty();
   }
 
   /** Returns whether an owner has stored a final state of the job. */
@@ -74,38 +102,24 @@
     return !state().isFinal() && (progress == null || !progress.started());
   }
 
-  /**
-   * Applies a submission record; repeated submissions of the job are ignored.
-   *
-   * @return whether this was the first submission
-   */
-  boolean applySubmission(JobSpec submitted, long offset) {
-    if (spec != null) {
-      return false;
+  /** Applies a submission record; repeated submissions of the job are ignored. */
+  void applySubmission(JobSpec submitted) {
+    if (spec == null) {
+      spec = submitted;
     }
-    spec = submitted;
-    specOffset = offset;
-    return true;
   }
 
-  /**
-   * Applies a cancellation record; repeated ones are ignored.
-   *
-   * @return whether this was the first cancellation
-   */
-  boolean applyCancellation(long offset) {
-    if (cancelled()) {
-      return false;
-    }
-    cancelOffset = offset;
-    return true;
+  void applyCancellation() {
+    cancelled = true;
   }
 
-  /** Applies a progress record unless a record with the same or a higher offset was applied. */
-  void applyProgress(StoredProgress stored, long offset) {
-    if (offset > progressOffset) {
+  /** Applies a progress record that a lane holds; the newest one counts. */
+  void applyProgress(StoredProgress stored, int lane) {
+    if (progress == null || StoredProgress.OLDEST_FIRST.compare(stored, progress) > 0) {
       progress = stored;
-      progressOffset = offset;
+      locations.newestProgressInLane(lane);
+    } else {
+      locations.progressInLane(lane);
     }
   }
 }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/ledger/JobRecordMapper.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/ledger/JobRecordMapper.java
@@ -10,11 +10,15 @@
 import io.cactusspring.protocol.gen.ledger.QueueRecord;
 import io.cactusspring.protocol.gen.ledger.StepRecord;
 
-/** Converts submissions to Thrift records and back. */
-final class JobRecordMapper {
+/**
+ * Converts submissions to Thrift records and back.
+ *
+ * @since 0.2
+ */
+public final class JobRecordMapper {
   private JobRecordMapper() {}
 
-  static JobRecord toRecord(JobSpec spec) {
+  public static JobRecord toRecord(JobSpec spec) {
     return new JobRecord()
         .setId(spec.id())
         .setQueue(toRecord(spec.queue()))
@@ -27,7 +31,10 @@
         .setAcceptedMillis(spec.acceptedMillis());
   }
 
-  static JobSpec toJobSpec(JobRecord record) {
+  /**
+   * @throws IllegalArgumentException if a field of the record is out of range
+   */
+  public static JobSpec toJobSpec(JobRecord record) {
     return new JobSpec(
         record.getId(),
         toQueue(record.getQueue()),
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/ledger/LedgerCodec.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/ledger/LedgerCodec.java
@@ -2,13 +2,12 @@
 
 import io.cactusspring.jobs.model.JobSpec;
 import io.cactusspring.jobs.port.KeyedTopic.Entry;
+import io.cactusspring.protocol.ThriftCodec;
 import io.cactusspring.protocol.gen.ledger.JobProgressRecord;
 import io.cactusspring.protocol.gen.ledger.JobRecord;
 import io.cactusspring.protocol.gen.ledger.OwnerClaimRecord;
-import io.cactusspring.protocol.gen.ledger.PeerAddressRecord;
-import java.util.List;
+import java.nio.charset.StandardCharsets;
 import java.util.Optional;
-import java.util.stream.Stream;
 import org.apache.thrift.TBase;
 import org.apache.thrift.TException;
 
@@ -24,8 +23,8 @@
   static final String JOB_PREFIX = "job/";
   static final String CANCEL_PREFIX = "cancel/";
   static final String PROGRESS_PREFIX = "progress/";
-  static final String PEER_PREFIX = "peer/";
   static final String OWNER_KEY = "owner";
+  static final String FENCE_KEY = "fence";
 
   private static final byte[] CANCELLED_VALUE = {'1'};
 
@@ -61,25 +60,44 @@
             .setTerm(owner.term())
             .setHost(owner.host())
             .setIncarnation(owner.incarnation())
-            .setReleased(owner.released());
+            .setReleased(owner.released())
+            .setAddress(owner.address())
+            .setHeartbeat(owner.heartbeat());
     return entry(OWNER_KEY, () -> record);
   }
 
-  public static Entry peer(PeerRecord peer) {
-    PeerAddressRecord record =
-        new PeerAddressRecord()
-            .setHost(peer.host())
-            .setIncarnation(peer.incarnation())
-            .setAddress(peer.address())
-            .setMilliProcessors(peer.milliProcessors());
-    return entry(PEER_PREFIX + peer.host(), () -> record);
+  /** Returns the record by which a new owner fences the earlier writers of a partition. */
+  public static Entry fence(long term) {
+    return new Entry(FENCE_KEY, Long.toString(term).getBytes(StandardCharsets.US_ASCII), 0);
   }
 
-  /** Returns the tombstones that delete all records of a job; the submission's comes last. */
-  public static List<Entry> tombstones(String job) {
-    return Stream.of(CANCEL_PREFIX, PROGRESS_PREFIX, JOB_PREFIX)
-        .map(key -> new Entry(key + job, null, 0))
-        .toList();
+  /** Returns the tombstone that deletes the submission of a job. */
+  public static Entry jobTombstone(String job) {
+    return new Entry(JOB_PREFIX + job, null, 0);
+  }
+
+  /** Returns the tombstone that deletes the cancellation of a job. */
+  public static Entry cancelTombstone(String job) {
+    return new Entry(CANCEL_PREFIX + job, null, 0);
+  }
+
+  /** Returns the tombstone that deletes the progress of a job. */
+  public static Entry progressTombstone(String job) {
+    return new Entry(PROGRESS_PREFIX + job, null, 0);
+  }
+
+  /** Decodes a submission; empty if the record is of another kind, a tombstone or unreadable. */
+  public static Optional<JobSpec> submission(Entry entry) {
+    return entry.key().startsWith(JOB_PREFIX) && entry.value() != null
+        ? readJob(entry)
+        : Optional.empty();
+  }
+
+  /** Returns the job that a record cancels; empty if the record is of another kind. */
+  public static Optional<String> cancelledJob(Entry entry) {
+    return entry.key().startsWith(CANCEL_PREFIX) && entry.value() != null
+        ? Optional.of(entry.key().substring(CANCEL_PREFIX.length()))
+        : Optional.empty();
   }
 
   static Optional<JobSpec> readJob(Entry entry) {
@@ -90,20 +108,25 @@
     return read(entry, new JobProgressRecord(), ProgressRecordMapper::toStoredProgress);
   }
 
-  static Optional<OwnerRecord> readOwner(Entry entry) {
-    return read(
-        entry,
-        new OwnerClaimRecord(),
-        r -> new OwnerRecord(r.getTerm(), r.getHost(), r.getIncarnation(), r.isReleased()));
+  /** Decodes an owner record; empty if the record is of another kind or unreadable. */
+  public static Optional<OwnerRecord> ownerOf(Entry entry) {
+    return entry.key().equals(OWNER_KEY) && entry.value() != null
+        ? readOwner(entry)
+        : Optional.empty();
   }
 
-  static Optional<PeerRecord> readPeer(Entry entry) {
+  static Optional<OwnerRecord> readOwner(Entry entry) {
     return read(
         entry,
-        new PeerAddressRecord(),
+        new OwnerClaimRecord(),
         r ->
-            new PeerRecord(
-                r.getHost(), r.getIncarnation(), r.getAddress(), r.getMilliProcessors()));
+            new OwnerRecord(
+                r.getTerm(),
+                r.getHost(),
+                r.getIncarnation(),
+                r.isSetAddress() ? r.getAddress() : "",
+                r.getHeartbeat(),
+                r.isReleased()));
   }
 
   private static Entry entry(String key, RecordSupplier value) {
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/ledger/ProgressRecordMapper.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/ledger/ProgressRecordMapper.java
@@ -1,8 +1,7 @@
 package io.cactusspring.jobs.ledger;
 
-import io.cactusspring.jobs.model.JobState;
+import io.cactusspring.protocol.ThriftCodec;
 import io.cactusspring.protocol.gen.ledger.JobProgressRecord;
-import io.cactusspring.protocol.gen.ledger.JobStateCode;
 import io.cactusspring.protocol.gen.ledger.StepProgressRecord;
 import io.cactusspring.protocol.gen.ledger.StepsProgressRecord;
 import io.cactusspring.protocol.gen.ledger.TaskProgressRecord;
@@ -16,10 +15,19 @@
 
   static JobProgressRecord toRecord(JobProgress progress) throws TException {
     JobProgressRecord record =
-        new JobProgressRecord().setTerm(progress.term()).setState(toStateCode(progress.state()));
+        new JobProgressRecord()
+            .setTerm(progress.term())
+            .setState(JobStateMapper.toCode(progress.state()));
+    record.setVersion(progress.version());
     if (progress.started()) {
       record.setStarted(true);
     }
+    if (!progress.queue().isEmpty()) {
+      record.setQueue(progress.queue());
+    }
+    if (!progress.organisation().isEmpty()) {
+      record.setOrganisation(progress.organisation());
+    }
     if (!progress.steps().isEmpty()) {
       List<StepProgressRecord> steps =
           progress.steps().stream().map(ProgressRecordMapper::toRecord).toList();
@@ -31,7 +39,13 @@
   static StoredProgress toStoredProgress(JobProgressRecord record) {
     byte[] steps = record.isSetSteps() ? record.getSteps() : new byte[0];
     return new StoredProgress(
-        record.getTerm(), toState(record.getState()), record.isStarted(), steps);
+        record.getTerm(),
+        record.getVersion(),
+        JobStateMapper.toState(record.getState()),
+        record.isStarted(),
+        steps,
+        record.isSetQueue() ? record.getQueue() : "",
+        record.isSetOrganisation() ? record.getOrganisation() : "");
   }
 
   /**
@@ -102,24 +116,4 @@
         record.getBootMillis(),
         record.getCheckpoint());
   }
-
-  private static JobStateCode toStateCode(JobState state) {
-    return switch (state) {
-      case PENDING -> JobStateCode.PENDING;
-      case RUNNING -> JobStateCode.RUNNING;
-      case COMPLETED -> JobStateCode.COMPLETED;
-      case FAILED -> JobStateCode.FAILED;
-      case CANCELLED -> JobStateCode.CANCELLED;
-    };
-  }
-
-  private static JobState toState(JobStateCode code) {
-    return switch (code) {
-      case PENDING -> JobState.PENDING;
-      case RUNNING -> JobState.RUNNING;
-      case COMPLETED -> JobState.COMPLETED;
-      case FAILED -> JobState.FAILED;
-      case CANCELLED -> JobState.CANCELLED;
-    };
-  }
 }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/model/JobSpec.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/model/JobSpec.java
@@ -55,6 +55,15 @@
     }
   }
 
+  /** Returns whether another submission asks for the same work, whenever it was accepted. */
+  public boolean hasSameContent(JobSpec other) {
+    return payload.equals(other.payload)
+        && steps.equals(other.steps)
+        && startMillis == other.startMillis
+        && intervalMillis == other.intervalMillis
+        && repetitions == other.repetitions;
+  }
+
   /** Returns the total number of occurrences of the steps, at least 1. */
   public int occurrences() {
     return Math.max(1, repetitions);
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/port/KeyedTopic.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/port/KeyedTopic.java
@@ -5,8 +5,8 @@
 import java.util.Optional;
 
 /**
- * A compacted log of keyed records in the platform's store, which keeps the newest record of each
- * key.
+ * One partition of a compacted log of keyed records in the platform's store, which keeps the newest
+ * record of each key.
  *
  * <p>Failed futures carry a {@link StoreException}.
  *
@@ -50,6 +50,12 @@
    */
   Future<Long> append(List<Entry> entries, Optional<FencedWriter> writer);
 
+  /**
+   * Appends records atomically if the log ends at an offset. Fails with {@link
+   * StoreException.Kind#CONFLICT} if it ends elsewhere.
+   */
+  Future<Void> appendAt(long end, List<Entry> entries);
+
   /**
    * Reads from an offset on.
    *
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/port/StoreException.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/port/StoreException.java
@@ -16,6 +16,8 @@
     UNKNOWN,
     /** A writer with a higher epoch has taken over. */
     SUPERSEDED,
+    /** The log does not end where the call expected, so that nothing was appended. */
+    CONFLICT,
     /** The store no longer keeps the requested records. */
     TRIMMED
   }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
@@ -17,11 +17,13 @@
 import io.cactusspring.jobs.port.ExecutorClient.Target;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.function.Predicate;
 
 /**
  * Makes the scheduling decisions of the entry host that owns the executors, for one term.
@@ -54,6 +56,7 @@
   private final RunMonitor monitor;
   private final Evacuation evacuation;
   private final Throttle throttle;
+  private long lastVersion;
 
   /**
    * Changes that have to be stored before the starts that depend on them are sent.
@@ -206,17 +209,53 @@
     return decided;
   }
 
-  /** Returns the changes that have to be stored. Changed jobs are returned once. */
-  public Changes takeChanges() {
+  /**
+   * Returns changes that have to be stored. Each change is returned once; jobs that are left out
+   * are returned by a later call.
+   *
+   * @param max maximum number of jobs
+   * @param recordable whether the progress of a job may be stored now
+   */
+  public Changes takeChanges(int max, Predicate<String> recordable) {
     Map<String, JobProgress> jobs = new LinkedHashMap<>();
-    state.changed.forEach(j -> jobs.put(j.id(), j.progress(state.term)));
-    state.changed.clear();
-    List<ReceivedEnds> ends =
-        state.executors.values().stream()
-            .filter(LiveExecutor::hasEndsToStore)
-            .map(e -> new ReceivedEnds(e.id(), e.bootMillis(), e.lastReceivedEnd()))
-            .toList();
-    return new Changes(jobs, ends);
+    boolean complete = true;
+    for (Iterator<LiveJob> i = state.changed.iterator(); i.hasNext(); ) {
+      LiveJob job = i.next();
+      if (!recordable.test(job.id())) {
+        continue;
+      }
+      if (jobs.size() == max) {
+        complete = false;
+        break;
+      }
+      jobs.put(job.id(), job.progress(state.term, ++lastVersion));
+      i.remove();
+    }
+    // An end may be acknowledged only once all changes that it caused are stored.
+    return new Changes(jobs, complete ? endsToStore() : List.of());
+  }
+
+  private List<ReceivedEnds> endsToStore() {
+    return state.executors.values().stream()
+        .filter(LiveExecutor::hasEndsToStore)
+        .map(e -> new ReceivedEnds(e.id(), e.bootMillis(), e.lastReceivedEnd()))
+        .toList();
+  }
+
+  /** Returns whether any job has changes that {@link #takeChanges} has not returned yet. */
+  public boolean hasChanges() {
+    return !state.changed.isEmpty();
+  }
+
+  /** Returns whether a job has changes that {@link #takeChanges} has not returned yet. */
+  public boolean hasChanges(String job) {
+    LiveJob live = state.jobs.get(job);
+    return live != null && state.changed.contains(live);
+  }
+
+  /** Returns whether any run of a job may still be active on an executor. */
+  public boolean hasRuns(String job) {
+    return state.hasRuns(job);
   }
 
   /** Records that ends are stored, so that the executors may delete them. */
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveJob.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveJob.java
@@ -155,19 +155,22 @@
     doneOccurrences.add(k);
   }
 
-  JobProgress progress(long term) {
-    List<StepProgress> steps = new ArrayList<>();
-    if (!isFinal()) {
-      doneOccurrences.stream()
-          .sorted()
-          .forEach(
-              k -> {
-                for (int i = 0; i < spec.steps().size(); i++) {
-                  steps.add(new StepProgress(k, i, true, List.of()));
-                }
-              });
-      steps().stream().filter(LiveStep::hasBegun).map(LiveStep::progress).forEach(steps::add);
+  /** Returns the progress to store. The submission of a final job is deleted. */
+  JobProgress progress(long term, long version) {
+    if (isFinal()) {
+      return new JobProgress(
+          term, version, state, started, List.of(), spec.queue().name(), spec.organisation());
     }
-    return new JobProgress(term, state, started, steps);
+    List<StepProgress> steps = new ArrayList<>();
+    doneOccurrences.stream()
+        .sorted()
+        .forEach(
+            k -> {
+              for (int i = 0; i < spec.steps().size(); i++) {
+                steps.add(new StepProgress(k, i, true, List.of()));
+              }
+            });
+    steps().stream().filter(LiveStep::hasBegun).map(LiveStep::progress).forEach(steps::add);
+    return new JobProgress(term, version, state, started, steps, "", "");
   }
 }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/OwnerState.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/OwnerState.java
@@ -26,6 +26,7 @@
   final List<Action> actions = new ArrayList<>();
   final DecisionListener decisionListener;
   SiteConfiguration configuration = SiteConfiguration.NONE;
+  private final Map<String, Integer> runsByJob = new HashMap<>();
   private final Map<String, Resources> usage = new HashMap<>();
   private final Function<String, Optional<JobSpec>> specs;
 
@@ -72,15 +73,22 @@
 
   void addRun(LiveExecutor executor, Run run) {
     executor.add(run);
+    runsByJob.merge(run.key().task().job(), 1, Integer::sum);
     usage.merge(run.organisation(), run.spec().resources(), Resources::plus);
   }
 
   void removeRun(LiveExecutor executor, Run run) {
     if (executor.remove(run.key())) {
+      runsByJob.computeIfPresent(run.key().task().job(), (job, n) -> n == 1 ? null : n - 1);
       usage.merge(run.organisation(), run.spec().resources(), Resources::minus);
     }
   }
 
+  /** Returns whether any run of a job is counted on an executor. */
+  boolean hasRuns(String job) {
+    return runsByJob.containsKey(job);
+  }
+
   Resources usage(String organisation) {
     return usage.getOrDefault(organisation, Resources.NONE);
   }
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/AdviceDispatcherTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/AdviceDispatcherTest.java
@@ -2,12 +2,9 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import io.cactusspring.jobs.ledger.PeerRecord;
 import io.cactusspring.jobs.simulation.VirtualTime;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Map;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
@@ -17,22 +14,18 @@
   private static final double LONG_MILLIS = 700;
   private static final double SHORT_MILLIS = 30;
 
-  private final List<String> called = new ArrayList<>();
   private final AdviceDispatcher dispatcher =
       new AdviceDispatcher(
           (step, executors, timeout) -> Future.failedFuture("not used"),
-          (address, step, executors, timeout) -> {
-            called.add(address);
-            return Promise.<Map<String, String>>promise().future();
-          },
-          new VirtualTime().timers(),
-          "self");
+          new VirtualTime().timers());
 
   private void setPeers(int number) {
-    dispatcher.updateHosts(
-        IntStream.range(0, number)
-            .mapToObj(i -> new PeerRecord("host" + i, "1", "host" + i + ":70", 750))
-            .toList());
+    IntStream.range(0, number)
+        .forEach(
+            i ->
+                dispatcher.addHost(
+                    "host" + i,
+                    (step, executors, timeout) -> Promise.<Map<String, String>>promise().future()));
   }
 
   private int reserveCalls(double callMillis, int tries) {
@@ -60,6 +53,13 @@
     assertThat(reserveCalls(LONG_MILLIS, 3)).isEqualTo(1);
   }
 
+  @Test
+  void hostThatCannotBeReachedMakesNoCalls() {
+    setPeers(2);
+    dispatcher.removeHost("host0");
+    assertThat(reserveCalls(LONG_MILLIS, 3)).isEqualTo(1);
+  }
+
   @Test
   void singleOtherHostMakesLongCalls() {
     setPeers(1);
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/ClaimPolicyTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/ClaimPolicyTest.java
@@ -2,140 +2,126 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.cactusspring.jobs.control.ClaimPolicy.Observation;
 import io.cactusspring.jobs.ledger.OwnerRecord;
-import io.cactusspring.jobs.ledger.PeerRecord;
-import java.util.List;
-import java.util.Optional;
+import io.cactusspring.jobs.model.HostIdentity;
+import java.util.OptionalInt;
 import org.junit.jupiter.api.Test;
 
 final class ClaimPolicyTest {
-  private static final ClaimPolicy POLICY = new ClaimPolicy(750, 1_500, 200);
-  private static final PeerRecord SELF = new PeerRecord("a", "a#1", "a:70", 750);
-  private static final OwnerRecord OWNER = new OwnerRecord(5, "b", "b#1", false);
-  private static final PeerRecord SAME_PROCESS = new PeerRecord("b", "b#1", "b:70", 750);
+  private static final ClaimPolicy POLICY = new ClaimPolicy(500, 1_500, 40);
+  private static final HostIdentity SELF = new HostIdentity("a", "a#1", "a:70", 750);
+  private static final OwnerRecord OWNER = new OwnerRecord(5, "b", "b#1", "b:70", 9, false);
+  private static final OwnerRecord RELEASED = OWNER.release();
   private static final long READING_SINCE = 0;
+  private static final long NOT_VACANT = Long.MAX_VALUE;
 
   private static boolean claims(
-      OwnerRecord owner,
-      PeerRecord ownerHost,
-      long lastOwnerWriteAt,
-      long uninterruptedReadsSince,
-      long now) {
-    return claims(owner, ownerHost, lastOwnerWriteAt, uninterruptedReadsSince, 0, now);
+      OwnerRecord owner, long vacantSince, long lastWriteAt, long readsSince, long now) {
+    return POLICY.shouldClaim(
+        new Observation(owner, vacantSince, lastWriteAt, readsSince, false, 0), SELF, 0, now);
   }
 
-  private static boolean claims(
-      OwnerRecord owner,
-      PeerRecord ownerHost,
-      long lastOwnerWriteAt,
-      long uninterruptedReadsSince,
-      long responseMillis,
-      long now) {
+  private static boolean claimsWhileDegraded(long lastWriteAt, long now) {
+    return POLICY.shouldClaim(
+        new Observation(OWNER, NOT_VACANT, lastWriteAt, READING_SINCE, true, 0), SELF, 0, now);
+  }
+
+  private static boolean claimsWithResponseTime(long lastWriteAt, long responseMillis, long now) {
     return POLICY.shouldClaim(
-        owner,
-        Optional.of(ownerHost),
+        new Observation(OWNER, NOT_VACANT, lastWriteAt, READING_SINCE, false, responseMillis),
         SELF,
-        lastOwnerWriteAt,
-        uninterruptedReadsSince,
-        responseMillis,
         0,
         now);
   }
 
   @Test
   void ownerThatWritesIsNotReplaced() {
-    assertThat(claims(OWNER, SAME_PROCESS, 9_500, READING_SINCE, 10_000)).isFalse();
+    assertThat(claims(OWNER, NOT_VACANT, 9_600, READING_SINCE, 10_000)).isFalse();
   }
 
   @Test
   void silentOwnerIsReplaced() {
-    assertThat(claims(OWNER, SAME_PROCESS, 8_000, READING_SINCE, 10_000)).isTrue();
+    assertThat(claims(OWNER, NOT_VACANT, 8_000, READING_SINCE, 10_000)).isTrue();
   }
 
   @Test
   void silenceCountsOnlyWhileReadsSucceed() {
-    assertThat(claims(OWNER, SAME_PROCESS, 1_000, 9_000, 10_000)).isFalse();
-    assertThat(claims(OWNER, SAME_PROCESS, 1_000, Long.MAX_VALUE, 10_000)).isFalse();
+    assertThat(claims(OWNER, NOT_VACANT, 1_000, 9_600, 10_000)).isFalse();
+    assertThat(claims(OWNER, NOT_VACANT, 1_000, Long.MAX_VALUE, 10_000)).isFalse();
   }
 
-  /** The owner is killed while the store is healthy. */
+  /** The owner's machine loses power while the store is healthy. */
   @Test
-  void ownerIsReplacedAfter750MillisWhileTheStoreIsHealthy() {
-    assertThat(claims(OWNER, SAME_PROCESS, 9_200, READING_SINCE, 10_000)).isTrue();
+  void ownerIsReplacedAfterHalfASecondOfReadsWithoutAHeartbeat() {
+    assertThat(claims(OWNER, NOT_VACANT, 1_000, 9_500, 10_000)).isTrue();
   }
 
-  /**
-   * The owner releases its term while the store is sixty times slower than usual (Tema trouble-2).
-   * The other hosts then read a claim late, and must not all claim before they have read it.
-   */
+  /** The store is slower than usual, which delays the heartbeats of the owner as well. */
   @Test
-  void claimDelaysGrowWithTheResponseTimeOfTheStore() {
-    OwnerRecord released = new OwnerRecord(5, "b", "b#1", true);
-    assertThat(claimsWithStagger(released, 0.5, 8, 9_800)).isTrue();
-    assertThat(claimsWithStagger(released, 0.5, 240, 9_000)).isFalse();
-    assertThat(claimsWithStagger(released, 0.1, 240, 9_000)).isTrue();
+  void ownerTimeoutGrowsWithTheResponseTimeOfTheStore() {
+    assertThat(claimsWithResponseTime(9_200, 240, 10_000)).isFalse();
+    assertThat(claimsWithResponseTime(8_500, 240, 10_000)).isTrue();
   }
 
-  private static boolean claimsWithStagger(
-      OwnerRecord owner, double staggerFactor, long responseMillis, long lastOwnerWriteAt) {
-    return POLICY.shouldClaim(
-        owner,
-        Optional.of(SAME_PROCESS),
-        SELF,
-        lastOwnerWriteAt,
-        READING_SINCE,
-        responseMillis,
-        staggerFactor,
-        10_000);
+  /** Responses of the store are lost, including those to the owner. */
+  @Test
+  void ownerTimeoutIsLongerWhileCallsToTheStoreFail() {
+    assertThat(claimsWhileDegraded(9_000, 10_000)).isFalse();
+    assertThat(claimsWhileDegraded(8_400, 10_000)).isTrue();
   }
 
-  /**
-   * The store is sixty times slower than usual, which delays the heartbeats of the owner as well.
-   */
   @Test
-  void ownerTimeoutGrowsWithTheResponseTimeOfTheStore() {
-    assertThat(claims(OWNER, SAME_PROCESS, 9_200, READING_SINCE, 240, 10_000)).isFalse();
-    assertThat(claims(OWNER, SAME_PROCESS, 8_500, READING_SINCE, 240, 10_000)).isTrue();
+  void releasedTermIsClaimedAtOnce() {
+    assertThat(claims(RELEASED, 10_000, 10_000, READING_SINCE, 10_000)).isTrue();
   }
 
-  /** Responses of the store are lost, including those to the owner. */
+  /** The owner is killed: its address refuses connections. */
   @Test
-  void ownerTimeoutIsLongerAfterARecentReadFailure() {
-    assertThat(claims(OWNER, SAME_PROCESS, 9_000, 8_000, 10_000)).isFalse();
-    assertThat(claims(OWNER, SAME_PROCESS, 8_400, 8_000, 10_000)).isTrue();
+  void ownerWhoseProcessHasEndedIsReplacedAtOnce() {
+    assertThat(claims(OWNER, 10_000, 9_990, READING_SINCE, 10_000)).isTrue();
   }
 
   @Test
-  void releasedTermIsClaimedAtOnce() {
-    OwnerRecord released = new OwnerRecord(5, "b", "b#1", true);
-    assertThat(claims(released, SAME_PROCESS, 10_000, READING_SINCE, 10_000)).isTrue();
+  void vacantOwnershipIsNotClaimedWhileTheStoreCannotBeRead() {
+    assertThat(claims(RELEASED, 10_000, 10_000, Long.MAX_VALUE, 10_000)).isFalse();
   }
 
+  /** All processes are killed and restarted. */
   @Test
-  void ownerWhoseHostRunsANewerProcessIsReplacedAtOnce() {
-    PeerRecord newer = new PeerRecord("b", "b#2", "b:70", 750);
-    assertThat(claims(OWNER, newer, 10_000, READING_SINCE, 10_000)).isTrue();
+  void restartedProcessOfTheOwnersHostClaimsAtOnce() {
+    OwnerRecord before = new OwnerRecord(5, "a", "a#0", "a:70", 3, false);
+    assertThat(claims(before, NOT_VACANT, 10_000, 10_000, 10_000)).isTrue();
   }
 
-  /**
-   * All processes are killed and restarted. No process has announced yet that it replaces the
-   * owner's.
-   */
   @Test
-  void restartedProcessOfTheOwnersHostClaimsAtOnce() {
-    OwnerRecord before = new OwnerRecord(5, "a", "a#0", false);
-    PeerRecord stale = new PeerRecord("a", "a#0", "a:70", 750);
-    assertThat(claims(before, stale, 10_000, 10_000, 10_000)).isTrue();
+  void hostsClaimInTheOrderOfTheirRanks() {
+    long first = POLICY.delayMillis(SELF, OptionalInt.of(0), 0.9, 8);
+    long second = POLICY.delayMillis(SELF, OptionalInt.of(1), 0.1, 8);
+    assertThat(first).isEqualTo(0);
+    assertThat(second).isEqualTo(48);
+    assertThat(claimsVacant(20, second)).isFalse();
+    assertThat(claimsVacant(48, second)).isTrue();
   }
 
-  /** Most hosts have a quarter of the processing power of the others. */
+  private static boolean claimsVacant(long vacantMillis, long delayMillis) {
+    Observation seen = new Observation(RELEASED, 1_000, 1_000, READING_SINCE, false, 8);
+    return POLICY.shouldClaim(seen, SELF, delayMillis, 1_000 + vacantMillis);
+  }
+
+  /** All hosts start at the same time, and most have a quarter of the power of the others. */
   @Test
-  void hostsWithMoreProcessingPowerClaimFirst() {
-    PeerRecord strong = new PeerRecord("s", "s#1", "s:70", 1_500);
-    List<PeerRecord> hosts = List.of(SELF, strong, SAME_PROCESS);
-    assertThat(ClaimPolicy.staggerFactor(strong, hosts, 0.9))
-        .isLessThan(ClaimPolicy.staggerFactor(SELF, hosts, 0.1));
-    assertThat(ClaimPolicy.staggerFactor(SELF, List.of(SELF, SAME_PROCESS), 0.1)).isEqualTo(0.1);
+  void unrankedHostsWithMoreProcessingPowerClaimFirst() {
+    HostIdentity strong = new HostIdentity("s", "s#1", "s:70", 1_500);
+    HostIdentity weak = new HostIdentity("w", "w#1", "w:70", 360);
+    assertThat(POLICY.delayMillis(strong, OptionalInt.empty(), 0.9, 5))
+        .isLessThan(POLICY.delayMillis(weak, OptionalInt.empty(), 0.1, 5));
+  }
+
+  /** The claims of hosts lie apart while the store is slow (Tema trouble-2). */
+  @Test
+  void claimDelaysGrowWithTheResponseTimeOfTheStore() {
+    assertThat(POLICY.delayMillis(SELF, OptionalInt.of(2), 0, 240)).isEqualTo(560);
   }
 
   @Test
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/ClusterFuzzTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/ClusterFuzzTest.java
@@ -10,6 +10,7 @@
 import io.cactusspring.jobs.port.ExecutorClient.EndReason;
 import io.cactusspring.jobs.simulation.ClusterSimulation;
 import io.cactusspring.jobs.simulation.FakeExecutor;
+import io.cactusspring.jobs.simulation.FakeLog;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -137,7 +138,7 @@
       FakeExecutor executor =
           simulation.executors().get(random.nextInt(simulation.executors().size()));
       long millis = 200L + random.nextInt(5_000);
-      switch (random.nextInt(13)) {
+      switch (random.nextInt(16)) {
         case 0 -> restart(host, millis);
         case 1 ->
             simulation.hosts().stream()
@@ -175,11 +176,29 @@
           executor.crash();
           simulation.time().after(millis, () -> boot(executor));
         }
-        case 10 -> simulation.ledger().compact();
+        case 10 -> simulation.ledger().forEach(FakeLog::compact);
         case 11 -> {
           host.storeLink().extraLatencyMillis(300);
           simulation.time().after(millis, () -> host.storeLink().extraLatencyMillis(0));
         }
+        case 12 -> {
+          host.cutFromPeers(true);
+          simulation.time().after(millis, () -> host.cutFromPeers(false));
+        }
+        case 13 -> {
+          // The availability zone of the host is cut off.
+          host.cutFromPeers(true);
+          host.storeLink().disconnected(true);
+          simulation
+              .time()
+              .after(
+                  millis,
+                  () -> {
+                    host.cutFromPeers(false);
+                    host.storeLink().disconnected(false);
+                  });
+        }
+        case 14 -> host.resetPeerLinks();
         default -> simulation.hosts().forEach(h -> restart(h, 500 + random.nextInt(800)));
       }
     }
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/JobLifecycleTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/JobLifecycleTest.java
@@ -9,8 +9,10 @@
 import io.cactusspring.jobs.model.StepSpec;
 import io.cactusspring.jobs.model.TaskId;
 import io.cactusspring.jobs.port.ExecutorClient.EndReason;
+import io.cactusspring.jobs.port.KeyedTopic;
 import io.cactusspring.jobs.simulation.ClusterSimulation;
 import io.cactusspring.jobs.simulation.FakeExecutor;
+import io.cactusspring.jobs.simulation.FakeLog;
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -112,6 +114,8 @@
   @Test
   void quickJobStartsWithinASecondAfterTheOwnerIsKilled() {
     submitEvery100Millis("before", 20);
+    // The task must still run when the executors are checked.
+    simulation.taskWorkMillis(id -> 2_000L);
     owner().kill();
     JobSpec spec = job("j1", quick(), tasks(1).build());
     ClusterSimulation.Host up =
@@ -393,13 +397,20 @@
     simulation.time().run(100_000);
     assertThat(state(spec)).isEqualTo(JobState.COMPLETED);
     simulation.time().run(120_000);
-    assertThat(simulation.ledger().newest().stream().filter(e -> e.key().contains("j1")).toList())
-        .isEmpty();
+    assertThat(recordsOf("j1")).isEmpty();
     var answer = simulation.state(simulation.hosts().get(1), spec);
     simulation.time().run(50);
     assertThat(answer.result().isPresent()).isFalse();
   }
 
+  private List<String> recordsOf(String job) {
+    return simulation.ledger().stream()
+        .flatMap(partition -> partition.newest().stream())
+        .map(KeyedTopic.Entry::key)
+        .filter(key -> key.contains(job))
+        .toList();
+  }
+
   /** The store compacts its log, and the owner is killed shortly afterwards (Riga scale-1). */
   @Test
   void compactionOfTheLogDoesNotDelayATakeover() {
@@ -409,7 +420,7 @@
       simulation.submit(owner(), job("more" + i, quick(), tasks(1).build()));
       simulation.time().run(20);
     }
-    simulation.ledger().compact();
+    simulation.ledger().forEach(FakeLog::compact);
     owner().kill();
     simulation.time().run(1_350);
     assertThat(simulation.hosts().stream().anyMatch(ClusterSimulation.Host::isOwner)).isTrue();
@@ -419,7 +430,7 @@
   void newestRecordsAreLoadedAgainAfterCompaction() {
     JobSpec spec = job("j1", quick(), tasks(2).build());
     submit(spec);
-    simulation.ledger().compact();
+    simulation.ledger().forEach(FakeLog::compact);
     simulation.time().run(3_000);
     assertThat(state(spec)).isEqualTo(JobState.COMPLETED);
   }
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/StoreWritesTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/StoreWritesTest.java
@@ -5,13 +5,14 @@
 import io.cactusspring.jobs.port.KeyedTopic;
 import io.cactusspring.jobs.port.StoreException;
 import io.cactusspring.jobs.port.Timers;
+import io.cactusspring.jobs.simulation.TestLog;
 import io.cactusspring.jobs.simulation.VirtualTime;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
-import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 /** Tests writes to a store that is slow or whose responses are lost. */
@@ -42,6 +43,11 @@
       return answer.future();
     }
 
+    @Override
+    public Future<Void> appendAt(long end, List<Entry> entries) {
+      throw new UnsupportedOperationException();
+    }
+
     @Override
     public Future<Batch> read(long from, long waitMillis) {
       throw new UnsupportedOperationException();
@@ -57,30 +63,66 @@
     return new KeyedTopic.Entry("job/" + number, new byte[] {1}, 0);
   }
 
-  /** Many callers submit jobs while the store takes 180 ms for each append. */
+  private LaneWriter lanes(int count) {
+    return new LaneWriter(
+        Collections.nCopies(count, topic), 1, 1, timers, new TestLog().log(), () -> true);
+  }
+
+  /** The store takes 180 ms for each append (Tema trouble-2). */
   @Test
-  void recordsAddedDuringAnAppendAreBatchedIntoTheNextOne() {
+  void furtherLanesTakeTheBatchesWhileTheStoreIsSlow() {
     topic.answerMillis = 180;
-    BatchingWriter writer = new BatchingWriter(topic, timers);
-    List<Future<Void>> stored =
-        IntStream.range(0, 20).mapToObj(i -> writer.append(entry(i))).toList();
-    time.run(400);
-    assertThat(topic.appends).containsExactly(1, 19).inOrder();
-    assertThat(stored.stream().allMatch(Future::succeeded)).isTrue();
+    LaneWriter lanes = lanes(3);
+    assertThat(lanes.free()).hasValue(0);
+    lanes.write(0, List.of(entry(0)));
+    assertThat(lanes.free()).isEmpty();
+    time.run(30);
+    assertThat(lanes.free()).hasValue(1);
+    lanes.write(1, List.of(entry(1)));
+    time.run(200);
+    assertThat(lanes.isIdle()).isTrue();
+    assertThat(topic.appends).hasSize(2);
+  }
+
+  @Test
+  void quickStoreIsUsedThroughOneLane() {
+    LaneWriter lanes = lanes(3);
+    for (int i = 0; i < 10; i++) {
+      assertThat(lanes.free()).hasValue(0);
+      lanes.write(0, List.of(entry(i)));
+      assertThat(lanes.free()).isEmpty();
+      time.run(10);
+    }
   }
 
   /** The response to one append is lost. */
   @Test
-  void lostResponseDelaysOnlyItsOwnRecords() {
+  void lostResponseDelaysOnlyItsOwnBatch() {
     topic.lostAnswers = 1;
-    BatchingWriter writer = new BatchingWriter(topic, timers);
-    Future<Void> lost = writer.append(entry(0));
-    Future<Void> other = writer.append(entry(1));
-    time.run(300);
+    LaneWriter lanes = lanes(2);
+    Future<Void> lost = lanes.write(0, List.of(entry(0)));
+    time.run(30);
+    assertThat(lanes.free()).hasValue(1);
+    Future<Void> other = lanes.write(1, List.of(entry(1)));
+    time.run(20);
     assertThat(lost.isComplete()).isFalse();
     assertThat(other.succeeded()).isTrue();
     time.run(TIMEOUT_MILLIS);
-    assertThat(lost.failed()).isTrue();
+    assertThat(lost.succeeded()).isTrue();
+  }
+
+  @Test
+  void deletionsAreWrittenWithTheNextBatchOfTheirLane() {
+    LaneWriter lanes = lanes(2);
+    lanes.deleteLater(0, entry(7));
+    lanes.deleteLater(1, entry(8));
+    lanes.write(0, List.of(entry(0)));
+    time.run(20);
+    assertThat(topic.appends).containsExactly(2);
+    lanes.flushDeletions();
+    time.run(20);
+    lanes.flushDeletions();
+    assertThat(topic.appends).containsExactly(2, 1).inOrder();
   }
 
   /** The response to an append of the owner is lost. */
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/ledger/LedgerCodecTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/ledger/LedgerCodecTest.java
@@ -67,11 +67,14 @@
     JobProgress progress =
         new JobProgress(
             9,
+            12,
             JobState.RUNNING,
             true,
             List.of(
                 new StepProgress(0, 0, true, List.of()),
-                new StepProgress(3, 1, false, List.of(running, notStarted))));
+                new StepProgress(3, 1, false, List.of(running, notStarted))),
+            "queue",
+            "team");
     assertThat(read(progress)).hasValue(progress);
   }
 
@@ -82,27 +85,39 @@
   @Test
   void decodedStateEqualsEncodedOneForEveryState() {
     for (JobState state : JobState.values()) {
-      JobProgress progress = new JobProgress(1, state, false, List.of());
+      JobProgress progress = new JobProgress(1, 2, state, false, List.of(), "", "");
       assertThat(read(progress)).hasValue(progress);
     }
   }
 
   @Test
-  void decodedOwnerAndPeerEqualEncodedOnes() {
-    OwnerRecord owner = new OwnerRecord(4_097, "host", "boot", true);
-    PeerRecord peer = new PeerRecord("host", "boot", "host:70", 750);
-    assertThat(LedgerCodec.readOwner(LedgerCodec.owner(owner))).hasValue(owner);
-    assertThat(LedgerCodec.readPeer(LedgerCodec.peer(peer))).hasValue(peer);
+  void decodedOwnerEqualsEncodedOne() {
+    OwnerRecord owner = new OwnerRecord(4_097, "host", "boot", "host:70", 3, true);
+    assertThat(LedgerCodec.ownerOf(LedgerCodec.owner(owner))).hasValue(owner);
+    assertThat(LedgerCodec.ownerOf(LedgerCodec.cancel("id"))).isEmpty();
+  }
+
+  @Test
+  void recordsOfOtherKindsAreNotTakenForSubmissionsOrCancellations() {
+    Entry submission = LedgerCodec.job(job(QUEUE, StepSpec.builder().build()));
+    Entry cancellation = LedgerCodec.cancel("id");
+    assertThat(LedgerCodec.submission(submission).map(JobSpec::id)).hasValue("id");
+    assertThat(LedgerCodec.submission(cancellation)).isEmpty();
+    assertThat(LedgerCodec.submission(LedgerCodec.jobTombstone("id"))).isEmpty();
+    assertThat(LedgerCodec.cancelledJob(cancellation)).hasValue("id");
+    assertThat(LedgerCodec.cancelledJob(submission)).isEmpty();
+    assertThat(LedgerCodec.cancelledJob(LedgerCodec.cancelTombstone("id"))).isEmpty();
   }
 
   /** During a rolling update, hosts of two versions read each other's records. */
   @Test
   void encodingIsStable() {
-    Entry owner = LedgerCodec.owner(new OwnerRecord(5, "h", "b", false));
-    assertThat(HexFormat.of().formatHex(owner.value())).isEqualTo("160a180168180162" + "1200");
-    JobProgress progress = new JobProgress(5, JobState.COMPLETED, true, List.of());
+    Entry owner = LedgerCodec.owner(new OwnerRecord(5, "h", "b", "a", 1, false));
+    assertThat(HexFormat.of().formatHex(owner.value()))
+        .isEqualTo("160a180168180162" + "12" + "180161" + "1602" + "00");
+    JobProgress progress = new JobProgress(5, 3, JobState.COMPLETED, true, List.of(), "", "");
     assertThat(HexFormat.of().formatHex(LedgerCodec.progress("id", progress).value()))
-        .isEqualTo("160a15061100");
+        .isEqualTo("160a1506112606" + "00");
   }
 
   @Test
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/JobSchedulerTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/JobSchedulerTest.java
@@ -4,10 +4,6 @@
 
 import io.cactusspring.core.model.Resources;
 import io.cactusspring.jobs.ledger.JobEntry;
-import io.cactusspring.jobs.ledger.JobLedger;
-import io.cactusspring.jobs.ledger.LedgerCodec;
-import io.cactusspring.jobs.ledger.LedgerListener;
-import io.cactusspring.jobs.ledger.OwnerRecord;
 import io.cactusspring.jobs.model.AdviceSettings;
 import io.cactusspring.jobs.model.ExecutorInfo;
 import io.cactusspring.jobs.model.JobSpec;
@@ -24,8 +20,8 @@
 import io.cactusspring.jobs.port.ExecutorClient.LeaseRenewalResult;
 import io.cactusspring.jobs.port.ExecutorClient.Refusal;
 import io.cactusspring.jobs.port.ExecutorClient.StartRequest;
-import io.cactusspring.jobs.port.KeyedTopic.Entry;
 import java.util.Arrays;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -38,25 +34,11 @@
   private static final Resources CAPACITY = new Resources(4_000, 4_000, 0);
   private static final Resources TASK = new Resources(1_000, 1_000, 0);
   private static final long BOOT = 77;
+  private static final int MAX_CHANGES = 100;
 
-  private final JobLedger ledger =
-      new JobLedger(
-          new LedgerListener() {
-            @Override
-            public void submitted(JobEntry job) {}
-
-            @Override
-            public void cancelled(JobEntry job) {}
-
-            @Override
-            public void ownerChanged(OwnerRecord owner) {}
-
-            @Override
-            public void onOwnerRecord(long term) {}
-          });
+  private final Map<String, JobEntry> ledger = new LinkedHashMap<>();
   private JobScheduler scheduler;
   private long now = 10_000;
-  private long offset;
 
   @BeforeEach
   void takeOver() {
@@ -64,8 +46,8 @@
         new JobScheduler(
             SchedulerSettings.builder().build(),
             9,
-            ledger.jobs(),
-            id -> ledger.job(id).flatMap(JobEntry::spec),
+            ledger.values(),
+            id -> Optional.ofNullable(ledger.get(id)).flatMap(JobEntry::spec),
             (kind, job, subject, reason) -> {},
             now,
             now);
@@ -106,15 +88,18 @@
 
   private void submit(String id, Queue queue, StepSpec... steps) {
     JobSpec spec = new JobSpec(id, queue, "team", "p", List.of(steps), 0, 0, 0, now);
-    Entry entry = LedgerCodec.job(spec);
-    ledger.apply(new Entry(entry.key(), entry.value(), offset++));
-    scheduler.submitted(ledger.job(id).orElseThrow(), now, now);
+    ledger.put(id, JobEntry.submitted(spec));
+    scheduler.submitted(ledger.get(id), now, now);
   }
 
   private static StepSpec.Builder tasks(int count) {
     return StepSpec.builder().tasks(count).resources(TASK).estimateMillis(500);
   }
 
+  private JobScheduler.Changes changes() {
+    return scheduler.takeChanges(MAX_CHANGES, job -> true);
+  }
+
   private List<Action.Start> starts() {
     return scheduler.decide(millis -> true, now, now).stream()
         .filter(a -> a instanceof Action.Start)
@@ -231,7 +216,7 @@
     ActiveRun listed = new ActiveRun(start.run().task(), start.run().number(), "", 10, 0);
     report("x1", List.of(listed), List.of());
     scheduler.decide(millis -> true, now, now);
-    assertThat(scheduler.takeChanges().jobs()).containsKey("j2");
+    assertThat(changes().jobs()).containsKey("j2");
   }
 
   @Test
@@ -259,7 +244,7 @@
       end(start, n, EndReason.FAILED);
     }
     assertThat(starts()).isEmpty();
-    assertThat(scheduler.takeChanges().jobs().get("j1").state().isFinal()).isTrue();
+    assertThat(changes().jobs().get("j1").state().isFinal()).isTrue();
   }
 
   @Test
@@ -282,7 +267,7 @@
     first.forEach(this::confirm);
     end(first.get(0), 1, EndReason.DONE, first.get(1));
     assertThat(scheduler.executorsToRenew(now)).isEmpty();
-    scheduler.endsStored(scheduler.takeChanges().ends());
+    scheduler.endsStored(changes().ends());
     assertThat(scheduler.executorsToRenew(now)).containsExactly("x1");
   }
 
@@ -294,7 +279,7 @@
     first.forEach(this::confirm);
     end(first.get(0), 1, EndReason.DONE, first.get(1));
     assertThat(scheduler.leaseRenewalRequest("x1", true, now).acknowledgedEnd()).isEqualTo(0);
-    scheduler.endsStored(scheduler.takeChanges().ends());
+    scheduler.endsStored(changes().ends());
     assertThat(scheduler.leaseRenewalRequest("x1", true, now).acknowledgedEnd()).isEqualTo(1);
   }
 
@@ -364,7 +349,7 @@
     addExecutor("x1");
     submit("j1", queue(null), tasks(5).gang(true).build());
     assertThat(starts()).isEmpty();
-    assertThat(scheduler.takeChanges().jobs()).isEmpty();
+    assertThat(changes().jobs()).isEmpty();
     addExecutor("x2");
     List<Action.Start> together = starts();
     assertThat(together).hasSize(5);
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/ClusterSimulation.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/ClusterSimulation.java
@@ -6,10 +6,10 @@
 import io.cactusspring.jobs.control.HostPorts;
 import io.cactusspring.jobs.control.HostSettings;
 import io.cactusspring.jobs.control.Outcome;
-import io.cactusspring.jobs.ledger.PeerRecord;
 import io.cactusspring.jobs.log.JobLog;
 import io.cactusspring.jobs.model.AdviceSettings;
 import io.cactusspring.jobs.model.ExecutorInfo;
+import io.cactusspring.jobs.model.HostIdentity;
 import io.cactusspring.jobs.model.JobSpec;
 import io.cactusspring.jobs.model.JobState;
 import io.cactusspring.jobs.model.Organisation;
@@ -20,16 +20,13 @@
 import io.cactusspring.jobs.model.TaskId;
 import io.cactusspring.jobs.port.AdviceService;
 import io.cactusspring.jobs.port.ExecutorClient;
+import io.cactusspring.jobs.port.KeyedTopic;
 import io.cactusspring.jobs.port.KeyedTopic.Entry;
-import io.cactusspring.jobs.port.PeerClient;
 import io.cactusspring.jobs.port.StoreException;
 import io.cactusspring.jobs.port.Timers;
 import io.cactusspring.jobs.schedule.SchedulerSettings;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
-import java.io.ByteArrayOutputStream;
-import java.io.PrintStream;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -40,6 +37,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.stream.Stream;
 
 /**
  * Entry hosts on a simulated platform, in virtual time. All random choices follow from one seed.
@@ -48,6 +46,10 @@
   public static final String SERVICE = "svc";
   public static final int MAX_ATTEMPTS = 3;
 
+  private static final int MILLI_PROCESSORS = 750;
+  private static final int LANES = 3;
+  private static final int INBOX_PARTITIONS = 4;
+
   private static final SchedulerSettings SCHEDULER =
       SchedulerSettings.builder().maxLeaseMillis(6_000).stopMillis(100).build();
 
@@ -103,6 +105,17 @@
     public void kill() {
       incarnation++;
       entry = null;
+      network.kill(name);
+    }
+
+    /** Sets whether the host is cut off from all other entry hosts. */
+    public void cutFromPeers(boolean value) {
+      network.cut(name, value);
+    }
+
+    /** Closes the links to all other entry hosts; new ones can be opened. */
+    public void resetPeerLinks() {
+      network.reset(name);
     }
 
     /** Pauses the process for a number of milliseconds; tasks that become due run afterwards. */
@@ -138,13 +151,16 @@
   private final VirtualTime time = new VirtualTime();
   private final Random random;
   private final Oracle oracle = new Oracle(this);
-  private final FakeLog ledger = new FakeLog();
+  private final FakeNetwork network = new FakeNetwork(time);
+  private final FakeLog ownership = new FakeLog();
+  private final List<FakeLog> lanes = logs(LANES);
+  private final List<FakeLog> inbox = logs(INBOX_PARTITIONS);
   private final FakeLog operators = new FakeLog();
   private final FakeLog announcements = new FakeLog();
   private final Map<String, FakeExecutor> executors = new LinkedHashMap<>();
   private final List<Host> hosts = new ArrayList<>();
-  private final ByteArrayOutputStream logOutput = new ByteArrayOutputStream();
-  private final JobLog log;
+  private final TestLog testLog = new TestLog();
+  private final JobLog log = testLog.log();
   private SiteConfiguration configuration;
   private boolean faultFree = true;
   private Function<TaskId, Long> taskWorkMillis = id -> 500L;
@@ -153,12 +169,6 @@
 
   public ClusterSimulation(long seed) {
     random = new Random(seed);
-    log =
-        new JobLog(
-            "simulation",
-            new PrintStream(logOutput, true, StandardCharsets.UTF_8),
-            1 << 20,
-            (event, kind) -> {});
     configuration = new SiteConfiguration(1, queues(), services(), List.of(organisation(null)));
     try {
       operators.append(List.of(new Entry("config", new byte[] {1}, 0)), Optional.empty());
@@ -211,8 +221,28 @@
     return oracle;
   }
 
-  public FakeLog ledger() {
-    return ledger;
+  private static List<FakeLog> logs(int count) {
+    return Stream.generate(FakeLog::new).limit(count).toList();
+  }
+
+  /** Returns the partition of the owners' claims and heartbeats. */
+  public FakeLog ownership() {
+    return ownership;
+  }
+
+  /** Returns the partitions to which the owner writes. */
+  public List<FakeLog> lanes() {
+    return lanes;
+  }
+
+  /** Returns the partitions to which hosts write that cannot reach the owner. */
+  public List<FakeLog> inbox() {
+    return inbox;
+  }
+
+  /** Returns all partitions of the ledger. */
+  public List<FakeLog> ledger() {
+    return Stream.of(List.of(ownership), lanes, inbox).flatMap(List::stream).toList();
   }
 
   public FakeLog operators() {
@@ -233,8 +263,7 @@
 
   /** Returns the lines that the hosts have logged so far. */
   public List<String> logLines() {
-    log.flush();
-    return logOutput.toString(StandardCharsets.UTF_8).lines().toList();
+    return testLog.lines();
   }
 
   /** Returns whether no fault is active, so that guarantees with a time bound have to hold. */
@@ -305,22 +334,32 @@
     Timers timers = new HostTimers(host, incarnation);
     HostPorts ports =
         new HostPorts(
-            new FakeTopic(ledger, host.storeLink, time),
+            topic(ownership, host),
+            lanes.stream().map(l -> topic(l, host)).toList(),
+            inbox.stream().map(l -> topic(l, host)).toList(),
             new FakeTopic(operators, host.storeLink, time),
             new FakeTopic(announcements, host.storeLink, time),
             entry -> Optional.of(configuration),
             this::readExecutor,
             new HostExecutors(host),
             new FakeAdvice(host),
-            new FakeAdvice(host),
+            network.start(host.name, task -> host.run(incarnation, task)),
             timers);
-    PeerRecord self =
-        new PeerRecord(host.name, host.name + "#" + incarnation, host.name + ":70", 750);
+    HostIdentity self =
+        new HostIdentity(
+            host.name,
+            host.name + "#" + incarnation,
+            FakeNetwork.address(host.name),
+            MILLI_PROCESSORS);
     HostSettings settings =
-        new HostSettings(self, SCHEDULER, new ClaimPolicy(750, 1_500, 200), 4_200, 1_800);
+        new HostSettings(self, SCHEDULER, new ClaimPolicy(500, 1_500, 40), 4_200, 1_800);
     return new EntryHost(ports, settings, log, new Random(random.nextLong()));
   }
 
+  private KeyedTopic topic(FakeLog log, Host host) {
+    return new FakeTopic(log, host.storeLink, time);
+  }
+
   private Optional<ExecutorInfo> readExecutor(Entry entry) {
     return Optional.ofNullable(executors.get(entry.key())).map(FakeExecutor::info);
   }
@@ -413,7 +452,7 @@
     }
   }
 
-  private final class FakeAdvice implements AdviceService, PeerClient {
+  private final class FakeAdvice implements AdviceService {
     private static final long DECIDE_MILLIS = 30;
 
     private final Host host;
@@ -441,12 +480,6 @@
       time.after(DECIDE_MILLIS, () -> promise.complete(tickets));
       return promise.future();
     }
-
-    @Override
-    public Future<Map<String, String>> requestAdvice(
-        String address, StepId step, List<String> named, long timeoutMillis) {
-      return requestAdvice(step, named, timeoutMillis);
-    }
   }
 
   /**
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/FakeLog.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/FakeLog.java
@@ -57,6 +57,18 @@
     return offset;
   }
 
+  /**
+   * Appends records if the log ends at an offset.
+   *
+   * @throws StoreException if it ends elsewhere
+   */
+  public void appendAt(long expectedEnd, List<Entry> entries) throws StoreException {
+    if (end() != expectedEnd) {
+      throw new StoreException(Kind.CONFLICT, "the log ends at " + end());
+    }
+    append(entries, Optional.empty());
+  }
+
   private Optional<Long> checkWriter(FencedWriter writer) throws StoreException {
     if (writer.epoch() < epoch) {
       throw new StoreException(Kind.SUPERSEDED, "writer is fenced by a higher epoch");
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/FakeTopic.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/FakeTopic.java
@@ -37,6 +37,22 @@
     }
   }
 
+  @Override
+  public Future<Void> appendAt(long end, List<Entry> entries) {
+    log.countAppend();
+    List<Entry> copy = List.copyOf(entries);
+    return link.call(() -> tryAppendAt(end, copy), FakeTopic::noAnswer, CALL_TIMEOUT_MILLIS);
+  }
+
+  private Future<Void> tryAppendAt(long end, List<Entry> entries) {
+    try {
+      log.appendAt(end, entries);
+      return Future.succeededFuture();
+    } catch (StoreException e) {
+      return Future.failedFuture(e);
+    }
+  }
+
   @Override
   public Future<Batch> read(long from, long waitMillis) {
     log.countRead();
--- a/cactusspring-protocol/src/main/java/io/cactusspring/protocol/PeerCodec.java
+++ b/cactusspring-protocol/src/main/java/io/cactusspring/protocol/PeerCodec.java
@@ -1,10 +1,7 @@
 package io.cactusspring.protocol;
 
 import io.cactusspring.protocol.gen.PeerMessage;
-import org.apache.thrift.TDeserializer;
 import org.apache.thrift.TException;
-import org.apache.thrift.TSerializer;
-import org.apache.thrift.protocol.TCompactProtocol;
 
 /**
  * Encodes and decodes {@link PeerMessage} in Thrift's compact protocol.
@@ -29,7 +26,7 @@
    */
   public static byte[] encode(PeerMessage message) {
     try {
-      return new TSerializer(new TCompactProtocol.Factory()).serialize(message);
+      return ThriftCodec.write(message);
     } catch (TException e) {
       throw new IllegalArgumentException("message cannot be encoded: " + message, e);
     }
@@ -41,9 +38,9 @@
    * @throws ProtocolException if the frame is not a valid message or holds no known message type
    */
   public static PeerMessage decode(byte[] frame) throws ProtocolException {
-    PeerMessage message = new PeerMessage();
+    PeerMessage message;
     try {
-      new TDeserializer(new TCompactProtocol.Factory()).deserialize(message, frame);
+      message = ThriftCodec.read(frame, new PeerMessage());
     } catch (TException e) {
       throw new ProtocolException(
           "frame of " + frame.length + " bytes cannot be decoded as a PeerMessage", e);
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/ledger/ThriftCodec.java
+++ b/cactusspring-protocol/src/main/java/io/cactusspring/protocol/ThriftCodec.java
@@ -1,4 +1,4 @@
-package io.cactusspring.jobs.ledger;
+package io.cactusspring.protocol;
 
 import java.util.Arrays;
 import org.apache.thrift.TBase;
@@ -11,13 +11,20 @@
  * Encodes and decodes values in Thrift's compact protocol.
  *
  * <p>The transports are created directly, because their factories would load a logging library.
+ *
+ * @since 0.2
  */
-final class ThriftCodec {
+public final class ThriftCodec {
   private static final int INITIAL_BUFFER_BYTES = 512;
 
   private ThriftCodec() {}
 
-  static byte[] write(TBase<?, ?> value) throws TException {
+  /**
+   * Encodes a value.
+   *
+   * @throws TException if a required field is not set
+   */
+  public static byte[] write(TBase<?, ?> value) throws TException {
     TMemoryBuffer buffer = new TMemoryBuffer(INITIAL_BUFFER_BYTES);
     value.write(new TCompactProtocol(buffer));
     return Arrays.copyOf(buffer.getArray(), buffer.length());
@@ -28,7 +35,7 @@
    *
    * @throws TException if the bytes are not an encoded value of that type
    */
-  static <R extends TBase<R, ?>> R read(byte[] bytes, R empty) throws TException {
+  public static <R extends TBase<R, ?>> R read(byte[] bytes, R empty) throws TException {
     empty.read(new TCompactProtocol(new TMemoryInputTransport(bytes)));
     return empty;
   }
--- a/cactusspring-protocol/src/main/java/io/cactusspring/protocol/gen/ledger/JobProgressRecord.java
+++ b/cactusspring-protocol/src/main/java/io/cactusspring/protocol/gen/ledger/JobProgressRecord.java
@@ -17,6 +17,9 @@
   private static final org.apache.thrift.protocol.TField STATE_FIELD_DESC = new org.apache.thrift.protocol.TField("state", org.apache.thrift.protocol.TType.I32, (short)2);
   private static final org.apache.thrift.protocol.TField STARTED_FIELD_DESC = new org.apache.thrift.protocol.TField("started", org.apache.thrift.protocol.TType.BOOL, (short)3);
   private static final org.apache.thrift.protocol.TField STEPS_FIELD_DESC = new org.apache.thrift.protocol.TField("steps", org.apache.thrift.protocol.TType.STRING, (short)4);
+  private static final org.apache.thrift.protocol.TField VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("version", org.apache.thrift.protocol.TType.I64, (short)5);
+  private static final org.apache.thrift.protocol.TField QUEUE_FIELD_DESC = new org.apache.thrift.protocol.TField("queue", org.apache.thrift.protocol.TType.STRING, (short)6);
+  private static final org.apache.thrift.protocol.TField ORGANISATION_FIELD_DESC = new org.apache.thrift.protocol.TField("organisation", org.apache.thrift.protocol.TType.STRING, (short)7);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new JobProgressRecordStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new JobProgressRecordTupleSchemeFactory();
@@ -25,6 +28,9 @@
   private @org.apache.thrift.annotation.Nullable JobStateCode state; // required
   private boolean started; // optional
   private @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer steps; // optional
+  private long version; // optional
+  private @org.apache.thrift.annotation.Nullable java.lang.String queue; // optional
+  private @org.apache.thrift.annotation.Nullable java.lang.String organisation; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -36,9 +42,18 @@
     STATE((short)2, "state"),
     STARTED((short)3, "started"),
     /**
-     * A StepsProgressRecord: every host reads the record, but only an owner needs the steps.
+     * A StepsProgressRecord: a reader that needs only the state does not decode it.
      */
-    STEPS((short)4, "steps");
+    STEPS((short)4, "steps"),
+    /**
+     * Increases with each record of the term; a job's records may be in several partitions.
+     */
+    VERSION((short)5, "version"),
+    /**
+     * Set once the state is final, as the submission is deleted then.
+     */
+    QUEUE((short)6, "queue"),
+    ORGANISATION((short)7, "organisation");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -62,6 +77,12 @@
           return STARTED;
         case 4: // STEPS
           return STEPS;
+        case 5: // VERSION
+          return VERSION;
+        case 6: // QUEUE
+          return QUEUE;
+        case 7: // ORGANISATION
+          return ORGANISATION;
         default:
           return null;
       }
@@ -107,8 +128,9 @@
   // isset id assignments
   private static final int __TERM_ISSET_ID = 0;
   private static final int __STARTED_ISSET_ID = 1;
+  private static final int __VERSION_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.STARTED,_Fields.STEPS};
+  private static final _Fields optionals[] = {_Fields.STARTED,_Fields.STEPS,_Fields.VERSION,_Fields.QUEUE,_Fields.ORGANISATION};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -120,6 +142,12 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     tmpMap.put(_Fields.STEPS, new org.apache.thrift.meta_data.FieldMetaData("steps", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING        , true)));
+    tmpMap.put(_Fields.VERSION, new org.apache.thrift.meta_data.FieldMetaData("version", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.QUEUE, new org.apache.thrift.meta_data.FieldMetaData("queue", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.ORGANISATION, new org.apache.thrift.meta_data.FieldMetaData("organisation", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(JobProgressRecord.class, metaDataMap);
   }
@@ -150,6 +178,13 @@
     if (other.isSetSteps()) {
       this.steps = org.apache.thrift.TBaseHelper.copyBinary(other.steps);
     }
+    this.version = other.version;
+    if (other.isSetQueue()) {
+      this.queue = other.queue;
+    }
+    if (other.isSetOrganisation()) {
+      this.organisation = other.organisation;
+    }
   }
 
   @Override
@@ -165,6 +200,10 @@
     setStartedIsSet(false);
     this.started = false;
     this.steps = null;
+    setVersionIsSet(false);
+    this.version = 0;
+    this.queue = null;
+    this.organisation = null;
   }
 
   public long getTerm() {
@@ -247,7 +286,7 @@
   }
 
   /**
-   * A StepsProgressRecord: every host reads the record, but only an owner needs the steps.
+   * A StepsProgressRecord: a reader that needs only the state does not decode it.
    */
   public byte[] getSteps() {
     setSteps(org.apache.thrift.TBaseHelper.rightSize(steps));
@@ -259,7 +298,7 @@
   }
 
   /**
-   * A StepsProgressRecord: every host reads the record, but only an owner needs the steps.
+   * A StepsProgressRecord: a reader that needs only the state does not decode it.
    */
   public JobProgressRecord setSteps(byte[] steps) {
     this.steps = steps == null ? (java.nio.ByteBuffer)null   : java.nio.ByteBuffer.wrap(steps.clone());
@@ -286,6 +325,91 @@
     }
   }
 
+  /**
+   * Increases with each record of the term; a job's records may be in several partitions.
+   */
+  public long getVersion() {
+    return this.version;
+  }
+
+  /**
+   * Increases with each record of the term; a job's records may be in several partitions.
+   */
+  public JobProgressRecord setVersion(long version) {
+    this.version = version;
+    setVersionIsSet(true);
+    return this;
+  }
+
+  public void unsetVersion() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __VERSION_ISSET_ID);
+  }
+
+  /** Returns true if field version is set (has been assigned a value) and false otherwise */
+  public boolean isSetVersion() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __VERSION_ISSET_ID);
+  }
+
+  public void setVersionIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __VERSION_ISSET_ID, value);
+  }
+
+  /**
+   * Set once the state is final, as the submission is deleted then.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getQueue() {
+    return this.queue;
+  }
+
+  /**
+   * Set once the state is final, as the submission is deleted then.
+   */
+  public JobProgressRecord setQueue(@org.apache.thrift.annotation.Nullable java.lang.String queue) {
+    this.queue = queue;
+    return this;
+  }
+
+  public void unsetQueue() {
+    this.queue = null;
+  }
+
+  /** Returns true if field queue is set (has been assigned a value) and false otherwise */
+  public boolean isSetQueue() {
+    return this.queue != null;
+  }
+
+  public void setQueueIsSet(boolean value) {
+    if (!value) {
+      this.queue = null;
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getOrganisation() {
+    return this.organisation;
+  }
+
+  public JobProgressRecord setOrganisation(@org.apache.thrift.annotation.Nullable java.lang.String organisation) {
+    this.organisation = organisation;
+    return this;
+  }
+
+  public void unsetOrganisation() {
+    this.organisation = null;
+  }
+
+  /** Returns true if field organisation is set (has been assigned a value) and false otherwise */
+  public boolean isSetOrganisation() {
+    return this.organisation != null;
+  }
+
+  public void setOrganisationIsSet(boolean value) {
+    if (!value) {
+      this.organisation = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -325,6 +449,30 @@
       }
       break;
 
+    case VERSION:
+      if (value == null) {
+        unsetVersion();
+      } else {
+        setVersion((java.lang.Long)value);
+      }
+      break;
+
+    case QUEUE:
+      if (value == null) {
+        unsetQueue();
+      } else {
+        setQueue((java.lang.String)value);
+      }
+      break;
+
+    case ORGANISATION:
+      if (value == null) {
+        unsetOrganisation();
+      } else {
+        setOrganisation((java.lang.String)value);
+      }
+      break;
+
     }
   }
 
@@ -344,6 +492,15 @@
     case STEPS:
       return getSteps();
 
+    case VERSION:
+      return getVersion();
+
+    case QUEUE:
+      return getQueue();
+
+    case ORGANISATION:
+      return getOrganisation();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -364,6 +521,12 @@
       return isSetStarted();
     case STEPS:
       return isSetSteps();
+    case VERSION:
+      return isSetVersion();
+    case QUEUE:
+      return isSetQueue();
+    case ORGANISATION:
+      return isSetOrganisation();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -417,6 +580,33 @@
         return false;
     }
 
+    boolean this_present_version = true && this.isSetVersion();
+    boolean that_present_version = true && that.isSetVersion();
+    if (this_present_version || that_present_version) {
+      if (!(this_present_version && that_present_version))
+        return false;
+      if (this.version != that.version)
+        return false;
+    }
+
+    boolean this_present_queue = true && this.isSetQueue();
+    boolean that_present_queue = true && that.isSetQueue();
+    if (this_present_queue || that_present_queue) {
+      if (!(this_present_queue && that_present_queue))
+        return false;
+      if (!this.queue.equals(that.queue))
+        return false;
+    }
+
+    boolean this_present_organisation = true && this.isSetOrganisation();
+    boolean that_present_organisation = true && that.isSetOrganisation();
+    if (this_present_organisation || that_present_organisation) {
+      if (!(this_present_organisation && that_present_organisation))
+        return false;
+      if (!this.organisation.equals(that.organisation))
+        return false;
+    }
+
     return true;
   }
 
@@ -438,6 +628,18 @@
     if (isSetSteps())
       hashCode = hashCode * 8191 + steps.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetVersion()) ? 131071 : 524287);
+    if (isSetVersion())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(version);
+
+    hashCode = hashCode * 8191 + ((isSetQueue()) ? 131071 : 524287);
+    if (isSetQueue())
+      hashCode = hashCode * 8191 + queue.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetOrganisation()) ? 131071 : 524287);
+    if (isSetOrganisation())
+      hashCode = hashCode * 8191 + organisation.hashCode();
+
     return hashCode;
   }
 
@@ -489,6 +691,36 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetVersion(), other.isSetVersion());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetVersion()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.version, other.version);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetQueue(), other.isSetQueue());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetQueue()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.queue, other.queue);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetOrganisation(), other.isSetOrganisation());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetOrganisation()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.organisation, other.organisation);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -540,6 +772,32 @@
       }
       first = false;
     }
+    if (isSetVersion()) {
+      if (!first) sb.append(", ");
+      sb.append("version:");
+      sb.append(this.version);
+      first = false;
+    }
+    if (isSetQueue()) {
+      if (!first) sb.append(", ");
+      sb.append("queue:");
+      if (this.queue == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.queue);
+      }
+      first = false;
+    }
+    if (isSetOrganisation()) {
+      if (!first) sb.append(", ");
+      sb.append("organisation:");
+      if (this.organisation == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.organisation);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -623,6 +881,30 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 5: // VERSION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.version = iprot.readI64();
+              struct.setVersionIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 6: // QUEUE
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.queue = iprot.readString();
+              struct.setQueueIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 7: // ORGANISATION
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.organisation = iprot.readString();
+              struct.setOrganisationIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -662,6 +944,25 @@
           oprot.writeFieldEnd();
         }
       }
+      if (struct.isSetVersion()) {
+        oprot.writeFieldBegin(VERSION_FIELD_DESC);
+        oprot.writeI64(struct.version);
+        oprot.writeFieldEnd();
+      }
+      if (struct.queue != null) {
+        if (struct.isSetQueue()) {
+          oprot.writeFieldBegin(QUEUE_FIELD_DESC);
+          oprot.writeString(struct.queue);
+          oprot.writeFieldEnd();
+        }
+      }
+      if (struct.organisation != null) {
+        if (struct.isSetOrganisation()) {
+          oprot.writeFieldBegin(ORGANISATION_FIELD_DESC);
+          oprot.writeString(struct.organisation);
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -689,13 +990,31 @@
       if (struct.isSetSteps()) {
         optionals.set(1);
       }
-      oprot.writeBitSet(optionals, 2);
+      if (struct.isSetVersion()) {
+        optionals.set(2);
+      }
+      if (struct.isSetQueue()) {
+        optionals.set(3);
+      }
+      if (struct.isSetOrganisation()) {
+        optionals.set(4);
+      }
+      oprot.writeBitSet(optionals, 5);
       if (struct.isSetStarted()) {
         oprot.writeBool(struct.started);
       }
       if (struct.isSetSteps()) {
         oprot.writeBinary(struct.steps);
       }
+      if (struct.isSetVersion()) {
+        oprot.writeI64(struct.version);
+      }
+      if (struct.isSetQueue()) {
+        oprot.writeString(struct.queue);
+      }
+      if (struct.isSetOrganisation()) {
+        oprot.writeString(struct.organisation);
+      }
     }
 
     @Override
@@ -705,7 +1024,7 @@
       struct.setTermIsSet(true);
       struct.state = io.cactusspring.protocol.gen.ledger.JobStateCode.findByValue(iprot.readI32());
       struct.setStateIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(2);
+      java.util.BitSet incoming = iprot.readBitSet(5);
       if (incoming.get(0)) {
         struct.started = iprot.readBool();
         struct.setStartedIsSet(true);
@@ -714,6 +1033,18 @@
         struct.steps = iprot.readBinary();
         struct.setStepsIsSet(true);
       }
+      if (incoming.get(2)) {
+        struct.version = iprot.readI64();
+        struct.setVersionIsSet(true);
+      }
+      if (incoming.get(3)) {
+        struct.queue = iprot.readString();
+        struct.setQueueIsSet(true);
+      }
+      if (incoming.get(4)) {
+        struct.organisation = iprot.readString();
+        struct.setOrganisationIsSet(true);
+      }
     }
   }
 
--- a/cactusspring-protocol/src/main/java/io/cactusspring/protocol/gen/ledger/OwnerClaimRecord.java
+++ b/cactusspring-protocol/src/main/java/io/cactusspring/protocol/gen/ledger/OwnerClaimRecord.java
@@ -17,6 +17,8 @@
   private static final org.apache.thrift.protocol.TField HOST_FIELD_DESC = new org.apache.thrift.protocol.TField("host", org.apache.thrift.protocol.TType.STRING, (short)2);
   private static final org.apache.thrift.protocol.TField INCARNATION_FIELD_DESC = new org.apache.thrift.protocol.TField("incarnation", org.apache.thrift.protocol.TType.STRING, (short)3);
   private static final org.apache.thrift.protocol.TField RELEASED_FIELD_DESC = new org.apache.thrift.protocol.TField("released", org.apache.thrift.protocol.TType.BOOL, (short)4);
+  private static final org.apache.thrift.protocol.TField ADDRESS_FIELD_DESC = new org.apache.thrift.protocol.TField("address", org.apache.thrift.protocol.TType.STRING, (short)5);
+  private static final org.apache.thrift.protocol.TField HEARTBEAT_FIELD_DESC = new org.apache.thrift.protocol.TField("heartbeat", org.apache.thrift.protocol.TType.I64, (short)6);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new OwnerClaimRecordStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new OwnerClaimRecordTupleSchemeFactory();
@@ -25,13 +27,23 @@
   private @org.apache.thrift.annotation.Nullable java.lang.String host; // required
   private @org.apache.thrift.annotation.Nullable java.lang.String incarnation; // required
   private boolean released; // optional
+  private @org.apache.thrift.annotation.Nullable java.lang.String address; // optional
+  private long heartbeat; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     TERM((short)1, "term"),
     HOST((short)2, "host"),
     INCARNATION((short)3, "incarnation"),
-    RELEASED((short)4, "released");
+    RELEASED((short)4, "released"),
+    /**
+     * Where other entry hosts reach the owner.
+     */
+    ADDRESS((short)5, "address"),
+    /**
+     * Number of the heartbeat within the term.
+     */
+    HEARTBEAT((short)6, "heartbeat");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -55,6 +67,10 @@
           return INCARNATION;
         case 4: // RELEASED
           return RELEASED;
+        case 5: // ADDRESS
+          return ADDRESS;
+        case 6: // HEARTBEAT
+          return HEARTBEAT;
         default:
           return null;
       }
@@ -100,8 +116,9 @@
   // isset id assignments
   private static final int __TERM_ISSET_ID = 0;
   private static final int __RELEASED_ISSET_ID = 1;
+  private static final int __HEARTBEAT_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.RELEASED};
+  private static final _Fields optionals[] = {_Fields.RELEASED,_Fields.ADDRESS,_Fields.HEARTBEAT};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -113,6 +130,10 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.RELEASED, new org.apache.thrift.meta_data.FieldMetaData("released", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    tmpMap.put(_Fields.ADDRESS, new org.apache.thrift.meta_data.FieldMetaData("address", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.HEARTBEAT, new org.apache.thrift.meta_data.FieldMetaData("heartbeat", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(OwnerClaimRecord.class, metaDataMap);
   }
@@ -145,6 +166,10 @@
       this.incarnation = other.incarnation;
     }
     this.released = other.released;
+    if (other.isSetAddress()) {
+      this.address = other.address;
+    }
+    this.heartbeat = other.heartbeat;
   }
 
   @Override
@@ -160,6 +185,9 @@
     this.incarnation = null;
     setReleasedIsSet(false);
     this.released = false;
+    this.address = null;
+    setHeartbeatIsSet(false);
+    this.heartbeat = 0;
   }
 
   public long getTerm() {
@@ -258,6 +286,66 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __RELEASED_ISSET_ID, value);
   }
 
+  /**
+   * Where other entry hosts reach the owner.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getAddress() {
+    return this.address;
+  }
+
+  /**
+   * Where other entry hosts reach the owner.
+   */
+  public OwnerClaimRecord setAddress(@org.apache.thrift.annotation.Nullable java.lang.String address) {
+    this.address = address;
+    return this;
+  }
+
+  public void unsetAddress() {
+    this.address = null;
+  }
+
+  /** Returns true if field address is set (has been assigned a value) and false otherwise */
+  public boolean isSetAddress() {
+    return this.address != null;
+  }
+
+  public void setAddressIsSet(boolean value) {
+    if (!value) {
+      this.address = null;
+    }
+  }
+
+  /**
+   * Number of the heartbeat within the term.
+   */
+  public long getHeartbeat() {
+    return this.heartbeat;
+  }
+
+  /**
+   * Number of the heartbeat within the term.
+   */
+  public OwnerClaimRecord setHeartbeat(long heartbeat) {
+    this.heartbeat = heartbeat;
+    setHeartbeatIsSet(true);
+    return this;
+  }
+
+  public void unsetHeartbeat() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __HEARTBEAT_ISSET_ID);
+  }
+
+  /** Returns true if field heartbeat is set (has been assigned a value) and false otherwise */
+  public boolean isSetHeartbeat() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __HEARTBEAT_ISSET_ID);
+  }
+
+  public void setHeartbeatIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __HEARTBEAT_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -293,6 +381,22 @@
       }
       break;
 
+    case ADDRESS:
+      if (value == null) {
+        unsetAddress();
+      } else {
+        setAddress((java.lang.String)value);
+      }
+      break;
+
+    case HEARTBEAT:
+      if (value == null) {
+        unsetHeartbeat();
+      } else {
+        setHeartbeat((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -312,6 +416,12 @@
     case RELEASED:
       return isReleased();
 
+    case ADDRESS:
+      return getAddress();
+
+    case HEARTBEAT:
+      return getHeartbeat();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -332,6 +442,10 @@
       return isSetIncarnation();
     case RELEASED:
       return isSetReleased();
+    case ADDRESS:
+      return isSetAddress();
+    case HEARTBEAT:
+      return isSetHeartbeat();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -385,6 +499,24 @@
         return false;
     }
 
+    boolean this_present_address = true && this.isSetAddress();
+    boolean that_present_address = true && that.isSetAddress();
+    if (this_present_address || that_present_address) {
+      if (!(this_present_address && that_present_address))
+        return false;
+      if (!this.address.equals(that.address))
+        return false;
+    }
+
+    boolean this_present_heartbeat = true && this.isSetHeartbeat();
+    boolean that_present_heartbeat = true && that.isSetHeartbeat();
+    if (this_present_heartbeat || that_present_heartbeat) {
+      if (!(this_present_heartbeat && that_present_heartbeat))
+        return false;
+      if (this.heartbeat != that.heartbeat)
+        return false;
+    }
+
     return true;
   }
 
@@ -406,6 +538,14 @@
     if (isSetReleased())
       hashCode = hashCode * 8191 + ((released) ? 131071 : 524287);
 
+    hashCode = hashCode * 8191 + ((isSetAddress()) ? 131071 : 524287);
+    if (isSetAddress())
+      hashCode = hashCode * 8191 + address.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetHeartbeat()) ? 131071 : 524287);
+    if (isSetHeartbeat())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(heartbeat);
+
     return hashCode;
   }
 
@@ -457,6 +597,26 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetAddress(), other.isSetAddress());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAddress()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.address, other.address);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetHeartbeat(), other.isSetHeartbeat());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetHeartbeat()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.heartbeat, other.heartbeat);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -506,6 +666,22 @@
       sb.append(this.released);
       first = false;
     }
+    if (isSetAddress()) {
+      if (!first) sb.append(", ");
+      sb.append("address:");
+      if (this.address == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.address);
+      }
+      first = false;
+    }
+    if (isSetHeartbeat()) {
+      if (!first) sb.append(", ");
+      sb.append("heartbeat:");
+      sb.append(this.heartbeat);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -592,6 +768,22 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 5: // ADDRESS
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.address = iprot.readString();
+              struct.setAddressIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 6: // HEARTBEAT
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.heartbeat = iprot.readI64();
+              struct.setHeartbeatIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -629,6 +821,18 @@
         oprot.writeBool(struct.released);
         oprot.writeFieldEnd();
       }
+      if (struct.address != null) {
+        if (struct.isSetAddress()) {
+          oprot.writeFieldBegin(ADDRESS_FIELD_DESC);
+          oprot.writeString(struct.address);
+          oprot.writeFieldEnd();
+        }
+      }
+      if (struct.isSetHeartbeat()) {
+        oprot.writeFieldBegin(HEARTBEAT_FIELD_DESC);
+        oprot.writeI64(struct.heartbeat);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -654,10 +858,22 @@
       if (struct.isSetReleased()) {
         optionals.set(0);
       }
-      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetAddress()) {
+        optionals.set(1);
+      }
+      if (struct.isSetHeartbeat()) {
+        optionals.set(2);
+      }
+      oprot.writeBitSet(optionals, 3);
       if (struct.isSetReleased()) {
         oprot.writeBool(struct.released);
       }
+      if (struct.isSetAddress()) {
+        oprot.writeString(struct.address);
+      }
+      if (struct.isSetHeartbeat()) {
+        oprot.writeI64(struct.heartbeat);
+      }
     }
 
     @Override
@@ -669,11 +885,19 @@
       struct.setHostIsSet(true);
       struct.incarnation = iprot.readString();
       struct.setIncarnationIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(1);
+      java.util.BitSet incoming = iprot.readBitSet(3);
       if (incoming.get(0)) {
         struct.released = iprot.readBool();
         struct.setReleasedIsSet(true);
       }
+      if (incoming.get(1)) {
+        struct.address = iprot.readString();
+        struct.setAddressIsSet(true);
+      }
+      if (incoming.get(2)) {
+        struct.heartbeat = iprot.readI64();
+        struct.setHeartbeatIsSet(true);
+      }
     }
   }
 
--- a/cactusspring-protocol/src/main/java/io/cactusspring/protocol/gen/ledger/PeerAddressRecord.java
+++ b/cactusspring-protocol/src/main/java/io/cactusspring/protocol/gen/link/HelloMessage.java
@@ -4,37 +4,37 @@
  * DO NOT EDIT UNLESS YOU ARE SURE THAT YOU KNOW WHAT YOU ARE DOING
  *  @generated
  */
-package io.cactusspring.protocol.gen.ledger;
+package io.cactusspring.protocol.gen.link;
 
 /**
- * Where an entry host can be reached by others.
+ * First message of a connection, sent by the host that opened it.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class PeerAddressRecord implements org.apache.thrift.TBase<PeerAddressRecord, PeerAddressRecord._Fields>, java.io.Serializable, Cloneable, Comparable<PeerAddressRecord> {
-  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("PeerAddressRecord");
+public class HelloMessage implements org.apache.thrift.TBase<HelloMessage, HelloMessage._Fields>, java.io.Serializable, Cloneable, Comparable<HelloMessage> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("HelloMessage");
 
   private static final org.apache.thrift.protocol.TField HOST_FIELD_DESC = new org.apache.thrift.protocol.TField("host", org.apache.thrift.protocol.TType.STRING, (short)1);
   private static final org.apache.thrift.protocol.TField INCARNATION_FIELD_DESC = new org.apache.thrift.protocol.TField("incarnation", org.apache.thrift.protocol.TType.STRING, (short)2);
-  private static final org.apache.thrift.protocol.TField ADDRESS_FIELD_DESC = new org.apache.thrift.protocol.TField("address", org.apache.thrift.protocol.TType.STRING, (short)3);
-  private static final org.apache.thrift.protocol.TField MILLI_PROCESSORS_FIELD_DESC = new org.apache.thrift.protocol.TField("milliProcessors", org.apache.thrift.protocol.TType.I32, (short)4);
+  private static final org.apache.thrift.protocol.TField MILLI_PROCESSORS_FIELD_DESC = new org.apache.thrift.protocol.TField("milliProcessors", org.apache.thrift.protocol.TType.I32, (short)3);
 
-  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new PeerAddressRecordStandardSchemeFactory();
-  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new PeerAddressRecordTupleSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new HelloMessageStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new HelloMessageTupleSchemeFactory();
 
   private @org.apache.thrift.annotation.Nullable java.lang.String host; // required
   private @org.apache.thrift.annotation.Nullable java.lang.String incarnation; // required
-  private @org.apache.thrift.annotation.Nullable java.lang.String address; // required
   private int milliProcessors; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     HOST((short)1, "host"),
+    /**
+     * Id of the sending process.
+     */
     INCARNATION((short)2, "incarnation"),
-    ADDRESS((short)3, "address"),
     /**
      * Processing power in thousandths of a processor.
      */
-    MILLI_PROCESSORS((short)4, "milliProcessors");
+    MILLI_PROCESSORS((short)3, "milliProcessors");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -54,9 +54,7 @@
           return HOST;
         case 2: // INCARNATION
           return INCARNATION;
-        case 3: // ADDRESS
-          return ADDRESS;
-        case 4: // MILLI_PROCESSORS
+        case 3: // MILLI_PROCESSORS
           return MILLI_PROCESSORS;
         default:
           return null;
@@ -111,32 +109,28 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.INCARNATION, new org.apache.thrift.meta_data.FieldMetaData("incarnation", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-    tmpMap.put(_Fields.ADDRESS, new org.apache.thrift.meta_data.FieldMetaData("address", org.apache.thrift.TFieldRequirementType.REQUIRED, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.MILLI_PROCESSORS, new org.apache.thrift.meta_data.FieldMetaData("milliProcessors", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(PeerAddressRecord.class, metaDataMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(HelloMessage.class, metaDataMap);
   }
 
-  public PeerAddressRecord() {
+  public HelloMessage() {
   }
 
-  public PeerAddressRecord(
+  public HelloMessage(
     java.lang.String host,
-    java.lang.String incarnation,
-    java.lang.String address)
+    java.lang.String incarnation)
   {
     this();
     this.host = host;
     this.incarnation = incarnation;
-    this.address = address;
   }
 
   /**
    * Performs a deep copy on <i>other</i>.
    */
-  public PeerAddressRecord(PeerAddressRecord other) {
+  public HelloMessage(HelloMessage other) {
     __isset_bitfield = other.__isset_bitfield;
     if (other.isSetHost()) {
       this.host = other.host;
@@ -144,22 +138,18 @@
     if (other.isSetIncarnation()) {
       this.incarnation = other.incarnation;
     }
-    if (other.isSetAddress()) {
-      this.address = other.address;
-    }
     this.milliProcessors = other.milliProcessors;
   }
 
   @Override
-  public PeerAddressRecord deepCopy() {
-    return new PeerAddressRecord(this);
+  public HelloMessage deepCopy() {
+    return new HelloMessage(this);
   }
 
   @Override
   public void clear() {
     this.host = null;
     this.incarnation = null;
-    this.address = null;
     setMilliProcessorsIsSet(false);
     this.milliProcessors = 0;
   }
@@ -169,7 +159,7 @@
     return this.host;
   }
 
-  public PeerAddressRecord setHost(@org.apache.thrift.annotation.Nullable java.lang.String host) {
+  public HelloMessage setHost(@org.apache.thrift.annotation.Nullable java.lang.String host) {
     this.host = host;
     return this;
   }
@@ -189,12 +179,18 @@
     }
   }
 
+  /**
+   * Id of the sending process.
+   */
   @org.apache.thrift.annotation.Nullable
   public java.lang.String getIncarnation() {
     return this.incarnation;
   }
 
-  public PeerAddressRecord setIncarnation(@org.apache.thrift.annotation.Nullable java.lang.String incarnation) {
+  /**
+   * Id of the sending process.
+   */
+  public HelloMessage setIncarnation(@org.apache.thrift.annotation.Nullable java.lang.String incarnation) {
     this.incarnation = incarnation;
     return this;
   }
@@ -214,31 +210,6 @@
     }
   }
 
-  @org.apache.thrift.annotation.Nullable
-  public java.lang.String getAddress() {
-    return this.address;
-  }
-
-  public PeerAddressRecord setAddress(@org.apache.thrift.annotation.Nullable java.lang.String address) {
-    this.address = address;
-    return this;
-  }
-
-  public void unsetAddress() {
-    this.address = null;
-  }
-
-  /** Returns true if field address is set (has been assigned a value) and false otherwise */
-  public boolean isSetAddress() {
-    return this.address != null;
-  }
-
-  public void setAddressIsSet(boolean value) {
-    if (!value) {
-      this.address = null;
-    }
-  }
-
   /**
    * Processing power in thousandths of a processor.
    */
@@ -249,7 +220,7 @@
   /**
    * Processing power in thousandths of a processor.
    */
-  public PeerAddressRecord setMilliProcessors(int milliProcessors) {
+  public HelloMessage setMilliProcessors(int milliProcessors) {
     this.milliProcessors = milliProcessors;
     setMilliProcessorsIsSet(true);
     return this;
@@ -287,14 +258,6 @@
       }
       break;
 
-    case ADDRESS:
-      if (value == null) {
-        unsetAddress();
-      } else {
-        setAddress((java.lang.String)value);
-      }
-      break;
-
     case MILLI_PROCESSORS:
       if (value == null) {
         unsetMilliProcessors();
@@ -316,9 +279,6 @@
     case INCARNATION:
       return getIncarnation();
 
-    case ADDRESS:
-      return getAddress();
-
     case MILLI_PROCESSORS:
       return getMilliProcessors();
 
@@ -338,8 +298,6 @@
       return isSetHost();
     case INCARNATION:
       return isSetIncarnation();
-    case ADDRESS:
-      return isSetAddress();
     case MILLI_PROCESSORS:
       return isSetMilliProcessors();
     }
@@ -348,12 +306,12 @@
 
   @Override
   public boolean equals(java.lang.Object that) {
-    if (that instanceof PeerAddressRecord)
-      return this.equals((PeerAddressRecord)that);
+    if (that instanceof HelloMessage)
+      return this.equals((HelloMessage)that);
     return false;
   }
 
-  public boolean equals(PeerAddressRecord that) {
+  public boolean equals(HelloMessage that) {
     if (that == null)
       return false;
     if (this == that)
@@ -377,15 +335,6 @@
         return false;
     }
 
-    boolean this_present_address = true && this.isSetAddress();
-    boolean that_present_address = true && that.isSetAddress();
-    if (this_present_address || that_present_address) {
-      if (!(this_present_address && that_present_address))
-        return false;
-      if (!this.address.equals(that.address))
-        return false;
-    }
-
     boolean this_present_milliProcessors = true && this.isSetMilliProcessors();
     boolean that_present_milliProcessors = true && that.isSetMilliProcessors();
     if (this_present_milliProcessors || that_present_milliProcessors) {
@@ -410,10 +359,6 @@
     if (isSetIncarnation())
       hashCode = hashCode * 8191 + incarnation.hashCode();
 
-    hashCode = hashCode * 8191 + ((isSetAddress()) ? 131071 : 524287);
-    if (isSetAddress())
-      hashCode = hashCode * 8191 + address.hashCode();
-
     hashCode = hashCode * 8191 + ((isSetMilliProcessors()) ? 131071 : 524287);
     if (isSetMilliProcessors())
       hashCode = hashCode * 8191 + milliProcessors;
@@ -422,7 +367,7 @@
   }
 
   @Override
-  public int compareTo(PeerAddressRecord other) {
+  public int compareTo(HelloMessage other) {
     if (!getClass().equals(other.getClass())) {
       return getClass().getName().compareTo(other.getClass().getName());
     }
@@ -449,16 +394,6 @@
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetAddress(), other.isSetAddress());
-    if (lastComparison != 0) {
-      return lastComparison;
-    }
-    if (isSetAddress()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.address, other.address);
-      if (lastComparison != 0) {
-        return lastComparison;
-      }
-    }
     lastComparison = java.lang.Boolean.compare(isSetMilliProcessors(), other.isSetMilliProcessors());
     if (lastComparison != 0) {
       return lastComparison;
@@ -490,7 +425,7 @@
 
   @Override
   public java.lang.String toString() {
-    java.lang.StringBuilder sb = new java.lang.StringBuilder("PeerAddressRecord(");
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("HelloMessage(");
     boolean first = true;
 
     sb.append("host:");
@@ -508,14 +443,6 @@
       sb.append(this.incarnation);
     }
     first = false;
-    if (!first) sb.append(", ");
-    sb.append("address:");
-    if (this.address == null) {
-      sb.append("null");
-    } else {
-      sb.append(this.address);
-    }
-    first = false;
     if (isSetMilliProcessors()) {
       if (!first) sb.append(", ");
       sb.append("milliProcessors:");
@@ -534,9 +461,6 @@
     if (incarnation == null) {
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'incarnation' was not present! Struct: " + toString());
     }
-    if (address == null) {
-      throw new org.apache.thrift.protocol.TProtocolException("Required field 'address' was not present! Struct: " + toString());
-    }
     // check for sub-struct validity
   }
 
@@ -558,17 +482,17 @@
     }
   }
 
-  private static class PeerAddressRecordStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+  private static class HelloMessageStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public PeerAddressRecordStandardScheme getScheme() {
-      return new PeerAddressRecordStandardScheme();
+    public HelloMessageStandardScheme getScheme() {
+      return new HelloMessageStandardScheme();
     }
   }
 
-  private static class PeerAddressRecordStandardScheme extends org.apache.thrift.scheme.StandardScheme<PeerAddressRecord> {
+  private static class HelloMessageStandardScheme extends org.apache.thrift.scheme.StandardScheme<HelloMessage> {
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot, PeerAddressRecord struct) throws org.apache.thrift.TException {
+    public void read(org.apache.thrift.protocol.TProtocol iprot, HelloMessage struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TField schemeField;
       iprot.readStructBegin();
       while (true)
@@ -594,15 +518,7 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 3: // ADDRESS
-            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-              struct.address = iprot.readString();
-              struct.setAddressIsSet(true);
-            } else { 
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
-          case 4: // MILLI_PROCESSORS
+          case 3: // MILLI_PROCESSORS
             if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
               struct.milliProcessors = iprot.readI32();
               struct.setMilliProcessorsIsSet(true);
@@ -622,7 +538,7 @@
     }
 
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot, PeerAddressRecord struct) throws org.apache.thrift.TException {
+    public void write(org.apache.thrift.protocol.TProtocol oprot, HelloMessage struct) throws org.apache.thrift.TException {
       struct.validate();
 
       oprot.writeStructBegin(STRUCT_DESC);
@@ -636,11 +552,6 @@
         oprot.writeString(struct.incarnation);
         oprot.writeFieldEnd();
       }
-      if (struct.address != null) {
-        oprot.writeFieldBegin(ADDRESS_FIELD_DESC);
-        oprot.writeString(struct.address);
-        oprot.writeFieldEnd();
-      }
       if (struct.isSetMilliProcessors()) {
         oprot.writeFieldBegin(MILLI_PROCESSORS_FIELD_DESC);
         oprot.writeI32(struct.milliProcessors);
@@ -652,21 +563,20 @@
 
   }
 
-  private static class PeerAddressRecordTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+  private static class HelloMessageTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public PeerAddressRecordTupleScheme getScheme() {
-      return new PeerAddressRecordTupleScheme();
+    public HelloMessageTupleScheme getScheme() {
+      return new HelloMessageTupleScheme();
     }
   }
 
-  private static class PeerAddressRecordTupleScheme extends org.apache.thrift.scheme.TupleScheme<PeerAddressRecord> {
+  private static class HelloMessageTupleScheme extends org.apache.thrift.scheme.TupleScheme<HelloMessage> {
 
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol prot, PeerAddressRecord struct) throws org.apache.thrift.TException {
+    public void write(org.apache.thrift.protocol.TProtocol prot, HelloMessage struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       oprot.writeString(struct.host);
       oprot.writeString(struct.incarnation);
-      oprot.writeString(struct.address);
       java.util.BitSet optionals = new java.util.BitSet();
       if (struct.isSetMilliProcessors()) {
         optionals.set(0);
@@ -678,14 +588,12 @@
     }
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol prot, PeerAddressRecord struct) throws org.apache.thrift.TException {
+    public void read(org.apache.thrift.protocol.TProtocol prot, HelloMessage struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       struct.host = iprot.readString();
       struct.setHostIsSet(true);
       struct.incarnation = iprot.readString();
       struct.setIncarnationIsSet(true);
-      struct.address = iprot.readString();
-      struct.setAddressIsSet(true);
       java.util.BitSet incoming = iprot.readBitSet(1);
       if (incoming.get(0)) {
         struct.milliProcessors = iprot.readI32();
--- a/cactusspring-protocol/src/main/thrift/ledger.thrift
+++ b/cactusspring-protocol/src/main/thrift/ledger.thrift
@@ -97,8 +97,13 @@
   1: required i64 term
   2: required JobStateCode state
   3: optional bool started
-  /** A StepsProgressRecord: every host reads the record, but only an owner needs the steps. */
+  /** A StepsProgressRecord: a reader that needs only the state does not decode it. */
   4: optional binary steps
+  /** Increases with each record of the term; a job's records may be in several partitions. */
+  5: optional i64 version
+  /** Set once the state is final, as the submission is deleted then. */
+  6: optional string queue
+  7: optional string organisation
 }
 
 /** Who owns the executors. */
@@ -107,13 +112,8 @@
   2: required string host
   3: required string incarnation
   4: optional bool released
-}
-
-/** Where an entry host can be reached by others. */
-struct PeerAddressRecord {
-  1: required string host
-  2: required string incarnation
-  3: required string address
-  /** Processing power in thousandths of a processor. */
-  4: optional i32 milliProcessors
+  /** Where other entry hosts reach the owner. */
+  5: optional string address
+  /** Number of the heartbeat within the term. */
+  6: optional i64 heartbeat
 }
