Let the owner's rounds touch only what changed

Change: waiting steps, executors that need attention, renewals that are due, draining executors and received ends are kept in sets that the changes themselves update; scheduled occurrences wait in a queue by time; a step whose search found no room looks only at executors that gained capacity since. Progress is stored beside a submission in flight; starts wait for both.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/LaneWriter.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/LaneWriter.java
@@ -127,8 +127,9 @@
    */
   Future<Void> write(int number, List<Entry> entries) {
     Lane lane = lanes.get(number);
-    List<Entry> all = new ArrayList<>(entries);
-    all.addAll(lane.deletions.values());
+    // Deletions come first: a key may be written again.
+    List<Entry> all = new ArrayList<>(lane.deletions.values());
+    all.addAll(entries);
     lane.deletions.clear();
     return append(lane, all).mapEmpty();
   }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnedJobs.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnedJobs.java
@@ -73,7 +73,7 @@
   void restore(JobEntry entry, long now) {
     Optional<JobEntry.Ownership> ownership = entry.ownership();
     if (ownership.isEmpty()) {
-      strayCancellations.put(entry.id(), now);
+      restoreStray(entry, now);
       return;
     }
     Job job = new Job(entry.id(), ownership.get(), entry.locations());
@@ -85,6 +85,18 @@
         .ifPresentOrElse(p -> applyProgress(job, p, now), () -> unstarted(job).add(job.id));
   }
 
+  /** Deletes the records of a job whose submission was never stored, so that nothing has run. */
+  private void restoreStray(JobEntry entry, long now) {
+    if (entry.cancelled()) {
+      strayCancellations.put(entry.id(), now);
+    }
+    for (int lane = 0; lane < lanes.count(); lane++) {
+      if (entry.locations().hasProgressInLane(lane)) {
+        lanes.deleteLater(lane, LedgerCodec.progressTombstone(entry.id()));
+      }
+    }
+  }
+
   private Set<String> unstarted(Job job) {
     return unstartedByQueue.computeIfAbsent(job.ownership.queue(), q -> new HashSet<>());
   }
@@ -205,6 +217,11 @@
     return !unsent.isEmpty();
   }
 
+  /** Returns whether the submission of a known job was sent to the store. */
+  boolean isSent(String id) {
+    return jobs.containsKey(id) && !unsent.containsKey(id);
+  }
+
   /** Returns whether the submission of a known job is stored. */
   boolean isStored(String id) {
     Job job = jobs.get(id);
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerController.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerController.java
@@ -30,14 +30,12 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
-import java.util.stream.Collectors;
 
 /**
  * Executes one term as owner of the executors.
@@ -49,7 +47,6 @@
 final class OwnerController {
   private static final long TICK_MILLIS = 50;
   private static final long SWEEP_INTERVAL_MILLIS = 5_000;
-  private static final long FAILED_RENEWAL_PAUSE_MILLIS = 250;
   private static final int MAX_BATCH_RECORDS = 200;
   // Shorter than the time without heartbeats after which another host claims ownership.
   private static final long MIN_OWNERSHIP_CONFIRMATION_MILLIS = 600;
@@ -106,9 +103,11 @@
   private final JobLog log;
   private final long storeGraceMillis;
   private final Runnable onEnd;
-  private final Set<String> leaseRenewalsInFlight = new HashSet<>();
-  private final Map<String, Long> leaseRenewalNotBefore = new HashMap<>();
   private final Set<Action.Start> pendingStarts = new LinkedHashSet<>();
+
+  /** Starts whose own batch is stored before that with the submission of their job. */
+  private final Map<String, List<Action.Start>> startsBeforeSubmission = new HashMap<>();
+
   private final Deque<Batch> unconfirmed = new ArrayDeque<>();
   private boolean active = true;
   private boolean roundScheduled;
@@ -232,6 +231,7 @@
   private void submittedToInbox(JobSpec spec) {
     if (jobs.contains(spec.id())) {
       jobs.foundInInbox(spec.id());
+      sendHeldStarts(spec.id());
       return;
     }
     jobs.addStored(spec);
@@ -384,23 +384,23 @@
 
   private Batch takeBatch() {
     List<JobSpec> submissions = jobs.takeUnsent(MAX_BATCH_RECORDS);
-    Set<String> inBatch = submissions.stream().map(JobSpec::id).collect(Collectors.toSet());
-    Changes changes =
-        scheduler.takeChanges(
-            MAX_BATCH_RECORDS - submissions.size(),
-            id -> jobs.isStored(id) || inBatch.contains(id));
+    Changes changes = scheduler.takeChanges(MAX_BATCH_RECORDS - submissions.size(), jobs::isSent);
     List<Action.Start> starts =
         pendingStarts.stream().filter(s -> !scheduler.hasChanges(s.run().task().job())).toList();
     starts.forEach(pendingStarts::remove);
     return new Batch(submissions, changes, starts);
   }
 
+  private static String jobOf(Action.Start start) {
+    return start.run().task().job();
+  }
+
   private void write(int lane, Batch batch) {
     lanes
         .write(lane, batch.entries())
         .onComplete(
             done -> {
-              batch.submissions.forEach(s -> jobs.submissionStored(s.id(), lane));
+              batch.submissions.forEach(s -> submissionStored(s.id(), lane));
               batch.progress.forEach(
                   (id, p) -> jobs.progressStored(id, p, lane, timers.nowMillis()));
               batch.stored = true;
@@ -416,6 +416,18 @@
             });
   }
 
+  private void submissionStored(String job, int lane) {
+    jobs.submissionStored(job, lane);
+    sendHeldStarts(job);
+  }
+
+  private void sendHeldStarts(String job) {
+    List<Action.Start> held = startsBeforeSubmission.remove(job);
+    if (held != null && active) {
+      held.forEach(this::sendStart);
+    }
+  }
+
   private void completeFlush() {
     if (unconfirmed.stream().allMatch(b -> b.stored)) {
       flushed.ifPresent(Promise::tryComplete);
@@ -426,7 +438,13 @@
     while (!unconfirmed.isEmpty() && unconfirmed.peek().stored) {
       scheduler.endsStored(unconfirmed.remove().ends);
     }
-    batch.starts.forEach(this::sendStart);
+    for (Action.Start start : batch.starts) {
+      if (jobs.isStored(jobOf(start))) {
+        sendStart(start);
+      } else {
+        startsBeforeSubmission.computeIfAbsent(jobOf(start), j -> new ArrayList<>()).add(start);
+      }
+    }
     if (batch.hasRecords()) {
       scheduleRound();
     }
@@ -475,12 +493,7 @@
   }
 
   private void renewLeases(long now) {
-    for (String id : scheduler.executorsToRenew(now)) {
-      if (leaseRenewalNotBefore.getOrDefault(id, Long.MIN_VALUE) <= now
-          && leaseRenewalsInFlight.add(id)) {
-        sendLeaseRenewal(id, now);
-      }
-    }
+    scheduler.executorsToRenew(now).forEach(id -> sendLeaseRenewal(id, now));
   }
 
   private void sendLeaseRenewal(String id, long now) {
@@ -488,11 +501,7 @@
     LeaseRenewalRequest request = scheduler.leaseRenewalRequest(id, renew, now);
     executors
         .renewLeases(scheduler.target(id), request)
-        .onSuccess(
-            result -> {
-              leaseRenewalsInFlight.remove(id);
-              guarded(() -> leaseRenewalAnswered(id, request, now, result));
-            });
+        .onSuccess(result -> guarded(() -> leaseRenewalAnswered(id, request, now, result)));
   }
 
   private void leaseRenewalAnswered(
@@ -504,8 +513,6 @@
       return;
     }
     scheduler.leaseRenewalAnswered(id, request, sentAt, result, now);
-    boolean reported = result instanceof LeaseRenewalResult.Report;
-    leaseRenewalNotBefore.put(id, reported ? now : now + FAILED_RENEWAL_PAUSE_MILLIS);
     scheduleRound();
   }
 }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/AdvicePlanner.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/AdvicePlanner.java
@@ -33,10 +33,18 @@
   private final OwnerState state;
   private final Map<String, Double> allowedShares = new HashMap<>();
 
+  /** Duration of the shortest call for which no host was free in this round. */
+  private double refusedMillis = Double.POSITIVE_INFINITY;
+
   AdvicePlanner(OwnerState state) {
     this.state = state;
   }
 
+  /** Starts a round of placement, in which hosts may be free again. */
+  void startRound() {
+    refusedMillis = Double.POSITIVE_INFINITY;
+  }
+
   /**
    * Requests advice for the tasks of a step for which no executor was found.
    *
@@ -53,12 +61,18 @@
     if (!queue.needsAdvice() || !step.tickets().mayCall(now)) {
       return;
     }
+    AdviceSettings settings = queue.advice();
+    if (settings.callMillis(1) >= refusedMillis) {
+      return;
+    }
     List<LiveExecutor> named = candidates(step, queue, waiting, room, now);
     if (named.isEmpty()) {
       return;
     }
-    AdviceSettings settings = queue.advice();
-    if (slots.reserve(settings.callMillis(named.size()))) {
+    double callMillis = settings.callMillis(named.size());
+    if (!slots.reserve(callMillis)) {
+      refusedMillis = Math.min(refusedMillis, callMillis);
+    } else {
       step.tickets().callStarted(settings);
       state.actions.add(
           new Action.RequestAdvice(
@@ -134,6 +148,7 @@
     List<LiveExecutor> executors =
         asked.stream().map(state.executors::get).filter(e -> e != null).toList();
     step.tickets().callAnswered(executors, tickets, now);
+    step.retry();
     double share = tickets.size() / (double) Math.max(1, asked.size());
     allowedShares.merge(queue.name(), share, (old, s) -> old + SMOOTHING_FACTOR * (s - old));
     state.decisionListener.decisionMade(
@@ -151,6 +166,7 @@
   /** Records that a call was not answered. */
   void failed(LiveStep step, String problem, long now) {
     step.tickets().callFailed(now + RETRY_MILLIS);
+    step.retry();
     state.decisionListener.decisionMade(
         Kind.ADVICE, step.id().job(), step.id().toString(), problem);
   }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Evacuation.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Evacuation.java
@@ -23,9 +23,7 @@
   }
 
   void moveRuns(long now) {
-    state.executors.values().stream()
-        .filter(e -> e.isDraining() && !e.runs().isEmpty())
-        .forEach(e -> moveRuns(e, now));
+    state.draining.forEach(e -> moveRuns(e, now));
   }
 
   private void moveRuns(LiveExecutor executor, long now) {
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
@@ -17,11 +17,13 @@
 import io.cactusspring.jobs.port.ExecutorClient.Target;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.PriorityQueue;
 import java.util.function.Function;
 import java.util.function.Predicate;
 
@@ -43,6 +45,7 @@
 public final class JobScheduler {
   // How long an executor may delay its answer. It answers at once when a run ends.
   private static final long LEASE_RENEWAL_WAIT_MILLIS = 1_000;
+  private static final long FAILED_RENEWAL_PAUSE_MILLIS = 250;
   private static final long LEASE_RENEWAL_WAIT_WHILE_STOPPING_MILLIS = 100;
   // Well below the lease, which is not renewed while the request waits for the store.
   private static final long STORE_WAIT_MILLIS = 500;
@@ -56,8 +59,13 @@
   private final RunMonitor monitor;
   private final Evacuation evacuation;
   private final Throttle throttle;
+  private final PriorityQueue<DueOccurrence> dueOccurrences =
+      new PriorityQueue<>(Comparator.comparingLong(DueOccurrence::wallMillis));
   private long lastVersion;
 
+  /** The next occurrence of a scheduled job, which is due at a time in Unix milliseconds. */
+  private record DueOccurrence(long wallMillis, LiveJob job) {}
+
   /**
    * Changes that have to be stored before the starts that depend on them are sent.
    *
@@ -114,10 +122,10 @@
     if (entry.isFinalStateStored()) {
       return;
     }
-    LiveJob job = new LiveJob(entry, wallMillis, now);
+    LiveJob job = new LiveJob(entry, state.waitingSteps, wallMillis, now);
     state.jobs.put(job.id(), job);
     entry.progress().ifPresent(p -> p.steps().forEach(s -> adoptRuns(job, s, now)));
-    job.markReady(now);
+    schedule(job, wallMillis, now);
     if (entry.cancelled()) {
       cancelled(entry.id(), now);
     }
@@ -149,13 +157,29 @@
   /** Applies a configuration. */
   public void configure(SiteConfiguration configuration) {
     state.configuration = configuration;
+    state.waitingSteps.all().forEach(LiveStep::retry);
   }
 
   /** Records an executor's announcement. */
   public void executorListed(ExecutorInfo info, long now) {
     LiveExecutor executor = state.executor(info.id());
+    boolean changed = !executor.listed() || !info.equals(executor.info());
     executor.announced(info, state.settings.drainMillis(), now);
     reports.updateBoot(executor, info.bootMillis(), now);
+    if (changed) {
+      executorChanged(executor);
+      state.gainedCapacity(executor);
+    }
+  }
+
+  private void executorChanged(LiveExecutor executor) {
+    state.executorsChanged();
+    state.touch(executor);
+    if (executor.isDraining()) {
+      state.draining.add(executor);
+    } else {
+      state.draining.remove(executor);
+    }
   }
 
   /** Records that an executor is no longer announced. */
@@ -163,8 +187,9 @@
     LiveExecutor executor = state.executors.get(id);
     if (executor != null) {
       executor.unlisted();
+      executorChanged(executor);
       if (executor.runs().isEmpty()) {
-        state.executors.remove(id);
+        state.removeExecutor(executor);
       }
     }
   }
@@ -174,8 +199,14 @@
     if (state.jobs.containsKey(entry.id()) || entry.state().isFinal()) {
       return;
     }
-    LiveJob job = new LiveJob(entry, wallMillis, now);
+    LiveJob job = new LiveJob(entry, state.waitingSteps, wallMillis, now);
     state.jobs.put(job.id(), job);
+    schedule(job, wallMillis, now);
+  }
+
+  /** Adds the occurrences of a job that are due, and schedules the next one. */
+  private void schedule(LiveJob job, long wallMillis, long now) {
+    job.addDue(wallMillis, now).ifPresent(due -> dueOccurrences.add(new DueOccurrence(due, job)));
     job.markReady(now);
   }
 
@@ -195,10 +226,10 @@
    * @param wallMillis the time of day, in Unix milliseconds, for scheduled jobs
    */
   public List<Action> decide(AdviceSlots slots, long wallMillis, long now) {
-    for (LiveJob job : state.jobs.values()) {
-      if (job.spec().repetitions() > 0) {
-        job.addDue(wallMillis, now);
-        job.markReady(now);
+    while (!dueOccurrences.isEmpty() && dueOccurrences.peek().wallMillis <= wallMillis) {
+      LiveJob job = dueOccurrences.remove().job;
+      if (!job.isFinal()) {
+        schedule(job, wallMillis, now);
       }
     }
     monitor.check(now);
@@ -236,7 +267,7 @@
   }
 
   private List<ReceivedEnds> endsToStore() {
-    return state.executors.values().stream()
+    return state.withEndsToStore.stream()
         .filter(LiveExecutor::hasEndsToStore)
         .map(e -> new ReceivedEnds(e.id(), e.bootMillis(), e.lastReceivedEnd()))
         .toList();
@@ -264,17 +295,27 @@
       LiveExecutor executor = state.executors.get(received.executor());
       if (executor != null) {
         executor.endsStored(received.number(), received.bootMillis());
+        if (!executor.hasEndsToStore()) {
+          state.withEndsToStore.remove(executor);
+        }
+        state.renewable.add(executor);
       }
     }
   }
 
   /** Returns the ids of the executors to which a lease renewal has to be sent now. */
   public List<String> executorsToRenew(long now) {
-    return state.executors.values().stream()
-        .filter(LiveExecutor::isCallable)
-        .filter(e -> needsLeaseRenewal(e) && !waitsForStore(e, now))
-        .map(LiveExecutor::id)
-        .toList();
+    List<String> due = new ArrayList<>();
+    for (Iterator<LiveExecutor> i = state.renewable.iterator(); i.hasNext(); ) {
+      LiveExecutor executor = i.next();
+      if (!executor.isCallable() || executor.renewalInFlight() || !needsLeaseRenewal(executor)) {
+        i.remove();
+      } else if (executor.mayRenew(now) && !waitsForStore(executor, now)) {
+        i.remove();
+        due.add(executor.id());
+      }
+    }
+    return due;
   }
 
   private static boolean needsLeaseRenewal(LiveExecutor executor) {
@@ -314,6 +355,7 @@
    */
   public LeaseRenewalRequest leaseRenewalRequest(String id, boolean renew, long now) {
     LiveExecutor executor = state.executors.get(id);
+    executor.renewalSent();
     // A silent executor may process the request late. A longer lease would only delay the time
     // from which its runs are certainly over.
     boolean mayRenew = renew && !executor.isSilent();
@@ -340,6 +382,9 @@
     if (executor == null) {
       return;
     }
+    boolean reported = result instanceof LeaseRenewalResult.Report;
+    executor.renewalAnswered(reported ? now : now + FAILED_RENEWAL_PAUSE_MILLIS);
+    state.touch(executor);
     switch (result) {
       case LeaseRenewalResult.Report report -> {
         reports.reconcile(executor, sentAt, report, now);
@@ -351,7 +396,7 @@
       case LeaseRenewalResult.Unknown unknown -> markSilent(executor, unknown.problem(), now);
     }
     if (!executor.listed() && executor.runs().isEmpty()) {
-      state.executors.remove(id);
+      state.removeExecutor(executor);
     }
   }
 
@@ -408,6 +453,7 @@
     LiveExecutor executor = state.executors.get(executorId);
     Run run = executor == null ? null : executor.run(key);
     if (run != null) {
+      state.touch(executor);
       startAnswers.handle(executor, run, result, now);
     }
   }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveExecutor.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveExecutor.java
@@ -29,6 +29,10 @@
   private long silentSince = NEVER;
   private boolean hasReported;
   private boolean suspect;
+  private boolean tookTasks;
+  private long gainedAtVersion;
+  private boolean renewalInFlight;
+  private long renewNotBefore = NEVER;
   private long lastReceivedEnd;
   private long lastStoredEnd;
   private long acknowledgedEnd;
@@ -163,6 +167,50 @@
         && now >= quarantinedUntil;
   }
 
+  /** Returns whether the executor takes tasks now and did not at the last call. */
+  boolean takesTasksAgain(long now) {
+    boolean before = tookTasks;
+    tookTasks = isUsable(now);
+    return tookTasks && !before;
+  }
+
+  /** Returns whether the executor is excluded from new tasks because of failed runs. */
+  boolean isQuarantined(long now) {
+    return now < quarantinedUntil;
+  }
+
+  boolean isSuspect() {
+    return suspect;
+  }
+
+  /** Returns the {@link OwnerState#version} of the last gain of capacity. */
+  long gainedAtVersion() {
+    return gainedAtVersion;
+  }
+
+  void gainedAtVersion(long version) {
+    gainedAtVersion = version;
+  }
+
+  /** Returns whether no lease renewal is in flight and the pause after a failed one is over. */
+  boolean mayRenew(long now) {
+    return !renewalInFlight && now >= renewNotBefore;
+  }
+
+  boolean renewalInFlight() {
+    return renewalInFlight;
+  }
+
+  void renewalSent() {
+    renewalInFlight = true;
+  }
+
+  /** Records that a renewal was answered or failed. */
+  void renewalAnswered(long notBefore) {
+    renewalInFlight = false;
+    renewNotBefore = notBefore;
+  }
+
   /**
    * Sets whether a start is overdue without any answer since; no new tasks are placed meanwhile.
    */
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveJob.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveJob.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 
@@ -21,13 +22,16 @@
   private static final long MAX_AGE_MILLIS = 600_000;
 
   private final JobSpec spec;
+  private final WaitingSteps waitingSteps;
   private final TreeMap<Integer, List<LiveStep>> occurrences = new TreeMap<>();
   private final Set<Integer> doneOccurrences = new HashSet<>();
   private final long submittedAt;
   private JobState state = JobState.PENDING;
   private boolean started;
+  private int nextOccurrence;
 
-  LiveJob(JobEntry entry, long wallMillis, long now) {
+  LiveJob(JobEntry entry, WaitingSteps waitingSteps, long wallMillis, long now) {
+    this.waitingSteps = waitingSteps;
     spec = entry.spec().orElseThrow();
     long age = wallMillis - spec.acceptedMillis();
     submittedAt = now - Math.clamp(age, 0, MAX_AGE_MILLIS);
@@ -86,6 +90,7 @@
 
   void finish(JobState end) {
     state = end;
+    steps().forEach(waitingSteps::update);
   }
 
   void taskStarted() {
@@ -101,18 +106,28 @@
   private List<LiveStep> newOccurrence(int number, long now) {
     List<LiveStep> steps = new ArrayList<>();
     for (int i = 0; i < spec.steps().size(); i++) {
-      steps.add(new LiveStep(new StepId(id(), number, i), spec.steps().get(i), this, now));
+      steps.add(
+          new LiveStep(new StepId(id(), number, i), spec.steps().get(i), this, waitingSteps, now));
     }
     return steps;
   }
 
-  /** Adds the occurrences of a scheduled job that are due. */
-  void addDue(long wallMillis, long now) {
-    for (int k = 0; k < spec.repetitions() && spec.dueMillis(k) <= wallMillis; k++) {
-      if (!doneOccurrences.contains(k)) {
-        occurrence(k, now);
+  /**
+   * Adds the occurrences of a scheduled job that are due.
+   *
+   * @return Unix milliseconds at which the next occurrence is due; empty if there is none
+   */
+  OptionalLong addDue(long wallMillis, long now) {
+    for (; nextOccurrence < spec.repetitions(); nextOccurrence++) {
+      long due = spec.dueMillis(nextOccurrence);
+      if (due > wallMillis) {
+        return OptionalLong.of(due);
+      }
+      if (!doneOccurrences.contains(nextOccurrence)) {
+        occurrence(nextOccurrence, now);
       }
     }
+    return OptionalLong.empty();
   }
 
   /** Marks the steps as ready of which all preceding steps are done. */
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveStep.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveStep.java
@@ -4,29 +4,45 @@
 import io.cactusspring.jobs.model.StepId;
 import io.cactusspring.jobs.model.StepSpec;
 import io.cactusspring.jobs.model.TaskId;
+import java.util.IdentityHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
 /** The owner's state of one step of one occurrence of a job. */
 final class LiveStep {
+  private static final long NEVER_TRIED = -1;
+
   private final StepId id;
   private final StepSpec spec;
   private final LiveJob job;
+  private final WaitingSteps waitingSteps;
   private final List<LiveTask> tasks;
+  private final Set<LiveTask> waiting;
+  private final Map<LiveExecutor, Integer> runsByExecutor = new IdentityHashMap<>();
   private final Tickets tickets = new Tickets();
+  private int doneTasks;
+  private boolean begun;
   private boolean ready;
   private long readySince;
+  private long triedAtVersion = NEVER_TRIED;
+  private long expensiveSearchNotBefore = Long.MIN_VALUE;
 
-  LiveStep(StepId id, StepSpec spec, LiveJob job, long now) {
+  LiveStep(StepId id, StepSpec spec, LiveJob job, WaitingSteps waitingSteps, long now) {
     this.id = id;
     this.spec = spec;
     this.job = job;
+    this.waitingSteps = waitingSteps;
     tasks =
         IntStream.range(0, spec.tasks())
             .mapToObj(
                 i -> new LiveTask(new TaskId(id.job(), id.occurrence(), id.step(), i), this, now))
             .toList();
+    waiting = new LinkedHashSet<>(tasks);
   }
 
   StepId id() {
@@ -50,7 +66,7 @@
   }
 
   boolean isDone() {
-    return tasks.stream().allMatch(LiveTask::isDone);
+    return doneTasks == tasks.size();
   }
 
   /** Returns whether the step may start: it is due and all preceding steps are done. */
@@ -62,6 +78,7 @@
     if (!ready) {
       ready = true;
       readySince = now;
+      waitingSteps.update(this);
     }
   }
 
@@ -69,20 +86,64 @@
     return readySince;
   }
 
-  Stream<LiveTask> due(long now) {
-    return tasks.stream().filter(t -> t.isDue(now));
+  /** Returns whether any task has no run and is not done. */
+  boolean hasWaiting() {
+    return !waiting.isEmpty();
   }
 
-  boolean hasRuns() {
-    return tasks.stream().anyMatch(t -> t.run() != null);
+  Stream<LiveTask> due(long now) {
+    return waiting.stream().filter(t -> t.isDue(now));
   }
 
   int runsOn(LiveExecutor executor) {
-    return (int) tasks.stream().filter(t -> t.executor() == executor).count();
+    return runsByExecutor.getOrDefault(executor, 0);
   }
 
   boolean hasBegun() {
-    return tasks.stream().anyMatch(t -> t.lastRun() > 0 || t.isDone());
+    return begun;
+  }
+
+  /** Records that a task got a run, is done, or waits again; called by the task. */
+  void taskChanged(
+      LiveTask task, Optional<LiveExecutor> before, Optional<LiveExecutor> after, boolean done) {
+    begun |= done || after.isPresent() || task.lastRun() > 0;
+    before.ifPresent(e -> runsByExecutor.computeIfPresent(e, (k, n) -> n == 1 ? null : n - 1));
+    after.ifPresent(e -> runsByExecutor.merge(e, 1, Integer::sum));
+    if (done) {
+      doneTasks++;
+    }
+    boolean waits = !done && after.isEmpty();
+    if (waits ? waiting.add(task) : waiting.remove(task)) {
+      triedAtVersion = NEVER_TRIED;
+      waitingSteps.update(this);
+    }
+  }
+
+  /**
+   * Returns the {@link OwnerState#version} at which no executor was found for the waiting tasks;
+   * only executors that changed since can have room now.
+   */
+  long triedAtVersion() {
+    return triedAtVersion;
+  }
+
+  void triedAtVersion(long version) {
+    triedAtVersion = version;
+  }
+
+  /** Requests a search among all executors, because there are new tickets or limits. */
+  void retry() {
+    triedAtVersion = NEVER_TRIED;
+    expensiveSearchNotBefore = Long.MIN_VALUE;
+  }
+
+  /** Returns whether a search that looks at all executors is due. */
+  boolean expensiveSearchDue(long now) {
+    return now >= expensiveSearchNotBefore;
+  }
+
+  void expensiveSearchNotBefore(long when) {
+    expensiveSearchNotBefore = when;
   }
 
   StepProgress progress() {
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveTask.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveTask.java
@@ -2,6 +2,7 @@
 
 import io.cactusspring.jobs.ledger.TaskProgress;
 import io.cactusspring.jobs.model.TaskId;
+import java.util.Optional;
 
 /** The owner's state of a task, which is waiting, has exactly one run, or is done. */
 final class LiveTask {
@@ -86,21 +87,30 @@
   }
 
   void assign(Run started, LiveExecutor on) {
+    Optional<LiveExecutor> before = Optional.ofNullable(executor);
     run = started;
     executor = on;
     lastRun = Math.max(lastRun, started.key().number());
+    step.taskChanged(this, before, Optional.of(on), false);
   }
 
   void release(long now) {
+    Optional<LiveExecutor> before = Optional.ofNullable(executor);
     run = null;
     executor = null;
     waitingSince = now;
+    step.taskChanged(this, before, Optional.empty(), false);
   }
 
   void complete() {
+    if (done) {
+      return;
+    }
+    Optional<LiveExecutor> before = Optional.ofNullable(executor);
     done = true;
     run = null;
     executor = null;
+    step.taskChanged(this, before, Optional.empty(), true);
   }
 
   TaskProgress progress() {
@@ -110,9 +120,13 @@
   }
 
   void restore(TaskProgress stored) {
-    done = stored.done();
     lastRun = stored.run();
     failures = stored.failures();
     checkpoint = stored.checkpoint();
+    if (stored.done()) {
+      complete();
+    } else {
+      step.taskChanged(this, Optional.empty(), Optional.empty(), false);
+    }
   }
 }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/OwnerState.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/OwnerState.java
@@ -22,11 +22,25 @@
   final long term;
   final Map<String, LiveExecutor> executors = new LinkedHashMap<>();
   final Map<String, LiveJob> jobs = new LinkedHashMap<>();
+  final WaitingSteps waitingSteps = new WaitingSteps();
   final Set<LiveJob> changed = new LinkedHashSet<>();
+
+  /** Executors whose runs may need an action; {@link RunMonitor} checks them in each round. */
+  final Set<LiveExecutor> attention = new LinkedHashSet<>();
+
+  /** Executors of which a lease renewal may be due. */
+  final Set<LiveExecutor> renewable = new LinkedHashSet<>();
+
+  /** Executors with received ends that are not stored yet. */
+  final Set<LiveExecutor> withEndsToStore = new LinkedHashSet<>();
+
+  final Set<LiveExecutor> draining = new LinkedHashSet<>();
   final List<Action> actions = new ArrayList<>();
   final DecisionListener decisionListener;
   SiteConfiguration configuration = SiteConfiguration.NONE;
   private final Map<String, Integer> runsByJob = new HashMap<>();
+  private Optional<Resources> totalCapacity = Optional.empty();
+  private long version;
   private final Map<String, Resources> usage = new HashMap<>();
   private final Function<String, Optional<JobSpec>> specs;
 
@@ -71,14 +85,60 @@
     return configuration.queue(accepted.name()).orElse(accepted);
   }
 
+  /** Requests a check of an executor that has changed. */
+  void touch(LiveExecutor executor) {
+    attention.add(executor);
+    renewable.add(executor);
+  }
+
+  /** Records that an executor may have more room than before, or takes tasks again. */
+  void gainedCapacity(LiveExecutor executor) {
+    executor.gainedAtVersion(++version);
+  }
+
+  /** Returns a number that increases with each gain of capacity. */
+  long version() {
+    return version;
+  }
+
+  /** Records that the set of executors or their announced capacity has changed. */
+  void executorsChanged() {
+    totalCapacity = Optional.empty();
+  }
+
+  /** Returns the capacity of all announced executors. */
+  Resources totalCapacity() {
+    if (totalCapacity.isEmpty()) {
+      totalCapacity =
+          Optional.of(
+              executors.values().stream()
+                  .filter(e -> e.isCallable() && e.listed())
+                  .map(e -> e.info().capacity())
+                  .reduce(Resources.NONE, Resources::plus));
+    }
+    return totalCapacity.get();
+  }
+
+  void removeExecutor(LiveExecutor executor) {
+    executors.remove(executor.id());
+    attention.remove(executor);
+    renewable.remove(executor);
+    withEndsToStore.remove(executor);
+    draining.remove(executor);
+    executorsChanged();
+  }
+
   void addRun(LiveExecutor executor, Run run) {
+    touch(executor);
     executor.add(run);
     runsByJob.merge(run.key().task().job(), 1, Integer::sum);
     usage.merge(run.organisation(), run.spec().resources(), Resources::plus);
   }
 
   void removeRun(LiveExecutor executor, Run run) {
+    touch(executor);
     if (executor.remove(run.key())) {
+      gainedCapacity(executor);
       runsByJob.computeIfPresent(run.key().task().job(), (job, n) -> n == 1 ? null : n - 1);
       usage.merge(run.organisation(), run.spec().resources(), Resources::minus);
     }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Placement.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Placement.java
@@ -9,9 +9,13 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 /** Chooses executors for waiting tasks, and requests advice for steps that need it. */
 final class Placement {
+  /** Interval between two searches for a step that look at all executors. */
+  private static final long EXPENSIVE_SEARCH_INTERVAL_MILLIS = 20;
+
   private final OwnerState state;
   private final RunLifecycle runs;
   private final AdvicePlanner advice;
@@ -26,37 +30,36 @@
 
   /** Places the waiting tasks for which an executor is free. */
   void place(AdviceSlots slots, long now) {
-    List<LiveStep> ready = new ArrayList<>();
-    for (LiveJob job : state.jobs.values()) {
-      for (LiveStep step : job.steps()) {
-        if (step.isReady() && step.due(now).findAny().isPresent()) {
-          ready.add(step);
-        }
-      }
+    List<LiveStep> waiting =
+        state.waitingSteps.all().stream().filter(s -> s.due(now).findAny().isPresent()).toList();
+    if (waiting.isEmpty()) {
+      return;
     }
+    advice.startRound();
     Preemption preemption = new Preemption(state, runs);
-    order.sorted(ready, now).forEach(s -> placeStep(s, slots, preemption, now));
+    order.sorted(waiting, now).forEach(s -> placeStep(s, slots, preemption, now));
   }
 
   private void placeStep(LiveStep step, AdviceSlots slots, Preemption preemption, long now) {
-    List<LiveTask> waiting = step.due(now).toList();
+    if (!withinLimit(step, step.spec().gang() ? step.tasks().size() : 1)) {
+      return;
+    }
+    long version = state.version();
     if (step.spec().gang()) {
       placeGang(step, slots, now);
       return;
     }
-    int placed = 0;
-    for (LiveTask task : waiting) {
-      Optional<LiveExecutor> executor = choose(step, List.of(), now);
-      if (executor.isEmpty() || !withinLimit(step, 1)) {
-        break;
-      }
-      runs.decide(task, task.lastRun() + 1, executor.get(), now);
-      placed++;
-    }
+    List<LiveTask> waiting = step.due(now).toList();
+    int placed = version > step.triedAtVersion() ? placeTasks(step, waiting, now) : 0;
     int left = waiting.size() - placed;
     if (left == 0 || !withinLimit(step, 1)) {
       return;
     }
+    step.triedAtVersion(version);
+    if (!step.expensiveSearchDue(now)) {
+      return;
+    }
+    step.expensiveSearchNotBefore(now + EXPENSIVE_SEARCH_INTERVAL_MILLIS);
     advice.plan(step, left, LiveExecutor::free, slots, now);
     Queue queue = state.queue(step.job());
     boolean urgent = Preemption.mayPreempt(queue) && order.isInTime(step, queue, now);
@@ -68,21 +71,49 @@
     }
   }
 
+  /** Places tasks of a step one by one; returns how many. */
+  private int placeTasks(LiveStep step, List<LiveTask> waiting, long now) {
+    List<LiveExecutor> candidates = candidates(step, now);
+    int placed = 0;
+    for (LiveTask task : waiting) {
+      Optional<LiveExecutor> executor = choose(step, candidates, List.of());
+      if (executor.isEmpty() || !withinLimit(step, 1)) {
+        break;
+      }
+      runs.decide(task, task.lastRun() + 1, executor.get(), now);
+      placed++;
+    }
+    return placed;
+  }
+
   /** Places all members of a gang, or none. */
   private void placeGang(LiveStep step, AdviceSlots slots, long now) {
     List<LiveTask> members = step.tasks();
-    if (!members.stream().allMatch(m -> m.isDue(now)) || !withinLimit(step, members.size())) {
+    if (!members.stream().allMatch(m -> m.isDue(now))) {
       return;
     }
-    List<LiveExecutor> chosen = new ArrayList<>();
-    for (int i = 0; i < members.size(); i++) {
-      Optional<LiveExecutor> executor = choose(step, chosen, now);
-      if (executor.isEmpty()) {
-        advice.plan(step, members.size(), LiveExecutor::free, slots, now);
+    long version = state.version();
+    if (version > step.triedAtVersion()) {
+      // All executors count: members may need room on several of them.
+      step.retry();
+      List<LiveExecutor> candidates = candidates(step, now);
+      List<LiveExecutor> chosen = new ArrayList<>();
+      for (int i = 0; i < members.size(); i++) {
+        choose(step, candidates, chosen).ifPresent(chosen::add);
+      }
+      if (chosen.size() == members.size()) {
+        startGang(members, chosen, now);
         return;
       }
-      chosen.add(executor.get());
+      step.triedAtVersion(version);
     }
+    if (step.expensiveSearchDue(now)) {
+      step.expensiveSearchNotBefore(now + EXPENSIVE_SEARCH_INTERVAL_MILLIS);
+      advice.plan(step, members.size(), LiveExecutor::free, slots, now);
+    }
+  }
+
+  private void startGang(List<LiveTask> members, List<LiveExecutor> chosen, long now) {
     int number = members.stream().mapToInt(LiveTask::lastRun).max().orElse(0) + 1;
     String checkpoint =
         members.stream().map(LiveTask::checkpoint).filter(c -> !c.isEmpty()).findFirst().orElse("");
@@ -99,18 +130,35 @@
     return limits.map(o -> o.allows(after)).orElse(true);
   }
 
+  /**
+   * Returns the executors that may run tasks of a step and have changed since its last search: all
+   * others had no room then.
+   */
+  private List<LiveExecutor> candidates(LiveStep step, long now) {
+    Queue queue = state.queue(step.job());
+    Stream<LiveExecutor> permitted =
+        queue.needsAdvice()
+            ? step.tickets().executors().stream()
+                .map(state.executors::get)
+                .filter(e -> e != null && step.tickets().valid(e, now).isPresent())
+            : state.executors.values().stream();
+    return permitted
+        .filter(e -> e.gainedAtVersion() > step.triedAtVersion() && e.isUsable(now))
+        .filter(e -> mayRun(e, step, queue, 0))
+        .toList();
+  }
+
   /**
    * Chooses an executor for one more task of a step.
    *
    * @param planned executors chosen for other tasks of the step, listed once for each task
    */
-  private Optional<LiveExecutor> choose(LiveStep step, List<LiveExecutor> planned, long now) {
-    StepSpec spec = step.spec();
+  private Optional<LiveExecutor> choose(
+      LiveStep step, List<LiveExecutor> candidates, List<LiveExecutor> planned) {
     Queue queue = state.queue(step.job());
-    return state.executors.values().stream()
-        .filter(e -> e.isUsable(now) && fits(e, step, queue, Collections.frequency(planned, e)))
-        .filter(e -> !queue.needsAdvice() || step.tickets().valid(e, now).isPresent())
-        .min(preference(step, spec));
+    return candidates.stream()
+        .filter(e -> fits(e, step, queue, Collections.frequency(planned, e)))
+        .min(preference(step, step.spec()));
   }
 
   /**
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ReportReconciler.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ReportReconciler.java
@@ -82,6 +82,7 @@
 
   private void readEnd(LiveExecutor executor, EndedRun end, long now) {
     executor.endReceived(end.number());
+    state.withEndsToStore.add(executor);
     Run run = executor.run(new RunKey(end.task(), end.run()));
     if (run != null) {
       runs.ended(executor, run, end.reason(), end.checkpoint(), now);
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/RunMonitor.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/RunMonitor.java
@@ -23,8 +23,32 @@
     this.runs = runs;
   }
 
+  /** Checks the executors that have changed or have runs that wait for something. */
   void check(long now) {
-    state.executors.values().forEach(e -> check(e, now));
+    for (LiveExecutor executor : List.copyOf(state.attention)) {
+      check(executor, now);
+      if (executor.takesTasksAgain(now)) {
+        state.gainedCapacity(executor);
+      }
+      if (!needsAttention(executor, now)) {
+        state.attention.remove(executor);
+      }
+    }
+  }
+
+  /** Returns whether anything on an executor changes with time alone. */
+  private static boolean needsAttention(LiveExecutor executor, long now) {
+    if (executor.isSuspect() || executor.isQuarantined(now)) {
+      return true;
+    }
+    boolean unreachable = executor.isSilent() || !executor.isCallable();
+    return executor.runs().stream()
+        .anyMatch(
+            r ->
+                unreachable
+                    || r.stopping()
+                    || r.phase() == Run.Phase.STARTING
+                    || r.phase() == Run.Phase.IN_DOUBT);
   }
 
   private void check(LiveExecutor executor, long now) {
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/StepOrder.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/StepOrder.java
@@ -63,19 +63,12 @@
     if (steps.size() < 2) {
       return steps;
     }
-    Resources total = capacity();
+    Resources total = state.totalCapacity();
     Map<LiveStep, Rank> ranks = new IdentityHashMap<>();
     steps.forEach(s -> ranks.put(s, rank(s, total, now)));
     return steps.stream().sorted(Comparator.comparing(ranks::get, ORDER)).toList();
   }
 
-  private Resources capacity() {
-    return state.executors.values().stream()
-        .filter(e -> e.isCallable() && e.listed())
-        .map(e -> e.info().capacity())
-        .reduce(Resources.NONE, Resources::plus);
-  }
-
   private Rank rank(LiveStep step, Resources total, long now) {
     Queue queue = state.queue(step.job());
     String organisation = step.job().spec().organisation();
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Tickets.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Tickets.java
@@ -35,6 +35,11 @@
     return usable ? Optional.of(ticket.text) : Optional.empty();
   }
 
+  /** Returns the ids of the executors for which tickets were granted, valid or not. */
+  Set<String> executors() {
+    return ticketsByExecutor.keySet();
+  }
+
   boolean isDenied(LiveExecutor executor) {
     return denied.contains(executor.id());
   }
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/OverloadTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/OverloadTest.java
@@ -3,7 +3,9 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import io.cactusspring.core.model.Resources;
+import io.cactusspring.jobs.model.AdviceSettings;
 import io.cactusspring.jobs.model.JobSpec;
+import io.cactusspring.jobs.model.Queue;
 import io.cactusspring.jobs.model.StepSpec;
 import io.cactusspring.jobs.simulation.ClusterSimulation;
 import java.util.List;
@@ -107,4 +109,20 @@
     assertThat(simulation.oracle().startCount()).isEqualTo(8 + 4);
     assertThat(simulation.oracle().violations()).isEmpty();
   }
+
+  /** The store is 85 times slower than usual, and tasks need advice (large Riga, trouble-2). */
+  @Test
+  void taskStartsAfterOneResponseOfASlowStore() {
+    simulation.hosts().forEach(h -> h.storeLink().extraLatencyMillis(300));
+    simulation.time().run(3_000);
+    StepSpec step = StepSpec.builder().tasks(2).resources(TASK_RESOURCES).build();
+    Queue advised = ClusterSimulation.queue("advised", 0, new AdviceSettings(20, 1, 2_000));
+    JobSpec spec =
+        new JobSpec(
+            "slow", advised, "team", "payload", List.of(step), 0, 0, 0, simulation.time().now());
+    simulation.submit(simulation.hosts().get(1), spec);
+    simulation.time().run(500);
+    assertThat(simulation.oracle().startCount()).isEqualTo(2);
+    assertThat(simulation.oracle().violations()).isEmpty();
+  }
 }
