Specify the work on hard load and its shared interfaces

Two customers bring load that exceeds the capacity for seconds or is spread unevenly over executors of unequal speed; one deployment evacuates zones. docs/HARD-LOAD.md states the requirements, the parts and their interfaces.

Adds Durations with the declared estimates as the only implementation, RemainingWork, and two optional fields of the link messages: learned duration factors in the owner's status and the time to retry in a verdict. No decision changes. The Thrift classes are regenerated with bin/generate.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/PeerServer.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/PeerServer.java
@@ -149,7 +149,8 @@
               term.map(Term::phase).orElse(OwnerPhase.NONE),
               term.map(t -> now - t.lastStoredSentAt()).orElse(0L),
               intervalMillis(),
-              rank));
+              rank,
+              Map.of()));
     }
 
     @Override
@@ -183,7 +184,8 @@
     }
 
     private static PeerMessage.Reply verdict(long id, VerdictReason verdict) {
-      return new PeerMessage.Verdict(id, verdict.kind(), verdict.reason());
+      return new PeerMessage.Verdict(
+          id, verdict.kind(), verdict.reason(), verdict.retryAfterMillis());
     }
 
     private void answer(PeerMessage.Request request, Answer answer) {
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/RemoteOwner.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/RemoteOwner.java
@@ -19,14 +19,14 @@
   public Future<VerdictReason> submit(JobSpec spec, long timeoutMillis) {
     return calls
         .call(id -> new PeerMessage.Submit(id, spec), PeerMessage.Verdict.class, timeoutMillis)
-        .map(v -> new VerdictReason(v.kind(), v.reason()));
+        .map(v -> new VerdictReason(v.kind(), v.reason(), v.retryAfterMillis()));
   }
 
   @Override
   public Future<VerdictReason> cancel(JobReference job, long timeoutMillis) {
     return calls
         .call(id -> new PeerMessage.Cancel(id, job), PeerMessage.Verdict.class, timeoutMillis)
-        .map(v -> new VerdictReason(v.kind(), v.reason()));
+        .map(v -> new VerdictReason(v.kind(), v.reason(), v.retryAfterMillis()));
   }
 
   @Override
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/link/PeerMessage.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/link/PeerMessage.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 
 /**
  * A message between the owner of the executors and another entry host.
@@ -48,8 +49,13 @@
       OwnerPhase phase,
       long storeAgeMillis,
       long intervalMillis,
-      OptionalInt successionRank)
-      implements PeerMessage {}
+      OptionalInt successionRank,
+      Map<String, Double> durationFactors)
+      implements PeerMessage {
+    public OwnerStatus {
+      durationFactors = Map.copyOf(durationFactors);
+    }
+  }
 
   /** A message that is answered by a {@link Reply} with the same id. */
   sealed interface Request extends PeerMessage {
@@ -94,7 +100,8 @@
    *
    * @param reason empty if stored
    */
-  record Verdict(long id, VerdictKind kind, String reason) implements Reply {}
+  record Verdict(long id, VerdictKind kind, String reason, OptionalLong retryAfterMillis)
+      implements Reply {}
 
   /** Answers a {@link GetState}; empty if the sender knows no such job. */
   record StateReply(long id, Optional<JobState> state) implements Reply {}
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/link/PeerMessageCodec.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/link/PeerMessageCodec.java
@@ -24,8 +24,10 @@
 import io.cactusspring.protocol.gen.link.SubmitMessage;
 import io.cactusspring.protocol.gen.link.VerdictCode;
 import io.cactusspring.protocol.gen.link.VerdictMessage;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import org.apache.thrift.TException;
 
 /**
@@ -59,6 +61,9 @@
                 m.storeAgeMillis(),
                 m.intervalMillis());
         m.successionRank().ifPresent(status::setSuccessionRank);
+        if (!m.durationFactors().isEmpty()) {
+          status.setDurationFactors(m.durationFactors());
+        }
         yield LinkMessage.ownerStatus(status);
       }
       case PeerMessage.Submit m ->
@@ -75,8 +80,11 @@
                   m.step().step(),
                   m.executors(),
                   m.timeoutMillis()));
-      case PeerMessage.Verdict m ->
-          LinkMessage.verdict(new VerdictMessage(m.id(), toCode(m.kind())).setReason(m.reason()));
+      case PeerMessage.Verdict m -> {
+        VerdictMessage verdict = new VerdictMessage(m.id(), toCode(m.kind())).setReason(m.reason());
+        m.retryAfterMillis().ifPresent(verdict::setRetryAfterMillis);
+        yield LinkMessage.verdict(verdict);
+      }
       case PeerMessage.StateReply m -> {
         StateReplyMessage reply = new StateReplyMessage(m.id());
         m.state().map(JobStateMapper::toCode).ifPresent(reply::setState);
@@ -146,7 +154,8 @@
             toPhase(m.getPhase()),
             m.getStoreAgeMillis(),
             m.getIntervalMillis(),
-            m.isSetSuccessionRank() ? OptionalInt.of(m.getSuccessionRank()) : OptionalInt.empty());
+            m.isSetSuccessionRank() ? OptionalInt.of(m.getSuccessionRank()) : OptionalInt.empty(),
+            m.isSetDurationFactors() ? m.getDurationFactors() : Map.of());
       }
       case SUBMIT ->
           new PeerMessage.Submit(
@@ -170,7 +179,12 @@
       case VERDICT -> {
         VerdictMessage m = message.getVerdict();
         yield new PeerMessage.Verdict(
-            m.getId(), toKind(m.getVerdict()), m.isSetReason() ? m.getReason() : "");
+            m.getId(),
+            toKind(m.getVerdict()),
+            m.isSetReason() ? m.getReason() : "",
+            m.isSetRetryAfterMillis()
+                ? OptionalLong.of(m.getRetryAfterMillis())
+                : OptionalLong.empty());
       }
       case STATE_REPLY -> {
         StateReplyMessage m = message.getStateReply();
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/OwnerState.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/OwnerState.java
@@ -38,6 +38,7 @@
   final List<Action> actions = new ArrayList<>();
   final DecisionListener decisionListener;
   SiteConfiguration configuration = SiteConfiguration.NONE;
+  Durations durations = new DeclaredDurations();
   private final Map<String, Integer> runsByJob = new HashMap<>();
   private Optional<Resources> totalCapacity = Optional.empty();
   private long version;
--- a/cactusspring-protocol/src/main/java/io/cactusspring/protocol/gen/link/AdviceMessage.java
+++ b/cactusspring-protocol/src/main/java/io/cactusspring/protocol/gen/link/AdviceMessage.java
@@ -764,13 +764,13 @@
           case 5: // EXECUTORS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list0 = iprot.readListBegin();
-                struct.executors = new java.util.ArrayList<java.lang.String>(_list0.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem1;
-                for (int _i2 = 0; _i2 < _list0.size; ++_i2)
+                org.apache.thrift.protocol.TList _list10 = iprot.readListBegin();
+                struct.executors = new java.util.ArrayList<java.lang.String>(_list10.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem11;
+                for (int _i12 = 0; _i12 < _list10.size; ++_i12)
                 {
-                  _elem1 = iprot.readString();
-                  struct.executors.add(_elem1);
+                  _elem11 = iprot.readString();
+                  struct.executors.add(_elem11);
                 }
                 iprot.readListEnd();
               }
@@ -833,9 +833,9 @@
         oprot.writeFieldBegin(EXECUTORS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.executors.size()));
-          for (java.lang.String _iter3 : struct.executors)
+          for (java.lang.String _iter13 : struct.executors)
           {
-            oprot.writeString(_iter3);
+            oprot.writeString(_iter13);
           }
           oprot.writeListEnd();
         }
@@ -868,9 +868,9 @@
       oprot.writeI32(struct.step);
       {
         oprot.writeI32(struct.executors.size());
-        for (java.lang.String _iter4 : struct.executors)
+        for (java.lang.String _iter14 : struct.executors)
         {
-          oprot.writeString(_iter4);
+          oprot.writeString(_iter14);
         }
       }
       oprot.writeI64(struct.timeoutMillis);
@@ -888,13 +888,13 @@
       struct.step = iprot.readI32();
       struct.setStepIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list5 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-        struct.executors = new java.util.ArrayList<java.lang.String>(_list5.size);
-        @org.apache.thrift.annotation.Nullable java.lang.String _elem6;
-        for (int _i7 = 0; _i7 < _list5.size; ++_i7)
+        org.apache.thrift.protocol.TList _list15 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+        struct.executors = new java.util.ArrayList<java.lang.String>(_list15.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _elem16;
+        for (int _i17 = 0; _i17 < _list15.size; ++_i17)
         {
-          _elem6 = iprot.readString();
-          struct.executors.add(_elem6);
+          _elem16 = iprot.readString();
+          struct.executors.add(_elem16);
         }
       }
       struct.setExecutorsIsSet(true);
--- a/cactusspring-protocol/src/main/java/io/cactusspring/protocol/gen/link/AdviceReplyMessage.java
+++ b/cactusspring-protocol/src/main/java/io/cactusspring/protocol/gen/link/AdviceReplyMessage.java
@@ -429,15 +429,15 @@
           case 2: // TICKETS
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map8 = iprot.readMapBegin();
-                struct.tickets = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map8.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _key9;
-                @org.apache.thrift.annotation.Nullable java.lang.String _val10;
-                for (int _i11 = 0; _i11 < _map8.size; ++_i11)
+                org.apache.thrift.protocol.TMap _map18 = iprot.readMapBegin();
+                struct.tickets = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map18.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _key19;
+                @org.apache.thrift.annotation.Nullable java.lang.String _val20;
+                for (int _i21 = 0; _i21 < _map18.size; ++_i21)
                 {
-                  _key9 = iprot.readString();
-                  _val10 = iprot.readString();
-                  struct.tickets.put(_key9, _val10);
+                  _key19 = iprot.readString();
+                  _val20 = iprot.readString();
+                  struct.tickets.put(_key19, _val20);
                 }
                 iprot.readMapEnd();
               }
@@ -472,10 +472,10 @@
         oprot.writeFieldBegin(TICKETS_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING, struct.tickets.size()));
-          for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter12 : struct.tickets.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter22 : struct.tickets.entrySet())
           {
-            oprot.writeString(_iter12.getKey());
-            oprot.writeString(_iter12.getValue());
+            oprot.writeString(_iter22.getKey());
+            oprot.writeString(_iter22.getValue());
           }
           oprot.writeMapEnd();
         }
@@ -502,10 +502,10 @@
       oprot.writeI64(struct.id);
       {
         oprot.writeI32(struct.tickets.size());
-        for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter13 : struct.tickets.entrySet())
+        for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter23 : struct.tickets.entrySet())
         {
-          oprot.writeString(_iter13.getKey());
-          oprot.writeString(_iter13.getValue());
+          oprot.writeString(_iter23.getKey());
+          oprot.writeString(_iter23.getValue());
         }
       }
     }
@@ -516,15 +516,15 @@
       struct.id = iprot.readI64();
       struct.setIdIsSet(true);
       {
-        org.apache.thrift.protocol.TMap _map14 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING); 
-        struct.tickets = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map14.size);
-        @org.apache.thrift.annotation.Nullable java.lang.String _key15;
-        @org.apache.thrift.annotation.Nullable java.lang.String _val16;
-        for (int _i17 = 0; _i17 < _map14.size; ++_i17)
+        org.apache.thrift.protocol.TMap _map24 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING); 
+        struct.tickets = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map24.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _key25;
+        @org.apache.thrift.annotation.Nullable java.lang.String _val26;
+        for (int _i27 = 0; _i27 < _map24.size; ++_i27)
         {
-          _key15 = iprot.readString();
-          _val16 = iprot.readString();
-          struct.tickets.put(_key15, _val16);
+          _key25 = iprot.readString();
+          _val26 = iprot.readString();
+          struct.tickets.put(_key25, _val26);
         }
       }
       struct.setTicketsIsSet(true);
--- a/cactusspring-protocol/src/main/java/io/cactusspring/protocol/gen/link/OwnerStatusMessage.java
+++ b/cactusspring-protocol/src/main/java/io/cactusspring/protocol/gen/link/OwnerStatusMessage.java
@@ -19,6 +19,7 @@
   private static final org.apache.thrift.protocol.TField STORE_AGE_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("storeAgeMillis", org.apache.thrift.protocol.TType.I64, (short)4);
   private static final org.apache.thrift.protocol.TField INTERVAL_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("intervalMillis", org.apache.thrift.protocol.TType.I64, (short)5);
   private static final org.apache.thrift.protocol.TField SUCCESSION_RANK_FIELD_DESC = new org.apache.thrift.protocol.TField("successionRank", org.apache.thrift.protocol.TType.I32, (short)6);
+  private static final org.apache.thrift.protocol.TField DURATION_FACTORS_FIELD_DESC = new org.apache.thrift.protocol.TField("durationFactors", org.apache.thrift.protocol.TType.MAP, (short)7);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new OwnerStatusMessageStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new OwnerStatusMessageTupleSchemeFactory();
@@ -29,6 +30,7 @@
   private long storeAgeMillis; // required
   private long intervalMillis; // required
   private int successionRank; // optional
+  private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,java.lang.Double> durationFactors; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -56,7 +58,12 @@
     /**
      * Position of the receiver, from 0, among the hosts that may succeed the owner.
      */
-    SUCCESSION_RANK((short)6, "successionRank");
+    SUCCESSION_RANK((short)6, "successionRank"),
+    /**
+     * Duration of tasks on executors with a label relative to a normal executor, as the owner has
+     * measured it; a successor begins with these values.
+     */
+    DURATION_FACTORS((short)7, "durationFactors");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -84,6 +91,8 @@
           return INTERVAL_MILLIS;
         case 6: // SUCCESSION_RANK
           return SUCCESSION_RANK;
+        case 7: // DURATION_FACTORS
+          return DURATION_FACTORS;
         default:
           return null;
       }
@@ -132,7 +141,7 @@
   private static final int __INTERVALMILLIS_ISSET_ID = 2;
   private static final int __SUCCESSIONRANK_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.SUCCESSION_RANK};
+  private static final _Fields optionals[] = {_Fields.SUCCESSION_RANK,_Fields.DURATION_FACTORS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -148,6 +157,10 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.SUCCESSION_RANK, new org.apache.thrift.meta_data.FieldMetaData("successionRank", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.DURATION_FACTORS, new org.apache.thrift.meta_data.FieldMetaData("durationFactors", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.MapMetaData(org.apache.thrift.protocol.TType.MAP, 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING), 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.DOUBLE))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(OwnerStatusMessage.class, metaDataMap);
   }
@@ -188,6 +201,10 @@
     this.storeAgeMillis = other.storeAgeMillis;
     this.intervalMillis = other.intervalMillis;
     this.successionRank = other.successionRank;
+    if (other.isSetDurationFactors()) {
+      java.util.Map<java.lang.String,java.lang.Double> __this__durationFactors = new java.util.HashMap<java.lang.String,java.lang.Double>(other.durationFactors);
+      this.durationFactors = __this__durationFactors;
+    }
   }
 
   @Override
@@ -207,6 +224,7 @@
     this.intervalMillis = 0;
     setSuccessionRankIsSet(false);
     this.successionRank = 0;
+    this.durationFactors = null;
   }
 
   /**
@@ -389,6 +407,50 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SUCCESSIONRANK_ISSET_ID, value);
   }
 
+  public int getDurationFactorsSize() {
+    return (this.durationFactors == null) ? 0 : this.durationFactors.size();
+  }
+
+  public void putToDurationFactors(java.lang.String key, double val) {
+    if (this.durationFactors == null) {
+      this.durationFactors = new java.util.HashMap<java.lang.String,java.lang.Double>();
+    }
+    this.durationFactors.put(key, val);
+  }
+
+  /**
+   * Duration of tasks on executors with a label relative to a normal executor, as the owner has
+   * measured it; a successor begins with these values.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Map<java.lang.String,java.lang.Double> getDurationFactors() {
+    return this.durationFactors;
+  }
+
+  /**
+   * Duration of tasks on executors with a label relative to a normal executor, as the owner has
+   * measured it; a successor begins with these values.
+   */
+  public OwnerStatusMessage setDurationFactors(@org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,java.lang.Double> durationFactors) {
+    this.durationFactors = durationFactors;
+    return this;
+  }
+
+  public void unsetDurationFactors() {
+    this.durationFactors = null;
+  }
+
+  /** Returns true if field durationFactors is set (has been assigned a value) and false otherwise */
+  public boolean isSetDurationFactors() {
+    return this.durationFactors != null;
+  }
+
+  public void setDurationFactorsIsSet(boolean value) {
+    if (!value) {
+      this.durationFactors = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -440,6 +502,14 @@
       }
       break;
 
+    case DURATION_FACTORS:
+      if (value == null) {
+        unsetDurationFactors();
+      } else {
+        setDurationFactors((java.util.Map<java.lang.String,java.lang.Double>)value);
+      }
+      break;
+
     }
   }
 
@@ -465,6 +535,9 @@
     case SUCCESSION_RANK:
       return getSuccessionRank();
 
+    case DURATION_FACTORS:
+      return getDurationFactors();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -489,6 +562,8 @@
       return isSetIntervalMillis();
     case SUCCESSION_RANK:
       return isSetSuccessionRank();
+    case DURATION_FACTORS:
+      return isSetDurationFactors();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -560,6 +635,15 @@
         return false;
     }
 
+    boolean this_present_durationFactors = true && this.isSetDurationFactors();
+    boolean that_present_durationFactors = true && that.isSetDurationFactors();
+    if (this_present_durationFactors || that_present_durationFactors) {
+      if (!(this_present_durationFactors && that_present_durationFactors))
+        return false;
+      if (!this.durationFactors.equals(that.durationFactors))
+        return false;
+    }
+
     return true;
   }
 
@@ -585,6 +669,10 @@
     if (isSetSuccessionRank())
       hashCode = hashCode * 8191 + successionRank;
 
+    hashCode = hashCode * 8191 + ((isSetDurationFactors()) ? 131071 : 524287);
+    if (isSetDurationFactors())
+      hashCode = hashCode * 8191 + durationFactors.hashCode();
+
     return hashCode;
   }
 
@@ -656,6 +744,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetDurationFactors(), other.isSetDurationFactors());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetDurationFactors()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.durationFactors, other.durationFactors);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -713,6 +811,16 @@
       sb.append(this.successionRank);
       first = false;
     }
+    if (isSetDurationFactors()) {
+      if (!first) sb.append(", ");
+      sb.append("durationFactors:");
+      if (this.durationFactors == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.durationFactors);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -817,6 +925,26 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 7: // DURATION_FACTORS
+            if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
+              {
+                org.apache.thrift.protocol.TMap _map0 = iprot.readMapBegin();
+                struct.durationFactors = new java.util.HashMap<java.lang.String,java.lang.Double>(2*_map0.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _key1;
+                double _val2;
+                for (int _i3 = 0; _i3 < _map0.size; ++_i3)
+                {
+                  _key1 = iprot.readString();
+                  _val2 = iprot.readDouble();
+                  struct.durationFactors.put(_key1, _val2);
+                }
+                iprot.readMapEnd();
+              }
+              struct.setDurationFactorsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -866,6 +994,21 @@
         oprot.writeI32(struct.successionRank);
         oprot.writeFieldEnd();
       }
+      if (struct.durationFactors != null) {
+        if (struct.isSetDurationFactors()) {
+          oprot.writeFieldBegin(DURATION_FACTORS_FIELD_DESC);
+          {
+            oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.DOUBLE, struct.durationFactors.size()));
+            for (java.util.Map.Entry<java.lang.String, java.lang.Double> _iter4 : struct.durationFactors.entrySet())
+            {
+              oprot.writeString(_iter4.getKey());
+              oprot.writeDouble(_iter4.getValue());
+            }
+            oprot.writeMapEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -893,10 +1036,23 @@
       if (struct.isSetSuccessionRank()) {
         optionals.set(0);
       }
-      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetDurationFactors()) {
+        optionals.set(1);
+      }
+      oprot.writeBitSet(optionals, 2);
       if (struct.isSetSuccessionRank()) {
         oprot.writeI32(struct.successionRank);
       }
+      if (struct.isSetDurationFactors()) {
+        {
+          oprot.writeI32(struct.durationFactors.size());
+          for (java.util.Map.Entry<java.lang.String, java.lang.Double> _iter5 : struct.durationFactors.entrySet())
+          {
+            oprot.writeString(_iter5.getKey());
+            oprot.writeDouble(_iter5.getValue());
+          }
+        }
+      }
     }
 
     @Override
@@ -912,11 +1068,26 @@
       struct.setStoreAgeMillisIsSet(true);
       struct.intervalMillis = iprot.readI64();
       struct.setIntervalMillisIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(1);
+      java.util.BitSet incoming = iprot.readBitSet(2);
       if (incoming.get(0)) {
         struct.successionRank = iprot.readI32();
         struct.setSuccessionRankIsSet(true);
       }
+      if (incoming.get(1)) {
+        {
+          org.apache.thrift.protocol.TMap _map6 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.DOUBLE); 
+          struct.durationFactors = new java.util.HashMap<java.lang.String,java.lang.Double>(2*_map6.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _key7;
+          double _val8;
+          for (int _i9 = 0; _i9 < _map6.size; ++_i9)
+          {
+            _key7 = iprot.readString();
+            _val8 = iprot.readDouble();
+            struct.durationFactors.put(_key7, _val8);
+          }
+        }
+        struct.setDurationFactorsIsSet(true);
+      }
     }
   }
 
--- a/cactusspring-protocol/src/main/java/io/cactusspring/protocol/gen/link/VerdictMessage.java
+++ b/cactusspring-protocol/src/main/java/io/cactusspring/protocol/gen/link/VerdictMessage.java
@@ -16,6 +16,7 @@
   private static final org.apache.thrift.protocol.TField ID_FIELD_DESC = new org.apache.thrift.protocol.TField("id", org.apache.thrift.protocol.TType.I64, (short)1);
   private static final org.apache.thrift.protocol.TField VERDICT_FIELD_DESC = new org.apache.thrift.protocol.TField("verdict", org.apache.thrift.protocol.TType.I32, (short)2);
   private static final org.apache.thrift.protocol.TField REASON_FIELD_DESC = new org.apache.thrift.protocol.TField("reason", org.apache.thrift.protocol.TType.STRING, (short)3);
+  private static final org.apache.thrift.protocol.TField RETRY_AFTER_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("retryAfterMillis", org.apache.thrift.protocol.TType.I64, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new VerdictMessageStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new VerdictMessageTupleSchemeFactory();
@@ -23,6 +24,7 @@
   private long id; // required
   private @org.apache.thrift.annotation.Nullable VerdictCode verdict; // required
   private @org.apache.thrift.annotation.Nullable java.lang.String reason; // optional
+  private long retryAfterMillis; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -32,7 +34,12 @@
      * @see VerdictCode
      */
     VERDICT((short)2, "verdict"),
-    REASON((short)3, "reason");
+    REASON((short)3, "reason"),
+    /**
+     * Set with REFUSED if the sender has too much work: milliseconds after which the caller may
+     * submit the job again.
+     */
+    RETRY_AFTER_MILLIS((short)4, "retryAfterMillis");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -54,6 +61,8 @@
           return VERDICT;
         case 3: // REASON
           return REASON;
+        case 4: // RETRY_AFTER_MILLIS
+          return RETRY_AFTER_MILLIS;
         default:
           return null;
       }
@@ -98,8 +107,9 @@
 
   // isset id assignments
   private static final int __ID_ISSET_ID = 0;
+  private static final int __RETRYAFTERMILLIS_ISSET_ID = 1;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.REASON};
+  private static final _Fields optionals[] = {_Fields.REASON,_Fields.RETRY_AFTER_MILLIS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -109,6 +119,8 @@
         new org.apache.thrift.meta_data.EnumMetaData(org.apache.thrift.protocol.TType.ENUM, VerdictCode.class)));
     tmpMap.put(_Fields.REASON, new org.apache.thrift.meta_data.FieldMetaData("reason", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.RETRY_AFTER_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("retryAfterMillis", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(VerdictMessage.class, metaDataMap);
   }
@@ -138,6 +150,7 @@
     if (other.isSetReason()) {
       this.reason = other.reason;
     }
+    this.retryAfterMillis = other.retryAfterMillis;
   }
 
   @Override
@@ -151,6 +164,8 @@
     this.id = 0;
     this.verdict = null;
     this.reason = null;
+    setRetryAfterMillisIsSet(false);
+    this.retryAfterMillis = 0;
   }
 
   public long getId() {
@@ -234,6 +249,37 @@
     }
   }
 
+  /**
+   * Set with REFUSED if the sender has too much work: milliseconds after which the caller may
+   * submit the job again.
+   */
+  public long getRetryAfterMillis() {
+    return this.retryAfterMillis;
+  }
+
+  /**
+   * Set with REFUSED if the sender has too much work: milliseconds after which the caller may
+   * submit the job again.
+   */
+  public VerdictMessage setRetryAfterMillis(long retryAfterMillis) {
+    this.retryAfterMillis = retryAfterMillis;
+    setRetryAfterMillisIsSet(true);
+    return this;
+  }
+
+  public void unsetRetryAfterMillis() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __RETRYAFTERMILLIS_ISSET_ID);
+  }
+
+  /** Returns true if field retryAfterMillis is set (has been assigned a value) and false otherwise */
+  public boolean isSetRetryAfterMillis() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __RETRYAFTERMILLIS_ISSET_ID);
+  }
+
+  public void setRetryAfterMillisIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __RETRYAFTERMILLIS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -261,6 +307,14 @@
       }
       break;
 
+    case RETRY_AFTER_MILLIS:
+      if (value == null) {
+        unsetRetryAfterMillis();
+      } else {
+        setRetryAfterMillis((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -277,6 +331,9 @@
     case REASON:
       return getReason();
 
+    case RETRY_AFTER_MILLIS:
+      return getRetryAfterMillis();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -295,6 +352,8 @@
       return isSetVerdict();
     case REASON:
       return isSetReason();
+    case RETRY_AFTER_MILLIS:
+      return isSetRetryAfterMillis();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -339,6 +398,15 @@
         return false;
     }
 
+    boolean this_present_retryAfterMillis = true && this.isSetRetryAfterMillis();
+    boolean that_present_retryAfterMillis = true && that.isSetRetryAfterMillis();
+    if (this_present_retryAfterMillis || that_present_retryAfterMillis) {
+      if (!(this_present_retryAfterMillis && that_present_retryAfterMillis))
+        return false;
+      if (this.retryAfterMillis != that.retryAfterMillis)
+        return false;
+    }
+
     return true;
   }
 
@@ -356,6 +424,10 @@
     if (isSetReason())
       hashCode = hashCode * 8191 + reason.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetRetryAfterMillis()) ? 131071 : 524287);
+    if (isSetRetryAfterMillis())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(retryAfterMillis);
+
     return hashCode;
   }
 
@@ -397,6 +469,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetRetryAfterMillis(), other.isSetRetryAfterMillis());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetRetryAfterMillis()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.retryAfterMillis, other.retryAfterMillis);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -442,6 +524,12 @@
       }
       first = false;
     }
+    if (isSetRetryAfterMillis()) {
+      if (!first) sb.append(", ");
+      sb.append("retryAfterMillis:");
+      sb.append(this.retryAfterMillis);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -517,6 +605,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 4: // RETRY_AFTER_MILLIS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.retryAfterMillis = iprot.readI64();
+              struct.setRetryAfterMillisIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -551,6 +647,11 @@
           oprot.writeFieldEnd();
         }
       }
+      if (struct.isSetRetryAfterMillis()) {
+        oprot.writeFieldBegin(RETRY_AFTER_MILLIS_FIELD_DESC);
+        oprot.writeI64(struct.retryAfterMillis);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -575,10 +676,16 @@
       if (struct.isSetReason()) {
         optionals.set(0);
       }
-      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetRetryAfterMillis()) {
+        optionals.set(1);
+      }
+      oprot.writeBitSet(optionals, 2);
       if (struct.isSetReason()) {
         oprot.writeString(struct.reason);
       }
+      if (struct.isSetRetryAfterMillis()) {
+        oprot.writeI64(struct.retryAfterMillis);
+      }
     }
 
     @Override
@@ -588,11 +695,15 @@
       struct.setIdIsSet(true);
       struct.verdict = io.cactusspring.protocol.gen.link.VerdictCode.findByValue(iprot.readI32());
       struct.setVerdictIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(1);
+      java.util.BitSet incoming = iprot.readBitSet(2);
       if (incoming.get(0)) {
         struct.reason = iprot.readString();
         struct.setReasonIsSet(true);
       }
+      if (incoming.get(1)) {
+        struct.retryAfterMillis = iprot.readI64();
+        struct.setRetryAfterMillisIsSet(true);
+      }
     }
   }
 
--- a/cactusspring-protocol/src/main/thrift/link.thrift
+++ b/cactusspring-protocol/src/main/thrift/link.thrift
@@ -36,6 +36,11 @@
   5: required i64 intervalMillis
   /** Position of the receiver, from 0, among the hosts that may succeed the owner. */
   6: optional i32 successionRank
+  /**
+   * Duration of tasks on executors with a label relative to a normal executor, as the owner has
+   * measured it; a successor begins with these values.
+   */
+  7: optional map<string, double> durationFactors
 }
 
 /** Names a job and what its caller may see. */
@@ -93,6 +98,11 @@
   1: required i64 id
   2: required VerdictCode verdict
   3: optional string reason
+  /**
+   * Set with REFUSED if the sender has too much work: milliseconds after which the caller may
+   * submit the job again.
+   */
+  4: optional i64 retryAfterMillis
 }
 
 struct StateReplyMessage {
