--- a/cactusspring-benchmarks/src/main/java/io/cactusspring/benchmarks/Bench.java
+++ b/cactusspring-benchmarks/src/main/java/io/cactusspring/benchmarks/Bench.java
@@ -1,9 +1,11 @@
 package io.cactusspring.benchmarks;
 
+import io.cactusspring.benchmarks.rounds.Regression;
 import io.cactusspring.benchmarks.rounds.RoundsPlot;
 import io.cactusspring.benchmarks.slopes.SlopeReport;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.List;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
@@ -12,12 +14,13 @@
 
 /** Command line of the benchmarks. */
 public final class Bench {
+  private static final int REGRESSION = 1;
   private static final int BAD_INPUT = 2;
   private static final Path JOURNAL = Path.of("journal");
 
   private Bench() {}
 
-  public static void main(String[] args) throws IOException {
+  public static void main(String[] args) throws IOException, InterruptedException {
     ArgumentParser parser = parser();
     try {
       run(parser.parseArgs(args));
@@ -42,11 +45,12 @@
     parser
         .addArgument("what")
         .nargs("?")
-        .choices("report", "slopes", "rounds")
+        .choices("report", "slopes", "rounds", "regress")
         .setDefault("report")
         .help(
             "report: decisions versus baselines; slopes: cost of each role by size; rounds: worth of"
-                + " the standard days over the entries in journal/");
+                + " the standard days over the entries in journal/; regress: plays deployments and"
+                + " compares each day with its last entry");
     parser
         .addArgument("--plots")
         .type(String.class)
@@ -57,17 +61,52 @@
         .type(String.class)
         .setDefault("target/bench")
         .help("directory for the figures as CSV");
+    parser
+        .addArgument("--program")
+        .type(String.class)
+        .help("path of the user benchmark, for regress");
+    parser
+        .addArgument("--site")
+        .action(Arguments.append())
+        .setDefault(List.of())
+        .help("path of a deployment, for regress; repeatable");
+    parser
+        .addArgument("--jobs")
+        .type(Integer.class)
+        .setDefault(Math.max(1, Runtime.getRuntime().availableProcessors() / 2))
+        .help("days played at the same time, for regress");
+    parser
+        .addArgument("--why")
+        .type(String.class)
+        .setDefault("regression run")
+        .help("reason of the run, for the journal");
     return parser;
   }
 
-  private static void run(Namespace options) throws IOException {
+  private static void run(Namespace options) throws IOException, InterruptedException {
     Effort effort = options.getBoolean("quick") ? Effort.quick() : Effort.full();
     Path csv = Path.of(options.getString("csv"));
     Path plots = Path.of(options.getString("plots"));
     switch (options.getString("what")) {
       case "slopes" -> new SlopeReport(csv, plots).run(System.out);
       case "rounds" -> RoundsPlot.write(JOURNAL, plots);
+      case "regress" -> regress(options);
       default -> new Report(effort, options.getLong("seed"), csv).run(System.out);
     }
   }
+
+  private static void regress(Namespace options) throws IOException, InterruptedException {
+    String program = options.getString("program");
+    List<String> sites = options.getList("site");
+    if (program == null || sites.isEmpty()) {
+      System.err.println("bench: regress needs --program and at least one --site");
+      System.exit(BAD_INPUT);
+    }
+    boolean sound =
+        new Regression(JOURNAL, System.out)
+            .play(Path.of(program), sites, options.getInt("jobs"), options.getString("why"));
+    if (!sound) {
+      System.exit(REGRESSION);
+    }
+  }
 }
--- a/cactusspring-benchmarks/src/main/java/io/cactusspring/benchmarks/rounds/RoundsPlot.java
+++ b/cactusspring-benchmarks/src/main/java/io/cactusspring/benchmarks/rounds/RoundsPlot.java
@@ -1,7 +1,5 @@
 package io.cactusspring.benchmarks.rounds;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -9,8 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.regex.Pattern;
-import java.util.stream.Stream;
 import org.knowm.xchart.BitmapEncoder;
 import org.knowm.xchart.XYChart;
 import org.knowm.xchart.XYChartBuilder;
@@ -21,15 +17,6 @@
   private static final int WIDTH = 760;
   private static final int HEIGHT = 420;
 
-  /** Names of standard days; days of fault searches and incidents are excluded. */
-  private static final Pattern STANDARD_DAY = Pattern.compile("(quiet|trouble|scale)-[0-9]+");
-
-  /**
-   * Commands whose entries hold standard days. Entries of runs with an explicit seed or end are
-   * excluded.
-   */
-  private static final List<String> STANDARD_COMMANDS = List.of("run", "score");
-
   private record Point(int entry, double worth) {}
 
   private RoundsPlot() {}
@@ -41,13 +28,11 @@
    */
   public static void write(Path journal, Path directory) throws IOException {
     Map<String, Map<String, List<Point>>> sites = new TreeMap<>();
-    List<Path> entries;
-    try (Stream<Path> files = Files.list(journal)) {
-      entries = files.filter(f -> f.toString().endsWith(".json")).sorted().toList();
-    }
-    ObjectMapper json = new ObjectMapper();
+    List<JournalEntry> entries = JournalEntry.readAll(journal);
     for (int i = 0; i < entries.size(); i++) {
-      add(json.readTree(entries.get(i).toFile()), i + 1, sites);
+      if (entries.get(i).holdsStandardDays()) {
+        add(entries.get(i), i + 1, sites);
+      }
     }
     Files.createDirectories(directory);
     for (Map.Entry<String, Map<String, List<Point>>> site : sites.entrySet()) {
@@ -58,29 +43,19 @@
     }
   }
 
-  private static void add(JsonNode entry, int number, Map<String, Map<String, List<Point>>> sites) {
-    boolean seeded = Stream.of("--seed", "--until").anyMatch(o -> hasArgument(entry, o));
-    if (seeded || !STANDARD_COMMANDS.contains(entry.path("cmd").asText())) {
-      return;
-    }
-    for (JsonNode day : entry.path("days")) {
-      String name = day.path("name").asText();
-      if (STANDARD_DAY.matcher(name).matches()) {
-        sites
-            .computeIfAbsent(entry.path("site").asText(), s -> new TreeMap<>())
-            .computeIfAbsent(name, d -> new ArrayList<>())
-            .add(new Point(number, day.path("G").asDouble()));
-      }
-    }
-  }
-
-  private static boolean hasArgument(JsonNode entry, String option) {
-    for (JsonNode argument : entry.path("argv")) {
-      if (argument.asText().equals(option)) {
-        return true;
-      }
-    }
-    return false;
+  private static void add(
+      JournalEntry entry, int number, Map<String, Map<String, List<Point>>> sites) {
+    entry
+        .worth()
+        .forEach(
+            (day, worth) -> {
+              if (JournalEntry.isStandardDay(day)) {
+                sites
+                    .computeIfAbsent(entry.site(), s -> new TreeMap<>())
+                    .computeIfAbsent(day, d -> new ArrayList<>())
+                    .add(new Point(number, worth));
+              }
+            });
   }
 
   private static XYChart chart(String site, Map<String, List<Point>> days) {
