Run entry hosts under seeded faults and load with bin/soak

Change: the module cactusspring-soak starts the program of deploy/system.toml as processes on loopback against the stand-ins, draws faults and load from a seed, and checks what callers and executors saw with an oracle of 20 rules. SoakOracleTest breaks each rule with a recorded history. docs/design/soak.md states the checks, the faults and how a run is replayed.

--- /dev/null
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/Cluster.java
@@ -0,0 +1,169 @@
+package io.cactusspring.soak;
+
+import io.cactusspring.jobs.model.StepId;
+import io.cactusspring.jobs.model.StepSpec;
+import io.cactusspring.jobs.model.TaskId;
+import io.cactusspring.platform.standin.AdviceServer;
+import io.cactusspring.platform.standin.ExecutorServer;
+import io.cactusspring.platform.standin.SettingsFile;
+import io.cactusspring.platform.standin.StoreServer;
+import io.cactusspring.platform.standin.Treatment;
+import io.cactusspring.soak.Site.ExecutorShape;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Function;
+
+/** The stand-ins and the hosts of a run. */
+final class Cluster {
+  static final long KEY_REVOKE_MILLIS = 5_000;
+  static final long EVACUATE_MILLIS = 5_000;
+  private static final int STORE_PARTITIONS = 16;
+  private static final int PORTS_PER_HOST = 4;
+  private static final long GRACE_SECONDS = 6;
+
+  private final Vertx vertx;
+  private final Recorder recorder;
+  private final long seed;
+  private final StoreServer store;
+  private final FaultSwitch storeFaults;
+  private final AdviceServer advice;
+  private final List<SoakExecutor> executors = new ArrayList<>();
+  private final List<FaultSwitch> executorFaults = new ArrayList<>();
+  private final List<String> executorAddresses = new ArrayList<>();
+  private final List<LinkProxy> links = new ArrayList<>();
+  private final List<HostProcess> hosts = new ArrayList<>();
+
+  Cluster(Vertx vertx, Recorder recorder, long seed) {
+    this.vertx = vertx;
+    this.recorder = recorder;
+    this.seed = seed;
+    store = new StoreServer(vertx);
+    storeFaults = new FaultSwitch(seed + 1);
+    // One executor is never allowed, so that advice makes a difference.
+    advice = new AdviceServer(vertx, Site.ADVICE, executor -> !executor.equals("x0"));
+  }
+
+  /** Starts the stand-ins, writes the configuration and announces the executors. */
+  Future<Void> listen(int hostCount, LoadPlan load, Function<String, Arrival> jobs) {
+    List<Future<?>> listening = new ArrayList<>();
+    listening.add(advice.listen(() -> Treatment.NORMAL));
+    for (ExecutorShape shape : Site.executors()) {
+      SoakExecutor executor = new SoakExecutor(shape, vertx, recorder, new Tasks(load, jobs));
+      FaultSwitch faults = new FaultSwitch(seed + 100 + executors.size());
+      executors.add(executor);
+      executorFaults.add(faults);
+      executorAddresses.add("");
+      int index = executors.size() - 1;
+      listening.add(
+          ExecutorServer.listen(vertx, faults, executor)
+              .onSuccess(address -> executorAddresses.set(index, address)));
+    }
+    listening.add(store.listen(storeFaults).compose(v -> openLinks(hostCount)));
+    return Future.all(listening)
+        .onSuccess(
+            v -> {
+              store.configure(Site.deployment());
+              for (int i = 0; i < executors.size(); i++) {
+                announce(i, true);
+              }
+            })
+        .mapEmpty();
+  }
+
+  private Future<Void> openLinks(int count) {
+    List<Future<Void>> listening = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      LinkProxy link = new LinkProxy(vertx, store.address());
+      links.add(link);
+      listening.add(link.listen());
+    }
+    return Future.all(listening).mapEmpty();
+  }
+
+  /** Starts the hosts, each with its own link to the store. */
+  void startHosts(List<String> command, Path root, Path folder) throws IOException {
+    int firstPort = FreePorts.consecutive(PORTS_PER_HOST * links.size());
+    for (int i = 0; i < links.size(); i++) {
+      int port = firstPort + PORTS_PER_HOST * i;
+      SettingsFile settings =
+          new SettingsFile(
+              "host" + i,
+              port,
+              port + 1,
+              port + 2,
+              links.get(i).address(),
+              STORE_PARTITIONS,
+              advice.address(),
+              KEY_REVOKE_MILLIS,
+              GRACE_SECONDS,
+              EVACUATE_MILLIS);
+      hosts.add(new HostProcess(vertx, recorder, settings, command, root, folder));
+    }
+    hosts.forEach(HostProcess::start);
+  }
+
+  void announce(int executor, boolean present) {
+    store.announce(executors.get(executor).info(executorAddresses.get(executor)), present);
+  }
+
+  StoreServer store() {
+    return store;
+  }
+
+  FaultSwitch storeFaults() {
+    return storeFaults;
+  }
+
+  List<SoakExecutor> executors() {
+    return executors;
+  }
+
+  FaultSwitch executorFaults(int executor) {
+    return executorFaults.get(executor);
+  }
+
+  List<LinkProxy> links() {
+    return links;
+  }
+
+  List<HostProcess> hosts() {
+    return hosts;
+  }
+
+  private final class Tasks implements SoakExecutor.Work {
+    private final LoadPlan load;
+    private final Function<String, Arrival> jobs;
+
+    Tasks(LoadPlan load, Function<String, Arrival> jobs) {
+      this.load = load;
+      this.jobs = jobs;
+    }
+
+    @Override
+    public StepSpec step(TaskId task) {
+      Arrival job = jobs.apply(task.job());
+      return job == null ? null : job.steps().get(task.step());
+    }
+
+    @Override
+    public long millis(TaskId task) {
+      return load.taskMillis(task, step(task));
+    }
+
+    @Override
+    public boolean fails(TaskId task, int run) {
+      return load.fails(task, run);
+    }
+
+    @Override
+    public boolean permits(String ticket, TaskId task, String executor) {
+      Arrival job = jobs.apply(task.job());
+      StepId step = task.stepId();
+      return job == null || !job.queue().needsAdvice() || advice.permits(ticket, step, executor);
+    }
+  }
+}
--- /dev/null
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/JobFacts.java
@@ -0,0 +1,90 @@
+package io.cactusspring.soak;
+
+import io.cactusspring.jobs.model.JobState;
+import io.cactusspring.jobs.model.StepSpec;
+import io.cactusspring.jobs.model.TaskId;
+import io.cactusspring.platform.standin.CallerClient.Verdict;
+import io.cactusspring.soak.Observation.Answered;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+/** What was seen of one job. */
+final class JobFacts {
+  private static final Set<Verdict> NOT_STORED =
+      Set.of(Verdict.REJECTED, Verdict.UNKNOWN_KEY, Verdict.NOT_SENT);
+
+  final String id;
+  final String organisation;
+  final List<StepSpec> steps;
+  final long firstSentAt;
+  final Set<TaskId> done = new HashSet<>();
+  final Set<TaskId> acknowledgedDone = new HashSet<>();
+  final Map<TaskId, Integer> failures = new HashMap<>();
+  private final List<Answered> states = new ArrayList<>();
+  long acceptedAt = -1;
+  long cancelledAt = -1;
+  long firstStartAt = -1;
+  boolean cancelSent;
+  private int openSubmissions;
+  private boolean perhapsStored;
+
+  JobFacts(String id, String organisation, List<StepSpec> steps, long firstSentAt) {
+    this.id = id;
+    this.organisation = organisation;
+    this.steps = steps;
+    this.firstSentAt = firstSentAt;
+  }
+
+  void sent() {
+    openSubmissions++;
+  }
+
+  void answered(Answered answer) {
+    openSubmissions--;
+    perhapsStored |= !NOT_STORED.contains(answer.verdict());
+    if (answer.verdict() == Verdict.ACCEPTED && acceptedAt < 0) {
+      acceptedAt = answer.at();
+    }
+  }
+
+  /** Returns whether every submission so far was answered as not run. */
+  boolean certainlyNotStored() {
+    return openSubmissions == 0 && !perhapsStored;
+  }
+
+  void stateSeen(Answered answer) {
+    states.add(answer);
+  }
+
+  /** Returns the states that were seen by callers before a time. */
+  Stream<JobState> statesBefore(long time) {
+    return states.stream().filter(s -> s.at() < time).map(Answered::state);
+  }
+
+  boolean isFinal() {
+    return states.stream().anyMatch(s -> s.state().isFinal());
+  }
+
+  /** Returns whether a caller was told that the job is stored. */
+  boolean isKnown() {
+    return acceptedAt >= 0 || !states.isEmpty();
+  }
+
+  Stream<TaskId> tasksOf(int step) {
+    return IntStream.range(0, steps.get(step).tasks()).mapToObj(i -> new TaskId(id, 0, step, i));
+  }
+
+  boolean isStepDone(int step) {
+    return tasksOf(step).allMatch(done::contains);
+  }
+
+  boolean isDone() {
+    return IntStream.range(0, steps.size()).allMatch(this::isStepDone);
+  }
+}
--- /dev/null
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/Observation.java
@@ -0,0 +1,80 @@
+package io.cactusspring.soak;
+
+import io.cactusspring.jobs.model.JobState;
+import io.cactusspring.jobs.model.StepSpec;
+import io.cactusspring.jobs.model.TaskId;
+import io.cactusspring.jobs.port.ExecutorClient.EndReason;
+import io.cactusspring.platform.standin.CallerClient.Verdict;
+import java.util.List;
+
+/** What callers, executors and the fault injection saw, in milliseconds since the run began. */
+public sealed interface Observation {
+  long at();
+
+  /** The kinds of requests of callers. */
+  enum Request {
+    SUBMISSION,
+    CANCELLATION,
+    QUERY
+  }
+
+  /** A caller sends a submission; repeated for each attempt. */
+  record Submitted(long at, String job, String organisation, List<StepSpec> steps)
+      implements Observation {}
+
+  /** A caller sends a cancellation. */
+  record CancelSent(long at, String job) implements Observation {}
+
+  /**
+   * A request was answered, or its caller gave up.
+   *
+   * @param state the job's state; null unless the answer shows it
+   * @param retryAfterMillis when a rejected caller may try again; 0 if not named
+   */
+  record Answered(
+      long at,
+      long sentAt,
+      String host,
+      Request request,
+      String job,
+      String key,
+      Verdict verdict,
+      JobState state,
+      long retryAfterMillis)
+      implements Observation {}
+
+  /** An executor starts a run. */
+  record Started(long at, String executor, TaskId task, int run) implements Observation {}
+
+  /** A run ends on an executor. */
+  record Ended(long at, String executor, TaskId task, int run, EndReason reason)
+      implements Observation {}
+
+  /** A host acknowledges the end of a run to its executor. */
+  record Acknowledged(long at, TaskId task, EndReason reason) implements Observation {}
+
+  /** An executor loses all its runs. */
+  record ExecutorLost(long at, String executor) implements Observation {}
+
+  /** A fault that may delay what the checks with a time bound wait for. */
+  record Disturbed(long at, long until) implements Observation {}
+
+  /** The operator withdraws an API key. */
+  record KeyWithdrawn(long at, String key) implements Observation {}
+
+  /** The operator takes a zone out of use or returns it. */
+  record ZoneUse(long at, String zone, boolean out) implements Observation {}
+
+  /** An organisation submits at a multiple of its usual rate. */
+  record Surge(long at, long until, String organisation) implements Observation {}
+
+  /** A host receives the signal of a planned stop. */
+  record PlannedStop(long at, String host) implements Observation {}
+
+  /**
+   * A host's process has ended.
+   *
+   * @param expected whether the fault injection ended it
+   */
+  record HostEnded(long at, String host, int status, boolean expected) implements Observation {}
+}
--- /dev/null
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/RunChecks.java
@@ -0,0 +1,199 @@
+package io.cactusspring.soak;
+
+import io.cactusspring.core.model.Resources;
+import io.cactusspring.jobs.model.ExecutorInfo;
+import io.cactusspring.jobs.model.Organisation;
+import io.cactusspring.jobs.model.StepSpec;
+import io.cactusspring.jobs.model.TaskId;
+import io.cactusspring.jobs.port.ExecutorClient.EndReason;
+import io.cactusspring.soak.Observation.Ended;
+import io.cactusspring.soak.Observation.Started;
+import io.cactusspring.soak.Observation.ZoneUse;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
+
+/** Checks of what executors run. */
+final class RunChecks {
+  /** Time after an acknowledged cancellation in which its runs are found and stopped. */
+  static final long CANCEL_MILLIS = 5_000;
+
+  /** Time in which all members of a gang start; a refused start is tried again elsewhere. */
+  static final long GANG_MILLIS = 4_000;
+
+  private record Active(String executor, TaskId task, int run) {}
+
+  private final SoakOracle.Settings settings;
+  private final Map<String, JobFacts> jobs;
+  private final Disturbances disturbances;
+  private final Findings findings;
+  private final Map<String, ExecutorInfo> executors = new HashMap<>();
+  private final Map<String, Organisation> organisations = new HashMap<>();
+  private final Map<String, Long> evacuatedAt = new HashMap<>();
+  private final Map<Active, JobFacts> active = new HashMap<>();
+
+  RunChecks(
+      SoakOracle.Settings settings,
+      Map<String, JobFacts> jobs,
+      Disturbances disturbances,
+      Findings findings) {
+    this.settings = settings;
+    this.jobs = jobs;
+    this.disturbances = disturbances;
+    this.findings = findings;
+    settings.executors().forEach(e -> executors.put(e.id(), e));
+    settings.organisations().forEach(o -> organisations.put(o.name(), o));
+  }
+
+  void started(Started start) {
+    TaskId task = start.task();
+    JobFacts job = jobs.get(task.job());
+    if (job == null) {
+      findings.add(start.at(), Rule.UNKNOWN_JOB_RUNS, task + " on " + start.executor());
+      return;
+    }
+    checkTask(start, job);
+    checkCancellation(start, job);
+    checkZone(start);
+    active.put(new Active(start.executor(), task, start.run()), job);
+    checkResources(start, job);
+    StepSpec step = job.steps.get(task.step());
+    if (step.gang()) {
+      findings.checkAfterCalm(
+          start.at(), GANG_MILLIS, Rule.GANG_INCOMPLETE, () -> incompleteGang(job, task.step()));
+    }
+    if (job.firstStartAt < 0) {
+      job.firstStartAt = start.at();
+    }
+  }
+
+  private void checkTask(Started start, JobFacts job) {
+    TaskId task = start.task();
+    active.keySet().stream()
+        .filter(a -> a.task().equals(task))
+        .forEach(
+            a ->
+                findings.add(
+                    start.at(),
+                    Rule.DUPLICATE_RUN,
+                    "%s run %d on %s while run %d is on %s"
+                        .formatted(task, start.run(), start.executor(), a.run(), a.executor())));
+    if (job.acknowledgedDone.contains(task)) {
+      findings.add(start.at(), Rule.RUN_AFTER_ACKNOWLEDGED_END, task + " on " + start.executor());
+    }
+    job.steps.get(task.step()).after().stream()
+        .filter(s -> !job.isStepDone(s))
+        .forEach(
+            s ->
+                findings.add(
+                    start.at(), Rule.STEP_OUT_OF_ORDER, task + " before the end of step " + s));
+    if (job.certainlyNotStored()) {
+      findings.add(start.at(), Rule.REJECTED_JOB_RUNS, task + " on " + start.executor());
+    }
+  }
+
+  private void checkCancellation(Started start, JobFacts job) {
+    if (job.cancelledAt >= 0
+        && start.at() > job.cancelledAt + CANCEL_MILLIS
+        && disturbances.isCalm(job.cancelledAt, start.at())) {
+      findings.add(start.at(), Rule.CANCELLED_WORK_RUNS, start.task() + " starts");
+    }
+  }
+
+  private void checkZone(Started start) {
+    ExecutorInfo executor = executors.get(start.executor());
+    Long since = executor == null ? null : evacuatedAt.get(executor.zone());
+    if (settings.checkEvacuation()
+        && since != null
+        && start.at() > since + settings.evacuateMillis()) {
+      findings.add(
+          start.at(),
+          Rule.START_IN_EVACUATED_ZONE,
+          start.task() + " on " + start.executor() + " in " + executor.zone());
+    }
+  }
+
+  private void checkResources(Started start, JobFacts job) {
+    Resources used = used(a -> a.getKey().executor().equals(start.executor()));
+    ExecutorInfo executor = executors.get(start.executor());
+    if (executor != null && !used.fitsIn(executor.capacity())) {
+      findings.add(start.at(), Rule.CAPACITY_EXCEEDED, start.executor() + " uses " + used);
+    }
+    Organisation organisation = organisations.get(job.organisation);
+    Resources total = used(a -> a.getValue().organisation.equals(job.organisation));
+    if (organisation != null && !organisation.allows(total)) {
+      findings.add(start.at(), Rule.LIMIT_EXCEEDED, job.organisation + " uses " + total);
+    }
+  }
+
+  private Resources used(Predicate<Map.Entry<Active, JobFacts>> filter) {
+    return active.entrySet().stream()
+        .filter(filter)
+        .map(a -> a.getValue().steps.get(a.getKey().task().step()).committed())
+        .reduce(Resources.NONE, Resources::plus);
+  }
+
+  private Optional<String> incompleteGang(JobFacts job, int step) {
+    List<TaskId> running =
+        active.keySet().stream()
+            .map(Active::task)
+            .filter(t -> t.job().equals(job.id) && t.step() == step)
+            .toList();
+    long missing =
+        job.tasksOf(step).filter(t -> !running.contains(t) && !job.done.contains(t)).count();
+    return running.isEmpty() || missing == 0
+        ? Optional.empty()
+        : Optional.of(
+            "step %d of %s runs with %d of its tasks missing".formatted(step, job.id, missing));
+  }
+
+  void ended(Ended end) {
+    active.remove(new Active(end.executor(), end.task(), end.run()));
+    JobFacts job = jobs.get(end.task().job());
+    if (job == null) {
+      return;
+    }
+    if (end.reason() == EndReason.DONE) {
+      members(job, end.task()).forEach(job.done::add);
+    } else if (end.reason() == EndReason.FAILED) {
+      job.failures.merge(end.task(), 1, Integer::sum);
+    }
+  }
+
+  /** Returns the task, or all tasks of its gang: one member that is done completes the gang. */
+  private static Stream<TaskId> members(JobFacts job, TaskId task) {
+    return job.steps.get(task.step()).gang() ? job.tasksOf(task.step()) : Stream.of(task);
+  }
+
+  void executorLost(String executor) {
+    active.keySet().removeIf(a -> a.executor().equals(executor));
+  }
+
+  void zoneUse(ZoneUse use) {
+    if (use.out()) {
+      evacuatedAt.put(use.zone(), use.at());
+    } else {
+      evacuatedAt.remove(use.zone());
+    }
+  }
+
+  void cancelled(JobFacts job, long at) {
+    findings.checkAfterCalm(
+        at,
+        CANCEL_MILLIS,
+        Rule.CANCELLED_WORK_RUNS,
+        () -> runsOf(job.id).map(a -> a.task() + " still runs on " + a.executor()));
+  }
+
+  /** Returns a run of a job. */
+  private Optional<Active> runsOf(String job) {
+    return active.keySet().stream().filter(a -> a.task().job().equals(job)).findFirst();
+  }
+
+  boolean isRunning(String job) {
+    return runsOf(job).isPresent();
+  }
+}
--- /dev/null
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakExecutor.java
@@ -0,0 +1,304 @@
+package io.cactusspring.soak;
+
+import io.cactusspring.jobs.model.ExecutorInfo;
+import io.cactusspring.jobs.model.StepSpec;
+import io.cactusspring.jobs.model.TaskId;
+import io.cactusspring.jobs.port.ExecutorClient.ActiveRun;
+import io.cactusspring.jobs.port.ExecutorClient.CommandResult;
+import io.cactusspring.jobs.port.ExecutorClient.EndReason;
+import io.cactusspring.jobs.port.ExecutorClient.EndedRun;
+import io.cactusspring.jobs.port.ExecutorClient.LeaseRenewalRequest;
+import io.cactusspring.jobs.port.ExecutorClient.LeaseRenewalResult;
+import io.cactusspring.jobs.port.ExecutorClient.Refusal;
+import io.cactusspring.jobs.port.ExecutorClient.StartRequest;
+import io.cactusspring.platform.standin.ExecutorServer;
+import io.cactusspring.soak.Site.ExecutorShape;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** A stand-in executor with leases, fencing tokens, checkpoints and reboots, in real time. */
+final class SoakExecutor implements ExecutorServer.Model {
+  private static final long MAX_LEASE_MILLIS = 6_000;
+  private static final long STOP_MILLIS = 100;
+  private static final long LEASE_CHECK_MILLIS = 20;
+
+  /** What the executor needs to know of the tasks. */
+  interface Work {
+    /** Returns the step of a task; null if the job is unknown. */
+    StepSpec step(TaskId task);
+
+    /** Returns the duration of a task on a normal executor. */
+    long millis(TaskId task);
+
+    boolean fails(TaskId task, int run);
+
+    /** Returns whether a ticket permits a task on an executor; true if its queue needs none. */
+    boolean permits(String ticket, TaskId task, String executor);
+  }
+
+  private static final class Task {
+    private final TaskId id;
+    private final int run;
+    private final StepSpec step;
+    private final long startedAt;
+    private final long doneMillis;
+    private final long totalMillis;
+    private boolean ended;
+
+    Task(StartRequest request, StepSpec step, long startedAt, long totalMillis) {
+      id = request.task();
+      run = request.run();
+      this.step = step;
+      this.startedAt = startedAt;
+      this.totalMillis = totalMillis;
+      doneMillis = request.checkpoint().isEmpty() ? 0 : Long.parseLong(request.checkpoint());
+    }
+  }
+
+  private final ExecutorShape shape;
+  private final Vertx vertx;
+  private final Recorder recorder;
+  private final Work work;
+  private final Map<TaskId, Task> running = new LinkedHashMap<>();
+  private final List<EndedRun> ended = new ArrayList<>();
+
+  /** Ends before the lease lapsed; the platform never counts these as acknowledged. */
+  private final Set<Long> endsBeforeLapse = new HashSet<>();
+
+  private final Map<TaskId, Integer> highestEndedRun = new HashMap<>();
+  private final List<Runnable> pendingReports = new ArrayList<>();
+  private long bootNanos = System.nanoTime();
+  private long bootMillis = System.currentTimeMillis();
+  private long highestFencingToken;
+  private long leaseEnd;
+  private long lastEndNumber;
+  private boolean up = true;
+  private boolean draining;
+
+  SoakExecutor(ExecutorShape shape, Vertx vertx, Recorder recorder, Work work) {
+    this.shape = shape;
+    this.vertx = vertx;
+    this.recorder = recorder;
+    this.work = work;
+    vertx.setPeriodic(LEASE_CHECK_MILLIS, id -> checkLease());
+  }
+
+  @Override
+  public String id() {
+    return shape.id();
+  }
+
+  ExecutorInfo info(String address) {
+    return new ExecutorInfo(
+        shape.id(),
+        address,
+        Site.SERVICE,
+        shape.zone(),
+        draining,
+        -1,
+        shape.capacity(),
+        Set.of(shape.zone(), "speed-" + shape.durationFactor()),
+        bootMillis);
+  }
+
+  /** Stops the executor: all state is lost, and calls get no answer until it boots. */
+  void crash() {
+    up = false;
+    recorder.record(at -> new Observation.ExecutorLost(at, id()));
+    running.values().forEach(t -> t.ended = true);
+    running.clear();
+    ended.clear();
+    endsBeforeLapse.clear();
+    highestEndedRun.clear();
+    highestFencingToken = 0;
+    leaseEnd = 0;
+    lastEndNumber = 0;
+  }
+
+  void drain() {
+    draining = true;
+  }
+
+  /** Starts the executor again, as a new boot. */
+  void boot() {
+    draining = false;
+    bootNanos = System.nanoTime();
+    bootMillis = System.currentTimeMillis();
+    up = true;
+  }
+
+  private long uptimeMillis() {
+    return (System.nanoTime() - bootNanos) / 1_000_000;
+  }
+
+  private void checkLease() {
+    if (up && !running.isEmpty() && uptimeMillis() > leaseEnd) {
+      List.copyOf(running.values()).forEach(t -> end(t, EndReason.LAPSED));
+    }
+  }
+
+  @Override
+  public CommandResult start(StartRequest request) {
+    if (!up) {
+      return new CommandResult.Unknown("executor is down");
+    }
+    if (!admit(request.fencingToken())) {
+      return new CommandResult.Refused(Refusal.FENCED);
+    }
+    if (request.leaseEndMillis() < uptimeMillis()) {
+      return new CommandResult.Refused(Refusal.EXPIRED);
+    }
+    TaskId id = request.task();
+    Task existing = running.get(id);
+    if (existing != null && existing.run == request.run()) {
+      extendLease(request.leaseEndMillis());
+      return done();
+    }
+    if (existing != null || request.run() <= highestEndedRun.getOrDefault(id, 0)) {
+      return new CommandResult.Refused(Refusal.STALE_RUN);
+    }
+    if (!work.permits(request.ticket(), id, id())) {
+      return new CommandResult.Refused(Refusal.TICKET);
+    }
+    recorder.record(at -> new Observation.Started(at, id(), id, request.run()));
+    StepSpec step = work.step(id);
+    if (step == null) {
+      return new CommandResult.Refused(Refusal.INVALID);
+    }
+    extendLease(request.leaseEndMillis());
+    long total = Math.max(1, Math.round(work.millis(id) * shape.durationFactor()));
+    Task task = new Task(request, step, uptimeMillis(), total);
+    running.put(id, task);
+    if (!step.longRunning()) {
+      EndReason reason = work.fails(id, task.run) ? EndReason.FAILED : EndReason.DONE;
+      vertx.setTimer(Math.max(1, total - task.doneMillis), timer -> end(task, reason));
+    }
+    return done();
+  }
+
+  private boolean admit(long token) {
+    if (token < highestFencingToken) {
+      return false;
+    }
+    highestFencingToken = token;
+    return true;
+  }
+
+  @Override
+  public CommandResult stop(TaskId id, int run, long token) {
+    if (!up) {
+      return new CommandResult.Unknown("executor is down");
+    }
+    if (!admit(token)) {
+      return new CommandResult.Refused(Refusal.FENCED);
+    }
+    highestEndedRun.merge(id, run, Math::max);
+    Task task = running.get(id);
+    if (task != null && task.run == run) {
+      vertx.setTimer(STOP_MILLIS, timer -> end(task, EndReason.STOPPED));
+    }
+    return done();
+  }
+
+  @Override
+  public CommandResult pace(TaskId id, int run, long token) {
+    if (!up) {
+      return new CommandResult.Unknown("executor is down");
+    }
+    return admit(token) ? done() : new CommandResult.Refused(Refusal.FENCED);
+  }
+
+  private CommandResult done() {
+    return new CommandResult.Done(uptimeMillis());
+  }
+
+  private void end(Task task, EndReason reason) {
+    if (task.ended) {
+      return;
+    }
+    task.ended = true;
+    running.remove(task.id);
+    highestEndedRun.merge(task.id, task.run, Math::max);
+    ended.add(new EndedRun(++lastEndNumber, task.id, task.run, reason, checkpoint(task)));
+    recorder.record(at -> new Observation.Ended(at, id(), task.id, task.run, reason));
+    List<Runnable> reports = List.copyOf(pendingReports);
+    pendingReports.clear();
+    reports.forEach(Runnable::run);
+  }
+
+  private long doneMillis(Task task) {
+    return task.doneMillis + uptimeMillis() - task.startedAt;
+  }
+
+  private String checkpoint(Task task) {
+    return task.step.checkpoints()
+        ? String.valueOf(Math.min(doneMillis(task), task.totalMillis))
+        : "";
+  }
+
+  @Override
+  public Future<LeaseRenewalResult> renewLeases(LeaseRenewalRequest request) {
+    if (!up) {
+      return Future.succeededFuture(new LeaseRenewalResult.Unknown("executor is down"));
+    }
+    if (!admit(request.fencingToken())) {
+      return Future.succeededFuture(new LeaseRenewalResult.Refused(Refusal.FENCED));
+    }
+    extendLease(request.leaseEndMillis());
+    ended.stream()
+        .filter(e -> e.number() <= request.acknowledgedEnd())
+        .filter(e -> !endsBeforeLapse.contains(e.number()))
+        .forEach(
+            e -> recorder.record(at -> new Observation.Acknowledged(at, e.task(), e.reason())));
+    ended.removeIf(e -> e.number() <= request.acknowledgedEnd());
+    if (!ended.isEmpty() || request.waitMillis() <= 0) {
+      return Future.succeededFuture(report());
+    }
+    Promise<LeaseRenewalResult> promise = Promise.promise();
+    Runnable send = () -> promise.tryComplete(report());
+    pendingReports.add(send);
+    vertx.setTimer(
+        request.waitMillis(),
+        timer -> {
+          pendingReports.remove(send);
+          send.run();
+        });
+    return promise.future();
+  }
+
+  private LeaseRenewalResult report() {
+    if (!up) {
+      return new LeaseRenewalResult.Unknown("executor is down");
+    }
+    List<ActiveRun> runs =
+        running.values().stream()
+            .map(t -> new ActiveRun(t.id, t.run, checkpoint(t), percent(t), usage(t)))
+            .toList();
+    return new LeaseRenewalResult.Report(uptimeMillis(), bootMillis, runs, List.copyOf(ended));
+  }
+
+  private int percent(Task task) {
+    return task.step.longRunning()
+        ? 0
+        : (int) Math.min(99, doneMillis(task) * 100 / task.totalMillis);
+  }
+
+  private static long usage(Task task) {
+    return task.step.longRunning() ? 10 : task.step.resources().milliProcessors();
+  }
+
+  private void extendLease(long end) {
+    if (uptimeMillis() > leaseEnd) {
+      ended.forEach(e -> endsBeforeLapse.add(e.number()));
+    }
+    leaseEnd = Math.max(leaseEnd, Math.min(end, uptimeMillis() + MAX_LEASE_MILLIS));
+  }
+}
--- /dev/null
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakOracle.java
@@ -0,0 +1,168 @@
+package io.cactusspring.soak;
+
+import io.cactusspring.jobs.model.ExecutorInfo;
+import io.cactusspring.jobs.model.Organisation;
+import io.cactusspring.jobs.port.ExecutorClient.EndReason;
+import io.cactusspring.platform.standin.CallerClient.Verdict;
+import io.cactusspring.soak.Observation.Answered;
+import io.cactusspring.soak.Observation.Request;
+import io.cactusspring.soak.Observation.Surge;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/** Checks the promises to callers against what callers and executors saw. */
+public final class SoakOracle {
+  /**
+   * Bounds and sizes of the deployment.
+   *
+   * @param maxAttempts failed attempts of a task at which its job fails
+   * @param evacuateMillis time after which nothing starts in an evacuated zone
+   * @param checkEvacuation whether starts in an evacuated zone are violations
+   * @param checkFairness whether a surge may not delay other organisations
+   */
+  public record Settings(
+      List<ExecutorInfo> executors,
+      List<Organisation> organisations,
+      int maxAttempts,
+      long keyRevokeMillis,
+      long evacuateMillis,
+      boolean checkEvacuation,
+      boolean checkFairness) {}
+
+  /** Difference of mean waiting times that a few unequal jobs explain. */
+  private static final double FAIRNESS_TOLERANCE_MILLIS = 500;
+
+  private final Settings settings;
+  private final Map<String, JobFacts> jobs = new LinkedHashMap<>();
+  private final List<Surge> surges = new ArrayList<>();
+  private final Disturbances disturbances = new Disturbances();
+  private final Findings findings = new Findings(disturbances);
+  private final RunChecks runChecks;
+  private final CallerChecks callerChecks;
+
+  public SoakOracle(Settings settings) {
+    this.settings = settings;
+    runChecks = new RunChecks(settings, jobs, disturbances, findings);
+    callerChecks = new CallerChecks(settings, jobs, disturbances, findings);
+  }
+
+  /** Takes the next observation; their times must not decrease. */
+  public void observe(Observation observation) {
+    findings.advance(observation.at());
+    switch (observation) {
+      case Observation.Submitted s ->
+          jobs.computeIfAbsent(s.job(), id -> new JobFacts(id, s.organisation(), s.steps(), s.at()))
+              .sent();
+      case Observation.CancelSent c -> facts(c.job()).forEach(j -> j.cancelSent = true);
+      case Answered a -> answered(a);
+      case Observation.Started s -> runChecks.started(s);
+      case Observation.Ended e -> runChecks.ended(e);
+      case Observation.Acknowledged a -> acknowledged(a);
+      case Observation.ExecutorLost l -> runChecks.executorLost(l.executor());
+      case Observation.Disturbed d -> disturbances.add(d);
+      case Observation.KeyWithdrawn k -> callerChecks.keyWithdrawn(k);
+      case Observation.ZoneUse z -> runChecks.zoneUse(z);
+      case Surge s -> surges.add(s);
+      case Observation.PlannedStop s -> callerChecks.plannedStop(s);
+      case Observation.HostEnded e -> callerChecks.hostEnded(e);
+    }
+  }
+
+  private Collection<JobFacts> facts(String job) {
+    JobFacts facts = jobs.get(job);
+    return facts == null ? Set.of() : Set.of(facts);
+  }
+
+  private void answered(Answered answer) {
+    callerChecks.answered(answer);
+    for (JobFacts job : facts(answer.job())) {
+      if (answer.request() == Request.SUBMISSION) {
+        job.answered(answer);
+      } else if (answer.request() == Request.CANCELLATION
+          && answer.verdict() == Verdict.ACCEPTED
+          && job.cancelledAt < 0) {
+        job.cancelledAt = answer.at();
+        runChecks.cancelled(job, answer.at());
+      }
+    }
+  }
+
+  private void acknowledged(Observation.Acknowledged end) {
+    if (end.reason() == EndReason.DONE) {
+      facts(end.task().job()).forEach(j -> j.acknowledgedDone.add(end.task()));
+    }
+  }
+
+  /** Returns whether all jobs that callers know to be stored have ended. */
+  public boolean isDrained() {
+    return jobs.values().stream().noneMatch(this::isUnfinished);
+  }
+
+  private boolean isUnfinished(JobFacts job) {
+    return job.isKnown() && !job.isFinal() || runChecks.isRunning(job.id);
+  }
+
+  /** Carries out the checks at the end of a run. */
+  public void finish(long now) {
+    findings.advance(now);
+    jobs.values().stream()
+        .filter(this::isUnfinished)
+        .forEach(
+            j ->
+                findings.add(
+                    now,
+                    Rule.JOB_NOT_DRAINED,
+                    j.id
+                        + " of "
+                        + j.organisation
+                        + (runChecks.isRunning(j.id) ? " still runs" : " has not ended")));
+    if (settings.checkFairness()) {
+      surges.forEach(s -> checkFairness(s, now));
+    }
+  }
+
+  private void checkFairness(Surge surge, long now) {
+    Map<String, List<JobFacts>> started =
+        jobs.values().stream()
+            .filter(j -> j.firstSentAt >= surge.at() && j.firstSentAt <= surge.until())
+            .filter(j -> j.firstStartAt >= 0)
+            .collect(Collectors.groupingBy(j -> j.organisation));
+    OptionalDouble surging = meanWait(started.getOrDefault(surge.organisation(), List.of()));
+    started.forEach(
+        (organisation, theirs) -> {
+          double wait = meanWait(theirs).orElse(0);
+          if (surging.isPresent() && wait > surging.getAsDouble() + FAIRNESS_TOLERANCE_MILLIS) {
+            findings.add(
+                now,
+                Rule.SURGE_DELAYED_OTHERS,
+                "%s waited %.0f ms, %s, which surged, %.0f ms"
+                    .formatted(organisation, wait, surge.organisation(), surging.getAsDouble()));
+          }
+        });
+  }
+
+  private static OptionalDouble meanWait(List<JobFacts> started) {
+    return started.stream().mapToLong(j -> j.firstStartAt - j.firstSentAt).average();
+  }
+
+  /** Returns the violations found so far. */
+  public List<Violation> violations() {
+    return findings.violations();
+  }
+
+  /** Returns a line that sums up what was seen. */
+  public String summary() {
+    return "%d jobs, %d accepted, %d final, %d rejected throughout"
+        .formatted(
+            jobs.size(),
+            jobs.values().stream().filter(j -> j.acceptedAt >= 0).count(),
+            jobs.values().stream().filter(JobFacts::isFinal).count(),
+            jobs.values().stream().filter(JobFacts::certainlyNotStored).count());
+  }
+}
--- /dev/null
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakRun.java
@@ -0,0 +1,175 @@
+package io.cactusspring.soak;
+
+import io.cactusspring.jobs.model.ExecutorInfo;
+import io.cactusspring.platform.standin.CallerClient;
+import io.cactusspring.soak.Fault.Group;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** One run of the soak: all stand-ins and callers share one event loop. */
+final class SoakRun {
+  /**
+   * What a run consists of.
+   *
+   * @param root directory of the repository
+   * @param folder directory for the plan and the logs
+   */
+  record Options(
+      long seed,
+      long durationMillis,
+      int hosts,
+      Set<Group> faults,
+      boolean checkEvacuation,
+      boolean checkFairness,
+      Path root,
+      Path folder) {}
+
+  private static final long READY_MILLIS = 30_000;
+  private static final long POLL_MILLIS = 200;
+
+  /** Jobs that wait through an overload end within this time after the load. */
+  private static final long DRAIN_MILLIS = 60_000;
+
+  private static final Pattern RUN_LINE = Pattern.compile("(?m)^run = \"(.*)\"$");
+
+  private final Options options;
+  private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+  private final SoakOracle oracle;
+  private final Recorder recorder;
+  private final Cluster cluster;
+  private Callers callers;
+  private String outcome = "";
+
+  SoakRun(Options options) throws IOException {
+    this.options = options;
+    oracle = new SoakOracle(settings(options));
+    recorder = new Recorder(oracle, options.folder().resolve("observations.log"));
+    cluster = new Cluster(vertx, recorder, options.seed());
+  }
+
+  private static SoakOracle.Settings settings(Options options) {
+    List<ExecutorInfo> executors =
+        Site.executors().stream()
+            .map(
+                e ->
+                    new ExecutorInfo(
+                        e.id(), "", Site.SERVICE, e.zone(), false, -1, e.capacity(), Set.of(), 0))
+            .toList();
+    return new SoakOracle.Settings(
+        executors,
+        Site.organisations(),
+        Site.MAX_ATTEMPTS,
+        Cluster.KEY_REVOKE_MILLIS,
+        Cluster.EVACUATE_MILLIS,
+        options.checkEvacuation(),
+        options.checkFairness());
+  }
+
+  /** Runs to the end and returns the violations. */
+  List<Violation> run() throws Exception {
+    Thread killer = new Thread(() -> cluster.hosts().forEach(HostProcess::kill));
+    Runtime.getRuntime().addShutdownHook(killer);
+    Promise<Void> done = Promise.promise();
+    vertx.runOnContext(v -> play().onComplete(done));
+    try {
+      done.future()
+          .toCompletionStage()
+          .toCompletableFuture()
+          .get(READY_MILLIS + options.durationMillis() + 2 * DRAIN_MILLIS, TimeUnit.MILLISECONDS);
+    } finally {
+      cluster.hosts().forEach(HostProcess::kill);
+      var unused = vertx.close().toCompletionStage().toCompletableFuture().get();
+      recorder.close();
+    }
+    return oracle.violations();
+  }
+
+  String summary() {
+    return oracle.summary() + outcome;
+  }
+
+  private Future<Void> play() {
+    // The last disturbance has passed when the load ends.
+    long faultMillis = options.durationMillis() - FaultInjector.RECOVERY_MILLIS;
+    List<Fault> faults =
+        FaultPlan.draw(options.seed(), faultMillis, options.hosts(), options.faults());
+    LoadPlan load = new LoadPlan(options.seed(), faults);
+    List<Arrival> arrivals = load.draw(options.durationMillis());
+    CallerClient client = new CallerClient(vertx);
+    return cluster
+        .listen(options.hosts(), load, id -> callers.arrival(id).orElse(null))
+        .compose(v -> startHosts(faults, arrivals))
+        .compose(
+            v -> {
+              Balancer balancer = new Balancer(vertx, cluster.hosts(), client, options.seed());
+              callers = new Callers(vertx, recorder, client, balancer, options.seed() + 3);
+              return waitUntil(balancer::areAllReady, READY_MILLIS)
+                  .compose(
+                      ready ->
+                          ready
+                              ? Future.succeededFuture()
+                              : Future.failedFuture("the hosts were not ready in time"));
+            })
+        .compose(v -> load(faults, arrivals))
+        .compose(v -> drain());
+  }
+
+  private Future<Void> startHosts(List<Fault> faults, List<Arrival> arrivals) {
+    try {
+      Files.write(
+          options.folder().resolve("plan.txt"), faults.stream().map(Fault::toString).toList());
+      Files.write(
+          options.folder().resolve("arrivals.txt"),
+          arrivals.stream().map(Arrival::toString).toList());
+      Matcher line =
+          RUN_LINE.matcher(Files.readString(options.root().resolve("deploy/system.toml")));
+      if (!line.find()) {
+        return Future.failedFuture("deploy/system.toml has no run line");
+      }
+      cluster.startHosts(List.of(line.group(1).split(" ")), options.root(), options.folder());
+      return Future.succeededFuture();
+    } catch (IOException e) {
+      return Future.failedFuture(e);
+    }
+  }
+
+  private Future<Void> load(List<Fault> faults, List<Arrival> arrivals) {
+    recorder.restartClock();
+    System.out.println("load: %d jobs, %d faults".formatted(arrivals.size(), faults.size()));
+    callers.schedule(arrivals);
+    new FaultInjector(vertx, recorder, cluster, callers).schedule(faults);
+    return vertx.timer(options.durationMillis(), TimeUnit.MILLISECONDS).mapEmpty();
+  }
+
+  private Future<Void> drain() {
+    // Checks that waited for a calm period are due by then.
+    long atLeast = options.durationMillis() + RunChecks.CANCEL_MILLIS + POLL_MILLIS;
+    return waitUntil(() -> recorder.now() > atLeast && oracle.isDrained(), DRAIN_MILLIS)
+        .onSuccess(
+            drained -> {
+              outcome = ", drained %b after %d ms".formatted(drained, recorder.now());
+              recorder.finish();
+            })
+        .mapEmpty();
+  }
+
+  private Future<Boolean> waitUntil(BooleanSupplier condition, long millis) {
+    if (condition.getAsBoolean() || millis <= 0) {
+      return Future.succeededFuture(condition.getAsBoolean());
+    }
+    return vertx
+        .timer(POLL_MILLIS, TimeUnit.MILLISECONDS)
+        .compose(t -> waitUntil(condition, millis - POLL_MILLIS));
+  }
+}
--- /dev/null
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/package-info.java
@@ -0,0 +1,2 @@
+/** Fault soak: entry hosts as separate processes under faults and load that a seed determines. */
+package io.cactusspring.soak;
--- /dev/null
+++ b/cactusspring-soak/src/test/java/io/cactusspring/soak/SoakOracleTest.java
@@ -0,0 +1,304 @@
+package io.cactusspring.soak;
+
+import static com.google.common.truth.Truth.assertThat;
+import static io.cactusspring.soak.History.HOST;
+import static io.cactusspring.soak.History.JOB;
+import static io.cactusspring.soak.History.step;
+import static io.cactusspring.soak.History.task;
+
+import io.cactusspring.jobs.model.JobState;
+import io.cactusspring.jobs.model.StepSpec;
+import io.cactusspring.jobs.model.TaskId;
+import io.cactusspring.jobs.port.ExecutorClient.EndReason;
+import io.cactusspring.platform.standin.CallerClient.Verdict;
+import io.cactusspring.soak.Observation.Request;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a check that passes everything: each one has to fail on an injected fault. */
+final class SoakOracleTest {
+  private static final StepSpec SMALL = step(2, 1_000).build();
+
+  private final History history = new History();
+
+  @Test
+  void historyWithoutFaultsBreaksNothing() {
+    history
+        .accepted(SMALL, step(1, 1_000, 0).build())
+        .seen(JobState.PENDING)
+        .started("x0", task(0, 0), 1)
+        .started("x1", task(0, 1), 1)
+        .seen(JobState.RUNNING)
+        .ended("x0", task(0, 0), 1, EndReason.DONE)
+        .ended("x1", task(0, 1), 1, EndReason.FAILED)
+        .started("x1", task(0, 1), 2)
+        .ended("x1", task(0, 1), 2, EndReason.DONE)
+        .observe(at -> new Observation.Acknowledged(at, task(0, 1), EndReason.DONE))
+        .done("x0", task(1, 0))
+        .seen(JobState.COMPLETED);
+    assertThat(history.brokenAtTheEnd()).isEmpty();
+  }
+
+  @Test
+  void runOfAJobThatNobodySubmittedIsFound() {
+    history.started("x0", task(0, 0), 1);
+    assertThat(history.broken()).containsExactly(Rule.UNKNOWN_JOB_RUNS);
+  }
+
+  @Test
+  void secondRunBesideTheFirstIsFound() {
+    history.accepted(SMALL).started("x0", task(0, 0), 1).started("x1", task(0, 0), 2);
+    assertThat(history.broken()).containsExactly(Rule.DUPLICATE_RUN);
+  }
+
+  @Test
+  void runAfterTheExecutorWasLostIsNoDuplicate() {
+    history
+        .accepted(SMALL)
+        .started("x0", task(0, 0), 1)
+        .observe(at -> new Observation.ExecutorLost(at, "x0"))
+        .started("x1", task(0, 0), 2);
+    assertThat(history.broken()).isEmpty();
+  }
+
+  @Test
+  void runAfterAnAcknowledgedEndIsFound() {
+    history
+        .accepted(SMALL)
+        .done("x0", task(0, 0))
+        .observe(at -> new Observation.Acknowledged(at, task(0, 0), EndReason.DONE))
+        .started("x1", task(0, 0), 2);
+    assertThat(history.broken()).containsExactly(Rule.RUN_AFTER_ACKNOWLEDGED_END);
+  }
+
+  @Test
+  void overfullExecutorIsFound() {
+    history
+        .sent(JOB, "other", step(2, 2_500).build())
+        .started("x0", task(0, 0), 1)
+        .started("x0", task(0, 1), 1);
+    assertThat(history.broken()).containsExactly(Rule.CAPACITY_EXCEEDED);
+  }
+
+  @Test
+  void organisationAboveItsLimitIsFound() {
+    history
+        .accepted(step(2, 3_500).build())
+        .started("x0", task(0, 0), 1)
+        .started("x1", task(0, 1), 1);
+    assertThat(history.broken()).containsExactly(Rule.LIMIT_EXCEEDED);
+  }
+
+  @Test
+  void stepBeforeTheEndOfAnEarlierOneIsFound() {
+    history
+        .accepted(SMALL, step(1, 1_000, 0).build())
+        .done("x0", task(0, 0))
+        .started("x0", task(1, 0), 1);
+    assertThat(history.broken()).containsExactly(Rule.STEP_OUT_OF_ORDER);
+  }
+
+  @Test
+  void gangWithAMissingMemberIsFound() {
+    history
+        .accepted(step(2, 1_000).gang(true).build())
+        .started("x0", task(0, 0), 1)
+        .pass(RunChecks.GANG_MILLIS);
+    assertThat(history.broken()).containsExactly(Rule.GANG_INCOMPLETE);
+  }
+
+  @Test
+  void runThatContinuesAfterACancellationIsFound() {
+    history.accepted(SMALL).started("x0", task(0, 0), 1).cancelled().pass(RunChecks.CANCEL_MILLIS);
+    assertThat(history.broken()).containsExactly(Rule.CANCELLED_WORK_RUNS);
+  }
+
+  @Test
+  void startLongAfterACancellationIsFound() {
+    history.accepted(SMALL).cancelled().pass(RunChecks.CANCEL_MILLIS).started("x0", task(0, 0), 1);
+    assertThat(history.broken()).containsExactly(Rule.CANCELLED_WORK_RUNS);
+  }
+
+  @Test
+  void disturbancePostponesTheCheckOfACancellationOnly() {
+    history
+        .accepted(SMALL)
+        .started("x0", task(0, 0), 1)
+        .cancelled()
+        .observe(at -> new Observation.Disturbed(at, at + 2_000))
+        .pass(RunChecks.CANCEL_MILLIS);
+    assertThat(history.broken()).isEmpty();
+    history.pass(2_000 + RunChecks.CANCEL_MILLIS);
+    assertThat(history.broken()).containsExactly(Rule.CANCELLED_WORK_RUNS);
+  }
+
+  @Test
+  void runOfARejectedJobIsFound() {
+    history
+        .sent(SMALL)
+        .answered(Request.SUBMISSION, Verdict.REJECTED, null)
+        .started("x0", task(0, 0), 1);
+    assertThat(history.broken()).containsExactly(Rule.REJECTED_JOB_RUNS);
+  }
+
+  @Test
+  void rejectedJobMayRunOnceItIsSentAgain() {
+    history
+        .sent(SMALL)
+        .answered(Request.SUBMISSION, Verdict.REJECTED, null)
+        .sent(SMALL)
+        .started("x0", task(0, 0), 1);
+    assertThat(history.broken()).isEmpty();
+  }
+
+  @Test
+  void startInAnEvacuatedZoneIsFound() {
+    history
+        .accepted(SMALL)
+        .observe(at -> new Observation.ZoneUse(at, "z1", true))
+        .pass(5_000)
+        .started("x1", task(0, 0), 1)
+        .started("x0", task(0, 1), 1);
+    assertThat(history.broken()).containsExactly(Rule.START_IN_EVACUATED_ZONE);
+  }
+
+  @Test
+  void startInAZoneThatIsBackInUseIsNoViolation() {
+    history
+        .accepted(SMALL)
+        .observe(at -> new Observation.ZoneUse(at, "z1", true))
+        .pass(5_000)
+        .observe(at -> new Observation.ZoneUse(at, "z1", false))
+        .started("x0", task(0, 1), 1);
+    assertThat(history.broken()).isEmpty();
+  }
+
+  @Test
+  void evacuatedZoneIsNotCheckedByDefault() {
+    History unchecked = new History(false);
+    unchecked
+        .accepted(SMALL)
+        .observe(at -> new Observation.ZoneUse(at, "z1", true))
+        .pass(6_000)
+        .started("x0", task(0, 1), 1);
+    assertThat(unchecked.broken()).isEmpty();
+  }
+
+  @Test
+  void acceptedJobThatIsUnknownLaterIsFound() {
+    history.accepted(SMALL).answered(Request.QUERY, Verdict.NO_SUCH_JOB, null);
+    assertThat(history.broken()).containsExactly(Rule.ACCEPTED_JOB_UNKNOWN);
+  }
+
+  @Test
+  void acceptedJobThatNeverEndsIsFound() {
+    history.accepted(SMALL).seen(JobState.PENDING);
+    assertThat(history.brokenAtTheEnd()).containsExactly(Rule.JOB_NOT_DRAINED);
+  }
+
+  @Test
+  void stateThatGoesBackIsFound() {
+    history.accepted(SMALL).seen(JobState.RUNNING).seen(JobState.PENDING);
+    assertThat(history.broken()).containsExactly(Rule.STATE_WENT_BACK);
+  }
+
+  @Test
+  void finalStateThatChangesIsFound() {
+    history.accepted(SMALL).cancelled().done("x0", task(0, 0)).done("x1", task(0, 1));
+    history.seen(JobState.COMPLETED).seen(JobState.CANCELLED);
+    assertThat(history.broken()).containsExactly(Rule.STATE_WENT_BACK);
+  }
+
+  @Test
+  void overlappingQueriesMayBeAnsweredInAnyOrder() {
+    history
+        .accepted(SMALL)
+        .seen(JobState.RUNNING)
+        .answeredAfter(1_000, Request.QUERY, Verdict.ACCEPTED, JobState.PENDING);
+    assertThat(history.broken()).isEmpty();
+  }
+
+  @Test
+  void completionBeforeAllTasksAreDoneIsFound() {
+    history.accepted(SMALL).done("x0", task(0, 0)).seen(JobState.COMPLETED);
+    assertThat(history.broken()).containsExactly(Rule.FALSE_FINAL_STATE);
+  }
+
+  @Test
+  void cancelledStateWithoutACancellationIsFound() {
+    history.accepted(SMALL).seen(JobState.CANCELLED);
+    assertThat(history.broken()).containsExactly(Rule.FALSE_FINAL_STATE);
+  }
+
+  @Test
+  void failureBeforeTheLastAttemptIsFound() {
+    history
+        .accepted(SMALL)
+        .started("x0", task(0, 0), 1)
+        .ended("x0", task(0, 0), 1, EndReason.FAILED)
+        .seen(JobState.FAILED);
+    assertThat(history.broken()).containsExactly(Rule.FALSE_FINAL_STATE);
+  }
+
+  @Test
+  void rejectionThatTakesLongIsFound() {
+    history
+        .sent(SMALL)
+        .pass(3_000)
+        .answeredAfter(
+            CallerChecks.REJECTION_MILLIS + 1, Request.SUBMISSION, Verdict.REJECTED, null);
+    assertThat(history.broken()).containsExactly(Rule.SLOW_REJECTION);
+  }
+
+  @Test
+  void withdrawnKeyThatStillWorksIsFound() {
+    history.observe(at -> new Observation.KeyWithdrawn(at, "org-a")).pass(4_900).accepted(SMALL);
+    assertThat(history.broken()).isEmpty();
+    history.pass(200).seen(JobState.PENDING);
+    assertThat(history.broken()).containsExactly(Rule.WITHDRAWN_KEY_ACCEPTED);
+  }
+
+  @Test
+  void requestCutByAPlannedStopIsFound() {
+    history
+        .observe(at -> new Observation.PlannedStop(at, HOST))
+        .sent(SMALL)
+        .answered(Request.SUBMISSION, Verdict.CUT, null);
+    assertThat(history.broken()).containsExactly(Rule.PLANNED_STOP_CUT_REQUEST);
+  }
+
+  @Test
+  void requestCutAfterARestartIsNoFaultOfThePlannedStop() {
+    history
+        .observe(at -> new Observation.PlannedStop(at, HOST))
+        .observe(at -> new Observation.HostEnded(at, HOST, 143, true))
+        .sent(SMALL)
+        .answered(Request.SUBMISSION, Verdict.CUT, null);
+    assertThat(history.broken()).isEmpty();
+  }
+
+  @Test
+  void processThatEndsByItselfIsFound() {
+    history.observe(at -> new Observation.HostEnded(at, HOST, 3, false));
+    assertThat(history.broken()).containsExactly(Rule.HOST_ENDED);
+  }
+
+  @Test
+  void answerOutsideTheProtocolIsFound() {
+    history.sent(SMALL).answered(Request.SUBMISSION, Verdict.INVALID, null);
+    assertThat(history.broken()).containsExactly(Rule.INVALID_ANSWER);
+  }
+
+  @Test
+  void surgeThatDelaysOtherOrganisationsIsFound() {
+    history
+        .observe(at -> new Observation.Surge(at, at + 5_000, "org"))
+        .sent(step(1, 100).build())
+        .sent("other-job", "other", step(1, 100).build())
+        .started("x0", task(0, 0), 1)
+        .pass(2_000)
+        .started("x1", new TaskId("other-job", 0, 0, 0), 1)
+        .observe(at -> new Observation.ExecutorLost(at, "x0"))
+        .observe(at -> new Observation.ExecutorLost(at, "x1"));
+    assertThat(history.brokenAtTheEnd()).containsExactly(Rule.SURGE_DELAYED_OTHERS);
+  }
+}
