--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/HostProcess.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/HostProcess.java
@@ -17,8 +17,9 @@
   private final List<String> command;
   private final Path root;
   private final Path folder;
-  private Process process;
-  private boolean endExpected;
+  private volatile Process process;
+  private volatile boolean endExpected;
+  private volatile boolean closed;
 
   /**
    * Creates a host that is not started yet.
@@ -53,9 +54,9 @@
     return "127.0.0.1:" + settings.readinessPort();
   }
 
-  /** Starts the process unless it is running. */
+  /** Starts the process unless it is running or was closed. */
   void start() {
-    if (isAlive()) {
+    if (isAlive() || closed) {
       return;
     }
     try {
@@ -96,6 +97,12 @@
     }
   }
 
+  /** Kills the process for good; called from any thread. */
+  void close() {
+    closed = true;
+    kill();
+  }
+
   /** Sends SIGTERM, and SIGKILL once the grace time has passed. */
   void stop() {
     if (!isAlive()) {
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/LoadPlan.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/LoadPlan.java
@@ -14,7 +14,7 @@
 final class LoadPlan {
   private static final double QUICK_PER_SECOND = 5;
   private static final double ADVISED_PER_SECOND = 1;
-  private static final double BATCH_PER_SECOND = 0.7;
+  private static final double BATCH_PER_SECOND = 1.1;
   private static final double SERVING_PER_SECOND = 0.08;
 
   /**
@@ -30,6 +30,10 @@
   private static final int CANCEL_BURST_PERCENT = 60;
   private static final int FAILURE_PERMILLE = 5;
   private static final double ESTIMATE_SIGMA = 0.5;
+
+  /** Longer tasks would only prolong the end of a run. */
+  private static final double MAX_FACTOR = 2.5;
+
   private static final double DURATION_SIGMA = 0.15;
   private static final long SERVING_MILLIS = 8_000;
 
@@ -108,7 +112,7 @@
                 return step(1 + random.nextInt(8), 2_200, 500, after).build();
               }
               boolean gang = random.nextInt(6) == 0;
-              return step(gang ? 3 : 3 + random.nextInt(8), 4_500, 1_600, after)
+              return step(gang ? 3 : 3 + random.nextInt(8), 4_500, 1_000, after)
                   .gang(gang)
                   .checkpoints(!gang && random.nextBoolean())
                   .build();
@@ -131,7 +135,7 @@
     Random ofTask = new Random(seed ^ task.toString().hashCode());
     double factor =
         Math.exp(ofStep.nextGaussian() * ESTIMATE_SIGMA + ofTask.nextGaussian() * DURATION_SIGMA);
-    return Math.max(50, Math.round(step.estimateMillis() * factor));
+    return Math.max(50, Math.round(step.estimateMillis() * Math.min(MAX_FACTOR, factor)));
   }
 
   /** Returns whether a run fails. */
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakRun.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakRun.java
@@ -78,7 +78,7 @@
 
   /** Runs to the end and returns the violations. */
   List<Violation> run() throws Exception {
-    Thread killer = new Thread(() -> cluster.hosts().forEach(HostProcess::kill));
+    Thread killer = new Thread(() -> cluster.hosts().forEach(HostProcess::close));
     Runtime.getRuntime().addShutdownHook(killer);
     Promise<Void> done = Promise.promise();
     vertx.runOnContext(v -> play().onComplete(done));
@@ -88,7 +88,7 @@
           .toCompletableFuture()
           .get(READY_MILLIS + options.durationMillis() + 2 * DRAIN_MILLIS, TimeUnit.MILLISECONDS);
     } finally {
-      cluster.hosts().forEach(HostProcess::kill);
+      cluster.hosts().forEach(HostProcess::close);
       var unused = vertx.close().toCompletionStage().toCompletableFuture().get();
       recorder.close();
     }
