Place work by learned speeds while executors differ

Cause: placement took the fullest executor on which a task fits, so quick jobs met slow executors and were late while fast ones ran work that could have waited.

Change: LearnedDurations replaces DeclaredDurations and observes ended runs. While two labels are known to differ by a quarter, a step goes to the slowest executors on which its job is expected in time, otherwise to the fastest; advice calls name executors in that order. StepOrder judges "in time" by expected durations once a queue has an observation. Durations gains hasObservations and spreadMargin, with defaults. SPEED_LEARNED is logged at most once in 5 s for each label.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/AdvicePlanner.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/AdvicePlanner.java
@@ -17,7 +17,7 @@
  * <p>A call takes longer with each executor that it names, and only a share of them is allowed. The
  * planner therefore names only as many as will probably have room for the waiting tasks: first
  * those that are known to be allowed, then those where the tasks do not interfere with others, then
- * those with room for the most tasks.
+ * those of the preferred speed, then those with room for the most tasks.
  */
 final class AdvicePlanner {
   private static final int MAX_EXECUTORS_PER_CALL = 100;
@@ -89,7 +89,7 @@
             .filter(e -> step.spec().committed().fitsIn(room.apply(e)))
             .filter(e -> !step.tickets().isDenied(e))
             .filter(e -> step.tickets().valid(e, now).isEmpty())
-            .sorted(preference(step))
+            .sorted(preference(step, queue, now))
             .toList();
     int minNamed =
         (int) Math.ceil(Math.log(MAX_MISS_PROBABILITY) / Math.log(1 - Math.min(0.95, share)));
@@ -108,13 +108,14 @@
     return named;
   }
 
-  private static Comparator<LiveExecutor> preference(LiveStep step) {
+  private Comparator<LiveExecutor> preference(LiveStep step, Queue queue, long now) {
     Comparator<LiveExecutor> byKnownAllowed =
         Comparator.comparingInt(e -> step.tickets().isAllowed(e) ? 0 : 1);
     Comparator<LiveExecutor> byInterference =
         Comparator.comparingInt(e -> Placement.interferes(e, step.spec()) ? 1 : 0);
     return byKnownAllowed
         .thenComparing(byInterference)
+        .thenComparing(SpeedPreference.of(step, queue, state.durations, now))
         .thenComparing(
             Comparator.comparingInt((LiveExecutor e) -> -tasksThatFit(step, e, e.free())))
         .thenComparing(LiveExecutor::id);
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/DecisionListener.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/DecisionListener.java
@@ -27,7 +27,8 @@
     EXECUTOR_SILENT,
     EXECUTOR_ANSWERS,
     EXECUTOR_QUARANTINED,
-    PACED
+    PACED,
+    SPEED_LEARNED
   }
 
   /**
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
@@ -154,6 +154,16 @@
     }
   }
 
+  /** Starts with the duration factors of executor labels that a previous owner learned. */
+  public void inheritDurationFactors(Map<String, Double> factorByLabel) {
+    state.learned.inherit(factorByLabel);
+  }
+
+  /** Returns the learned duration factors of executor labels, for a later owner. */
+  public Map<String, Double> durationFactors() {
+    return state.learned.sharedFactors();
+  }
+
   /** Applies a configuration. */
   public void configure(SiteConfiguration configuration) {
     state.configuration = configuration;
@@ -166,6 +176,7 @@
     boolean changed = !executor.listed() || !info.equals(executor.info());
     executor.announced(info, state.settings.drainMillis(), now);
     reports.updateBoot(executor, info.bootMillis(), now);
+    state.learned.executorListed(executor);
     if (changed) {
       executorChanged(executor);
       state.gainedCapacity(executor);
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/OwnerState.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/OwnerState.java
@@ -38,7 +38,8 @@
   final List<Action> actions = new ArrayList<>();
   final DecisionListener decisionListener;
   SiteConfiguration configuration = SiteConfiguration.NONE;
-  Durations durations = new DeclaredDurations();
+  final LearnedDurations learned;
+  Durations durations;
   private final Map<String, Integer> runsByJob = new HashMap<>();
   private Optional<Resources> totalCapacity = Optional.empty();
   private long version;
@@ -54,6 +55,8 @@
     this.term = term;
     this.specs = specs;
     this.decisionListener = decisionListener;
+    learned = new LearnedDurations(decisionListener);
+    durations = learned;
   }
 
   LiveExecutor executor(String id) {
@@ -126,6 +129,7 @@
     renewable.remove(executor);
     withEndsToStore.remove(executor);
     draining.remove(executor);
+    learned.executorRemoved(executor);
     executorsChanged();
   }
 
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Placement.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Placement.java
@@ -74,9 +74,10 @@
   /** Places tasks of a step one by one; returns how many. */
   private int placeTasks(LiveStep step, List<LiveTask> waiting, long now) {
     List<LiveExecutor> candidates = candidates(step, now);
+    Comparator<LiveExecutor> preference = preference(step, now);
     int placed = 0;
     for (LiveTask task : waiting) {
-      Optional<LiveExecutor> executor = choose(step, candidates, List.of());
+      Optional<LiveExecutor> executor = choose(step, candidates, List.of(), preference);
       if (executor.isEmpty() || !withinLimit(step, 1)) {
         break;
       }
@@ -97,9 +98,10 @@
       // All executors count: members may need room on several of them.
       step.retry();
       List<LiveExecutor> candidates = candidates(step, now);
+      Comparator<LiveExecutor> preference = preference(step, now);
       List<LiveExecutor> chosen = new ArrayList<>();
       for (int i = 0; i < members.size(); i++) {
-        choose(step, candidates, chosen).ifPresent(chosen::add);
+        choose(step, candidates, chosen, preference).ifPresent(chosen::add);
       }
       if (chosen.size() == members.size()) {
         startGang(members, chosen, now);
@@ -154,11 +156,14 @@
    * @param planned executors chosen for other tasks of the step, listed once for each task
    */
   private Optional<LiveExecutor> choose(
-      LiveStep step, List<LiveExecutor> candidates, List<LiveExecutor> planned) {
+      LiveStep step,
+      List<LiveExecutor> candidates,
+      List<LiveExecutor> planned,
+      Comparator<LiveExecutor> preference) {
     Queue queue = state.queue(step.job());
     return candidates.stream()
         .filter(e -> fits(e, step, queue, Collections.frequency(planned, e)))
-        .min(preference(step, step.spec()));
+        .min(preference);
   }
 
   /**
@@ -180,7 +185,10 @@
         && (max == 0 || step.runsOn(executor) + planned < max);
   }
 
-  private Comparator<LiveExecutor> preference(LiveStep step, StepSpec spec) {
+  private Comparator<LiveExecutor> preference(LiveStep step, long now) {
+    StepSpec spec = step.spec();
+    Comparator<LiveExecutor> bySpeed =
+        SpeedPreference.of(step, state.queue(step.job()), state.durations, now);
     Comparator<LiveExecutor> byInterference =
         Comparator.comparingInt(e -> interferes(e, spec) ? 1 : 0);
     Comparator<LiveExecutor> byLocality =
@@ -189,7 +197,10 @@
         spec.fills()
             ? Comparator.comparingLong(e -> -idleProcessors(e))
             : Comparator.comparingLong(e -> e.free().milliProcessors());
-    return byInterference.thenComparing(byLocality).thenComparing(byFreeCapacity);
+    return byInterference
+        .thenComparing(byLocality)
+        .thenComparing(bySpeed)
+        .thenComparing(byFreeCapacity);
   }
 
   /** Returns whether a filling task and one with a latency target would share the executor. */
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ReportReconciler.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ReportReconciler.java
@@ -30,6 +30,8 @@
     }
     updateBoot(executor, report.bootMillis(), now);
     if (executor.isSilent()) {
+      // Runs may have ended long before this report, which says nothing of when.
+      executor.runs().forEach(Run::doNotMeasure);
       state.decisionListener.decisionMade(
           Kind.EXECUTOR_ANSWERS, "", executor.id(), "executor reports again");
     }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Run.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Run.java
@@ -29,6 +29,7 @@
   private final StepSpec spec;
   private final String organisation;
   private final long decidedAt;
+  private boolean measured;
   private Phase phase;
   private long phaseAt;
   private int startsSent;
@@ -50,6 +51,8 @@
     this.organisation = organisation;
     this.phase = phase;
     decidedAt = now;
+    // A run that a previous owner started has an unknown age.
+    measured = phase == Phase.DECIDED;
     phaseAt = now;
     percentAt = now;
     reportedAt = now;
@@ -92,7 +95,23 @@
     return decidedAt;
   }
 
+  /**
+   * Returns whether the time since the run was confirmed shows how long such a task takes on its
+   * executor.
+   */
+  boolean isMeasured() {
+    return measured && phase == Phase.RUNNING;
+  }
+
+  /** Records that the time since the run was confirmed does not show how long such a task takes. */
+  void doNotMeasure() {
+    measured = false;
+  }
+
   void enter(Phase next, long now) {
+    if (next == Phase.IN_DOUBT) {
+      doNotMeasure();
+    }
     if (phase != next) {
       phase = next;
       phaseAt = now;
@@ -119,8 +138,9 @@
     return startSentAt;
   }
 
-  /** Records that a start was not answered. */
+  /** Records that a start was not answered: when the run began, if it did, is unknown. */
   void startUnanswered(long now) {
+    doNotMeasure();
     startUnansweredAt = now;
   }
 
@@ -207,5 +227,6 @@
   void paced(int newPace, long now) {
     pace = newPace;
     paceAt = now;
+    doNotMeasure();
   }
 }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/RunLifecycle.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/RunLifecycle.java
@@ -2,6 +2,7 @@
 
 import io.cactusspring.jobs.model.JobState;
 import io.cactusspring.jobs.model.Queue;
+import io.cactusspring.jobs.model.StepSpec;
 import io.cactusspring.jobs.port.ExecutorClient.EndReason;
 import io.cactusspring.jobs.schedule.DecisionListener.Kind;
 import java.util.List;
@@ -27,6 +28,9 @@
             job.spec().organisation(),
             Run.Phase.DECIDED,
             now);
+    if (!isComparable(task, executor)) {
+      run.doNotMeasure();
+    }
     state.addRun(executor, run);
     task.assign(run, executor);
     job.taskStarted();
@@ -40,6 +44,16 @@
     return run;
   }
 
+  /** Returns whether a run that starts now does the whole work of its task at full speed. */
+  private static boolean isComparable(LiveTask task, LiveExecutor executor) {
+    StepSpec spec = task.step().spec();
+    return !spec.gang()
+        && !spec.fills()
+        && !spec.longRunning()
+        && task.checkpoint().isEmpty()
+        && executor.hasLabel(spec.dataRack());
+  }
+
   /** Ends a run whose end its executor has reported. */
   void ended(LiveExecutor executor, Run run, EndReason reason, String checkpoint, long now) {
     state.removeRun(executor, run);
@@ -54,7 +68,10 @@
     }
     task.checkpoint(checkpoint);
     switch (reason) {
-      case DONE -> done(task, executor, now);
+      case DONE -> {
+        state.learned.observe(task, executor, run, now);
+        done(task, executor, now);
+      }
       case FAILED -> failed(task, executor, now);
       case STOPPED, LAPSED, BROKEN, ALONE -> requeue(task, now);
     }
@@ -104,6 +121,7 @@
 
   private void finishStep(LiveStep step, long now) {
     LiveJob job = step.job();
+    state.learned.stepEnded(step, now);
     job.stepDone(step);
     job.markReady(now);
     if (job.isFinal()) {
@@ -182,6 +200,7 @@
   /** Ends a job and stops its runs, which occupy capacity until they are certainly over. */
   void finish(LiveJob job, JobState end) {
     job.finish(end);
+    state.learned.jobEnded(job);
     state.jobs.remove(job.id());
     state.changed.add(job);
     List<LiveTask> active =
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/StepOrder.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/StepOrder.java
@@ -93,13 +93,15 @@
     return objectiveStatus(step, objectiveMillis(step, queue), now) == ObjectiveStatus.IN_TIME;
   }
 
-  private static ObjectiveStatus objectiveStatus(LiveStep step, long objectiveMillis, long now) {
+  private ObjectiveStatus objectiveStatus(LiveStep step, long objectiveMillis, long now) {
     double left =
-        MIN_ESTIMATE_FRACTION
-            * step.job().steps().stream()
-                .filter(s -> !s.isDone())
-                .mapToLong(s -> s.spec().estimateMillis())
-                .sum();
+        isObserved(step.job())
+            ? RemainingWork.of(step.job(), state.durations).criticalPathMillis()
+            : MIN_ESTIMATE_FRACTION
+                * step.job().steps().stream()
+                    .filter(s -> !s.isDone())
+                    .mapToLong(s -> s.spec().estimateMillis())
+                    .sum();
     double total = now - step.job().submittedAt() + left;
     if (total <= objectiveMillis) {
       return ObjectiveStatus.IN_TIME;
@@ -109,7 +111,15 @@
         : ObjectiveStatus.OVERDUE;
   }
 
-  private static long objectiveMillis(LiveStep step, Queue queue) {
+  /** Returns whether expected durations are more than the estimates of callers. */
+  private boolean isObserved(LiveJob job) {
+    return state.durations.hasObservations(job.spec().queue().name());
+  }
+
+  private long objectiveMillis(LiveStep step, Queue queue) {
+    if (isObserved(step.job())) {
+      return Math.round(ExpectedCompletion.objectiveMillis(step.job(), queue, state.durations));
+    }
     long estimate = step.job().spec().steps().stream().mapToLong(s -> s.estimateMillis()).sum();
     return Math.round(queue.stretch() * estimate) + queue.targetLatencyMillis();
   }
