Hand learned speeds over to the next owner

Cause: after a takeover the new owner had learned nothing, and quick work met slow executors again until enough runs had ended.

Change: the owner's status carries the factors of labels. CLAIMED logs them.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/EntryHost.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/EntryHost.java
@@ -158,6 +158,7 @@
   private void termChanged(OwnerTerm changed) {
     if (changed.isEnded() && term.filter(t -> t == changed).isPresent()) {
       term = Optional.empty();
+      link.rememberDurationFactors(changed.durationFactors());
       monitor.termEnded(changed.number());
     }
     peers.termChanged();
@@ -185,6 +186,7 @@
               end,
               random.nextInt(FIRST_SEQUENCE_BOUND),
               configuration,
+              link.durationFactors(),
               EntryHost.this::termChanged);
       term = Optional.of(begun);
       peers.setTerm(begun);
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerLink.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerLink.java
@@ -12,6 +12,7 @@
 import io.cactusspring.jobs.port.PeerNetwork;
 import io.cactusspring.jobs.port.PeerNetwork.NothingListensException;
 import io.cactusspring.jobs.port.Timers;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Random;
@@ -51,6 +52,7 @@
   private long redialMillis = MIN_REDIAL_MILLIS;
   private long vacantSince = Long.MAX_VALUE;
   private OptionalInt successionRank = OptionalInt.empty();
+  private Map<String, Double> durationFactors = Map.of();
 
   /**
    * @param onChange called when requests can be sent to the owner, or not any more
@@ -182,6 +184,21 @@
     return successionRank;
   }
 
+  /** Returns the newest known duration factors of executor labels; empty if none are known. */
+  Map<String, Double> durationFactors() {
+    return durationFactors;
+  }
+
+  /**
+   * Remembers duration factors, unless there are none: an owner that has just begun, or that runs
+   * an earlier version, knows none.
+   */
+  void rememberDurationFactors(Map<String, Double> factorByLabel) {
+    if (!factorByLabel.isEmpty()) {
+      durationFactors = factorByLabel;
+    }
+  }
+
   /** Ignores what arrives on a connection to an earlier owner. */
   private static final class ObsoleteConnection implements PeerLink.Handler {
     @Override
@@ -253,6 +270,7 @@
       storeAgeMillis = status.storeAgeMillis();
       intervalMillis = status.intervalMillis();
       redialMillis = MIN_REDIAL_MILLIS;
+      rememberDurationFactors(status.durationFactors());
       if (status.term() < owner.term()) {
         phase = OwnerPhase.TAKING_OVER;
         return;
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerTerm.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerTerm.java
@@ -51,6 +51,7 @@
   private LedgerSnapshot snapshot = new LedgerSnapshot();
   private final Map<String, ExecutorInfo> executors = new HashMap<>();
   private final long claimedAt;
+  private final Map<String, Double> inheritedFactors;
   private SiteConfiguration configuration;
   private Optional<OwnerController> controller = Optional.empty();
   private boolean lanesLoaded;
@@ -63,6 +64,7 @@
    * @param claim the stored claim
    * @param end offset that follows the claim in the ownership partition
    * @param firstSequence sequence number of the first append to each lane
+   * @param inheritedFactors duration factors of executor labels that a previous owner learned
    * @param onPhaseChange called when the term has become active or has ended
    */
   OwnerTerm(
@@ -73,12 +75,14 @@
       long end,
       long firstSequence,
       SiteConfiguration configuration,
+      Map<String, Double> inheritedFactors,
       Consumer<OwnerTerm> onPhaseChange) {
     this.ports = ports;
     this.settings = settings;
     this.log = log;
     this.claim = claim;
     this.configuration = configuration;
+    this.inheritedFactors = inheritedFactors;
     this.onPhaseChange = onPhaseChange;
     timers = ports.timers();
     claimedAt = timers.nowMillis();
@@ -191,6 +195,7 @@
             this::logDecision,
             timers.wallMillis(),
             now);
+    scheduler.inheritDurationFactors(inheritedFactors);
     scheduler.configure(configuration);
     executors.values().forEach(info -> scheduler.executorListed(info, now));
     OwnerController begun =
@@ -217,7 +222,9 @@
         "executors",
         executors.size(),
         "configuration",
-        configuration.version());
+        configuration.version(),
+        "durationFactors",
+        inheritedFactors);
     snapshot = new LedgerSnapshot();
     begun.start();
     onPhaseChange.accept(this);
@@ -319,6 +326,11 @@
     return Math.max(lanes.lastStoredSentAt(), heartbeats.lastStoredSentAt());
   }
 
+  @Override
+  public Map<String, Double> durationFactors() {
+    return controller.map(c -> c.scheduler().durationFactors()).orElse(inheritedFactors);
+  }
+
   @Override
   public Optional<OwnerController> controller() {
     return ended || releasing ? Optional.empty() : controller;
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/PeerServer.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/PeerServer.java
@@ -44,6 +44,9 @@
     /** Returns when the last record was sent that is known to be stored. */
     long lastStoredSentAt();
 
+    /** Returns the learned duration factors of executor labels, for a later owner. */
+    Map<String, Double> durationFactors();
+
     /** Returns the owner's decisions; empty unless the term is active. */
     Optional<OwnerController> controller();
 
@@ -150,7 +153,7 @@
               term.map(t -> now - t.lastStoredSentAt()).orElse(0L),
               intervalMillis(),
               rank,
-              Map.of()));
+              term.map(Term::durationFactors).orElse(Map.of())));
     }
 
     @Override
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/FakeExecutor.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/FakeExecutor.java
@@ -71,6 +71,7 @@
   private boolean draining;
   private boolean stallNewTasks;
   private int slowdownFactor = 1;
+  private Set<String> labels = Set.of("a");
 
   FakeExecutor(String id, ClusterSimulation simulation, Resources capacity, VirtualTime time) {
     this.id = id;
@@ -94,7 +95,7 @@
         draining,
         -1,
         capacity,
-        Set.of("a"),
+        labels,
         bootedAt);
   }
 
@@ -116,6 +117,11 @@
     slowdownFactor = factor;
   }
 
+  /** Sets the labels of the next announcement. */
+  public void labels(Set<String> values) {
+    labels = values;
+  }
+
   /** Stops the executor: all state is lost, and calls get no answer until it boots. */
   public void crash() {
     up = false;
