Start nothing in evacuated availability zones and move runs out

Cause: operators take an availability zone out of use by a record beside the configuration. Nothing read it: tasks went on starting in the zone, and its long-running tasks stayed there.

Change: every host tracks the records (ZoneTracker) and hands the states of the zones to its term. An executor is usable only if ZoneEvacuation admits it, so placement, gangs, advice calls, preemption and the start of a decided run follow the same check; a start that was not sent is withdrawn. RunMoves, formerly Evacuation, also stops runs of evacuated zones while there is room elsewhere: tasks with checkpoints, and long-running tasks within the disruption budget. A zone returned to use gets a tenth of its executors back in each 100 ms. A new owner reads the operators' topic to its end before its first decision.

Where bounds.evacuate_ms is set, nothing is started while the topic was last read longer ago than half of it, and the lease of a start ends at the bound, so that an executor refuses a start that the network delivers late.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/EntryHost.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/EntryHost.java
@@ -4,6 +4,7 @@
 import io.cactusspring.jobs.log.JobEvent;
 import io.cactusspring.jobs.log.JobLog;
 import io.cactusspring.jobs.model.SiteConfiguration;
+import io.cactusspring.jobs.model.ZoneStates;
 import io.cactusspring.jobs.port.KeyedTopic.Entry;
 import io.cactusspring.jobs.port.Timers;
 import io.vertx.core.Future;
@@ -32,6 +33,7 @@
   private final JobLog log;
   private final Random random;
   private final TopicFollower configurationFollower;
+  private final ZoneTracker zones;
   private final PeerServer peers;
   private final OwnerLink link;
   private final OwnershipMonitor monitor;
@@ -48,6 +50,7 @@
     this.log = log;
     this.random = random;
     timers = ports.timers();
+    zones = new ZoneTracker(ports.readZone(), timers, log, this::zonesChanged);
     configurationFollower =
         new TopicFollower(
             "operators",
@@ -55,7 +58,7 @@
             new ConfigurationSink(),
             timers,
             log,
-            CONFIGURATION_WAIT_MILLIS,
+            configurationWaitMillis(settings.scheduler().maxZoneAgeMillis()),
             () -> 0);
     peers = new PeerServer(ports.network(), settings.self(), timers, log);
     link =
@@ -90,6 +93,16 @@
             log);
   }
 
+  /**
+   * Returns how long a read of the configuration waits. The data may be as old as two waits and a
+   * response before the next read completes; that has to stay below its maximum age.
+   */
+  private static long configurationWaitMillis(long maxZoneAgeMillis) {
+    return maxZoneAgeMillis == 0
+        ? CONFIGURATION_WAIT_MILLIS
+        : Math.min(CONFIGURATION_WAIT_MILLIS, maxZoneAgeMillis / 3);
+  }
+
   /** Starts following the topics of the store. */
   public void start() {
     lastTickAt = timers.nowMillis();
@@ -155,6 +168,10 @@
     monitor.check();
   }
 
+  private void zonesChanged(ZoneStates states) {
+    term.ifPresent(t -> t.updateZones(states));
+  }
+
   private void termChanged(OwnerTerm changed) {
     if (changed.isEnded() && term.filter(t -> t == changed).isPresent()) {
       term = Optional.empty();
@@ -185,6 +202,8 @@
               end,
               random.nextInt(FIRST_SEQUENCE_BOUND),
               configuration,
+              configurationFollower,
+              zones::states,
               EntryHost.this::termChanged);
       term = Optional.of(begun);
       peers.setTerm(begun);
@@ -203,6 +222,7 @@
   private final class ConfigurationSink implements TopicSink {
     @Override
     public void apply(Entry entry) {
+      zones.apply(entry, configurationFollower.ageMillis());
       ports.readConfiguration().apply(entry).ifPresent(this::activate);
     }
 
@@ -216,6 +236,8 @@
     }
 
     @Override
-    public void loaded(Set<String> keys) {}
+    public void loaded(Set<String> keys) {
+      zones.loaded(keys, configurationFollower.next(), configurationFollower.ageMillis());
+    }
   }
 }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/HostPorts.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/HostPorts.java
@@ -2,6 +2,7 @@
 
 import io.cactusspring.jobs.model.ExecutorInfo;
 import io.cactusspring.jobs.model.SiteConfiguration;
+import io.cactusspring.jobs.model.ZoneRecord;
 import io.cactusspring.jobs.port.AdviceService;
 import io.cactusspring.jobs.port.ExecutorClient;
 import io.cactusspring.jobs.port.KeyedTopic;
@@ -21,6 +22,7 @@
  * @param operators the topic to which operators write the configuration
  * @param announcements the topic to which executors write announcements
  * @param readConfiguration decodes a record of the operators; empty if it is not a configuration
+ * @param readZone decodes a record of the operators; empty if it does not concern a zone
  * @param readExecutor decodes an announcement; empty if it describes no usable executor
  * @since 0.2
  */
@@ -31,6 +33,7 @@
     KeyedTopic operators,
     KeyedTopic announcements,
     Function<Entry, Optional<SiteConfiguration>> readConfiguration,
+    Function<Entry, Optional<ZoneRecord>> readZone,
     Function<Entry, Optional<ExecutorInfo>> readExecutor,
     ExecutorClient executors,
     AdviceService advice,
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerController.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerController.java
@@ -36,6 +36,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
+import java.util.function.LongSupplier;
 
 /**
  * Executes one term as owner of the executors.
@@ -61,6 +62,9 @@
 
   private static final int STORE_TIMEOUT_RESPONSES = 4;
 
+  // Above any bound; an unknown age is Long.MAX_VALUE, which would overflow.
+  private static final long MAX_ZONES_AGE_MILLIS = 1L << 40;
+
   /** What is stored by one append, and what may be done afterwards. */
   private static final class Batch {
     private final List<JobSpec> submissions;
@@ -102,6 +106,7 @@
   private final Timers timers;
   private final JobLog log;
   private final long storeGraceMillis;
+  private final LongSupplier zonesAgeMillis;
   private final Runnable onEnd;
   private final Set<Action.Start> pendingStarts = new LinkedHashSet<>();
 
@@ -116,6 +121,7 @@
   private Optional<Promise<Void>> flushed = Optional.empty();
 
   /**
+   * @param zonesAgeMillis returns the time since the last read that confirmed the zones' states
    * @param onEnd called when the term has ended because of another owner or an internal error
    */
   OwnerController(
@@ -128,6 +134,7 @@
       Timers timers,
       JobLog log,
       long storeGraceMillis,
+      LongSupplier zonesAgeMillis,
       Runnable onEnd) {
     this.scheduler = scheduler;
     this.jobs = jobs;
@@ -138,6 +145,7 @@
     this.timers = timers;
     this.log = log;
     this.storeGraceMillis = storeGraceMillis;
+    this.zonesAgeMillis = zonesAgeMillis;
     this.onEnd = onEnd;
   }
 
@@ -295,6 +303,7 @@
       return;
     }
     long now = timers.nowMillis();
+    confirmZones(now);
     scheduler.decide(adviceDispatcher, timers.wallMillis(), now).forEach(this::execute);
     storeChanges();
     renewLeases(now);
@@ -475,8 +484,10 @@
       pendingStarts.add(start);
       return;
     }
+    long now = timers.nowMillis();
+    confirmZones(now);
     scheduler
-        .startRequest(start.executor(), start.run(), timers.nowMillis())
+        .startRequest(start.executor(), start.run(), now)
         .ifPresent(
             request ->
                 executors
@@ -484,6 +495,10 @@
                     .onSuccess(result -> guarded(() -> startAnswered(start, result))));
   }
 
+  private void confirmZones(long now) {
+    scheduler.zonesConfirmed(now - Math.min(zonesAgeMillis.getAsLong(), MAX_ZONES_AGE_MILLIS));
+  }
+
   private void startAnswered(Action.Start start, CommandResult result) {
     checkFence(result);
     scheduler.startAnswered(start.executor(), start.run(), result, timers.nowMillis());
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerTerm.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerTerm.java
@@ -7,6 +7,7 @@
 import io.cactusspring.jobs.log.JobLog;
 import io.cactusspring.jobs.model.ExecutorInfo;
 import io.cactusspring.jobs.model.SiteConfiguration;
+import io.cactusspring.jobs.model.ZoneStates;
 import io.cactusspring.jobs.port.AdviceService;
 import io.cactusspring.jobs.port.KeyedTopic;
 import io.cactusspring.jobs.port.KeyedTopic.Entry;
@@ -21,6 +22,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 /**
  * One term of this host as the owner of the executors, from its stored claim on.
@@ -41,6 +43,8 @@
   private final JobLog log;
   private final Timers timers;
   private final OwnerRecord claim;
+  private final TopicFollower operators;
+  private final Supplier<ZoneStates> zones;
   private final Consumer<OwnerTerm> onPhaseChange;
   private final LaneWriter lanes;
   private final InboxWriter inbox;
@@ -54,6 +58,7 @@
   private SiteConfiguration configuration;
   private Optional<OwnerController> controller = Optional.empty();
   private boolean lanesLoaded;
+  private boolean operatorsRead;
   private boolean releasing;
   private boolean ended;
 
@@ -63,6 +68,8 @@
    * @param claim the stored claim
    * @param end offset that follows the claim in the ownership partition
    * @param firstSequence sequence number of the first append to each lane
+   * @param operators follows the records of the operators
+   * @param zones returns the states of the availability zones
    * @param onPhaseChange called when the term has become active or has ended
    */
   OwnerTerm(
@@ -73,12 +80,16 @@
       long end,
       long firstSequence,
       SiteConfiguration configuration,
+      TopicFollower operators,
+      Supplier<ZoneStates> zones,
       Consumer<OwnerTerm> onPhaseChange) {
     this.ports = ports;
     this.settings = settings;
     this.log = log;
     this.claim = claim;
     this.configuration = configuration;
+    this.operators = operators;
+    this.zones = zones;
     this.onPhaseChange = onPhaseChange;
     timers = ports.timers();
     claimedAt = timers.nowMillis();
@@ -125,9 +136,28 @@
                 superseded("a lane could not be fenced: " + problem.getMessage());
               }
             });
+    readOperators();
     takeoverTick();
   }
 
+  /**
+   * Reads the records of the operators to their end. Until then, this host may not know of a zone
+   * that was evacuated, if it was cut off from the store.
+   */
+  private void readOperators() {
+    if (ended) {
+      return;
+    }
+    operators
+        .refresh()
+        .onComplete(
+            done -> {
+              operatorsRead = true;
+              beginIfLoaded();
+            },
+            problem -> timers.after(LOAD_RETRY_MILLIS, this::readOperators));
+  }
+
   private void takeoverTick() {
     if (!ended && controller.isEmpty()) {
       heartbeats.tick();
@@ -175,7 +205,8 @@
   }
 
   private void beginIfLoaded() {
-    boolean loaded = lanesLoaded && inboxFollowers.stream().allMatch(TopicFollower::isLoaded);
+    boolean loaded =
+        operatorsRead && lanesLoaded && inboxFollowers.stream().allMatch(TopicFollower::isLoaded);
     if (!loaded || ended || controller.isPresent()) {
       return;
     }
@@ -192,6 +223,7 @@
             timers.wallMillis(),
             now);
     scheduler.configure(configuration);
+    scheduler.updateZones(zones.get(), now);
     executors.values().forEach(info -> scheduler.executorListed(info, now));
     OwnerController begun =
         new OwnerController(
@@ -204,6 +236,7 @@
             timers,
             log,
             settings.scheduler().storeGraceMillis(),
+            operators::ageMillis,
             this::end);
     controller = Optional.of(begun);
     log.event(
@@ -233,6 +266,15 @@
         });
   }
 
+  /** Applies the states of the availability zones at once. */
+  void updateZones(ZoneStates read) {
+    controller.ifPresent(
+        c -> {
+          c.scheduler().updateZones(read, timers.nowMillis());
+          c.scheduleRound();
+        });
+  }
+
   /** Ends the term because the ledger names a later owner. */
   void superseded() {
     superseded("the ledger names a later owner");
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/log/JobEvent.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/log/JobEvent.java
@@ -18,6 +18,8 @@
   STORE_REGAINED(2102, "a topic of the store can be read again"),
   RECORD_UNREADABLE(2103, "a record of the store is skipped"),
   CONFIGURATION(2104, "a configuration is in force"),
+  ZONE_EVACUATED(2105, "an availability zone is evacuated; nothing is started there"),
+  ZONE_IN_USE(2106, "an availability zone is returned to use"),
   CLAIMED(2201, "this host owns the executors"),
   OWNER_CHANGED(2202, "another owner was read in the ledger"),
   STEPPED_DOWN(2203, "this host no longer owns the executors"),
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
@@ -10,6 +10,7 @@
 import io.cactusspring.jobs.model.SiteConfiguration;
 import io.cactusspring.jobs.model.StepId;
 import io.cactusspring.jobs.model.TaskId;
+import io.cactusspring.jobs.model.ZoneStates;
 import io.cactusspring.jobs.port.ExecutorClient.CommandResult;
 import io.cactusspring.jobs.port.ExecutorClient.LeaseRenewalRequest;
 import io.cactusspring.jobs.port.ExecutorClient.LeaseRenewalResult;
@@ -57,11 +58,12 @@
   private final AdvicePlanner advice;
   private final Placement placement;
   private final RunMonitor monitor;
-  private final Evacuation evacuation;
+  private final RunMoves moves;
   private final Throttle throttle;
   private final PriorityQueue<DueOccurrence> dueOccurrences =
       new PriorityQueue<>(Comparator.comparingLong(DueOccurrence::wallMillis));
   private long lastVersion;
+  private boolean zonesWereConfirmed;
 
   /** The next occurrence of a scheduled job, which is due at a time in Unix milliseconds. */
   private record DueOccurrence(long wallMillis, LiveJob job) {}
@@ -109,7 +111,7 @@
     advice = new AdvicePlanner(state);
     placement = new Placement(state, runs, advice);
     monitor = new RunMonitor(state, runs);
-    evacuation = new Evacuation(state, runs);
+    moves = new RunMoves(state, runs, now);
     throttle = new Throttle(state);
     entries.stream().filter(e -> e.spec().isPresent()).forEach(e -> adopt(e, wallMillis, now));
   }
@@ -172,6 +174,43 @@
     }
   }
 
+  /**
+   * Applies the states of the availability zones. Starts that were decided in an evacuated zone and
+   * are not sent yet are withdrawn.
+   */
+  public void updateZones(ZoneStates zones, long now) {
+    state.zones.update(zones, now);
+    state.executors.values().stream()
+        .filter(e -> e.isCallable() && state.zones.isEvacuated(e.info().zone()))
+        .forEach(e -> withdrawDecided(e, now));
+  }
+
+  private void withdrawDecided(LiveExecutor executor, long now) {
+    List.copyOf(executor.runs()).stream()
+        .filter(r -> r.phase() == Run.Phase.DECIDED && executor.run(r.key()) == r)
+        .forEach(r -> runs.lost(executor, r, "zone is evacuated before the start was sent", now));
+  }
+
+  /**
+   * Records that the states of the zones are known as of a time.
+   *
+   * @param when when the last completed read of the operators' records was sent
+   */
+  public void zonesConfirmed(long when) {
+    state.zones.confirmed(when);
+  }
+
+  /**
+   * Retries all steps once the zones are confirmed again, because no executor was usable before.
+   */
+  private void retryAfterUnconfirmedZones(long now) {
+    boolean confirmed = state.zones.isConfirmed(now);
+    if (confirmed && !zonesWereConfirmed) {
+      state.waitingSteps.all().forEach(LiveStep::retry);
+    }
+    zonesWereConfirmed = confirmed;
+  }
+
   private void executorChanged(LiveExecutor executor) {
     state.executorsChanged();
     state.touch(executor);
@@ -233,8 +272,11 @@
       }
     }
     monitor.check(now);
-    evacuation.moveRuns(now);
+    state.zones.admitReturning(state.executors.values(), now).forEach(state::gainedCapacity);
+    retryAfterUnconfirmedZones(now);
+    moves.leaveDraining(now);
     placement.place(slots, now);
+    moves.leaveEvacuatedZones(now);
     List<Action> decided = new ArrayList<>(state.actions);
     state.actions.clear();
     return decided;
@@ -421,11 +463,14 @@
       return Optional.empty();
     }
     boolean first = run.phase() == Run.Phase.DECIDED;
-    boolean unfit = first && (!executor.isUsable(now) || !executor.hasClock());
+    String zone = executor.isCallable() ? executor.info().zone() : "";
+    // A start that was sent before is not sent again to a zone that is not in use.
+    boolean unfit =
+        first ? !executor.isUsable(now) || !executor.hasClock() : !state.zones.isInUse(zone, now);
     Optional<String> ticket = ticket(task, executor, now);
     if (unfit || ticket.isEmpty()) {
       if (first) {
-        runs.lost(executor, run, "executor or ticket not usable any more", now);
+        runs.lost(executor, run, "executor, zone or ticket not usable any more", now);
       } else {
         run.stop();
       }
@@ -437,7 +482,8 @@
             key.task(),
             key.number(),
             task.step().job().spec().payload(),
-            executor.grantLease(state.settings.leaseMillis(), now),
+            executor.grantLease(
+                state.zones.startLeaseMillis(zone, state.settings.leaseMillis(), now), now),
             state.term,
             task.checkpoint(),
             ticket.get()));
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveExecutor.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveExecutor.java
@@ -17,6 +17,7 @@
   private static final long MAX_QUARANTINE_MILLIS = 16_000;
 
   private final String id;
+  private final ZoneEvacuation zones;
   private final Map<RunKey, Run> runs = new LinkedHashMap<>();
   private ExecutorInfo info;
   private boolean listed;
@@ -41,8 +42,9 @@
   private long quarantineMillis = QUARANTINE_MILLIS;
   private long quarantinedUntil = NEVER;
 
-  LiveExecutor(String id) {
+  LiveExecutor(String id, ZoneEvacuation zones) {
     this.id = id;
+    this.zones = zones;
   }
 
   String id() {
@@ -164,7 +166,8 @@
         && !info.draining()
         && silentSince == NEVER
         && !suspect
-        && now >= quarantinedUntil;
+        && now >= quarantinedUntil
+        && zones.admits(id, info.zone(), now);
   }
 
   /** Returns whether the executor takes tasks now and did not at the last call. */
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/OwnerState.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/OwnerState.java
@@ -38,6 +38,7 @@
   final List<Action> actions = new ArrayList<>();
   final DecisionListener decisionListener;
   SiteConfiguration configuration = SiteConfiguration.NONE;
+  final ZoneEvacuation zones;
   Durations durations = new DeclaredDurations();
   private final Map<String, Integer> runsByJob = new HashMap<>();
   private Optional<Resources> totalCapacity = Optional.empty();
@@ -54,10 +55,11 @@
     this.term = term;
     this.specs = specs;
     this.decisionListener = decisionListener;
+    zones = new ZoneEvacuation(settings);
   }
 
   LiveExecutor executor(String id) {
-    return executors.computeIfAbsent(id, LiveExecutor::new);
+    return executors.computeIfAbsent(id, i -> new LiveExecutor(i, zones));
   }
 
   /** Returns a task of an unfinished job, or null if there is none with this id. */
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/SchedulerSettings.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/SchedulerSettings.java
@@ -9,6 +9,10 @@
  * @param drainMillis how long an executor keeps running after it announced to drain, if the
  *     announcement does not contain the time
  * @param unreachableMillis time without an answer after which an executor gets no new tasks
+ * @param evacuateMillis time after the write of a zone's evacuation from which no task may start in
+ *     the zone; 0 if there is no such bound
+ * @param maxZoneAgeMillis age of the last read of the operators' records above which no zone is
+ *     known to be in use; 0 if there is no such bound
  * @since 0.2
  */
 public record SchedulerSettings(
@@ -16,7 +20,9 @@
     long storeGraceMillis,
     long stopMillis,
     long drainMillis,
-    long unreachableMillis) {
+    long unreachableMillis,
+    long evacuateMillis,
+    long maxZoneAgeMillis) {
   /** Lowest assumed rate of an executor's clock, relative to the clock of this host. */
   static final double MIN_CLOCK_RATE = 0.98;
 
@@ -43,6 +49,8 @@
     private long drainMillis = 2_000;
     // Two consecutive lease renewals without an answer.
     private long unreachableMillis = 1_200;
+    private long evacuateMillis;
+    private long maxZoneAgeMillis;
 
     private Builder() {}
 
@@ -67,9 +75,34 @@
       return this;
     }
 
+    /**
+     * Sets the time within which an evacuation has to take effect. Half of it is left for reading
+     * the record, the other half for starts that are under way, unless {@link #maxZoneAgeMillis} is
+     * set.
+     */
+    public Builder evacuateMillis(long value) {
+      evacuateMillis = value;
+      return this;
+    }
+
+    /**
+     * Sets the age of the operators' records above which no zone is known to be in use. It has no
+     * effect without {@link #evacuateMillis}.
+     */
+    public Builder maxZoneAgeMillis(long value) {
+      maxZoneAgeMillis = value;
+      return this;
+    }
+
     public SchedulerSettings build() {
       return new SchedulerSettings(
-          leaseMillis, storeGraceMillis, stopMillis, drainMillis, unreachableMillis);
+          leaseMillis,
+          storeGraceMillis,
+          stopMillis,
+          drainMillis,
+          unreachableMillis,
+          evacuateMillis,
+          maxZoneAgeMillis > 0 ? Math.min(maxZoneAgeMillis, evacuateMillis) : evacuateMillis / 2);
     }
   }
 }
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/ClusterSimulation.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/ClusterSimulation.java
@@ -18,6 +18,7 @@
 import io.cactusspring.jobs.model.SiteConfiguration;
 import io.cactusspring.jobs.model.StepId;
 import io.cactusspring.jobs.model.TaskId;
+import io.cactusspring.jobs.model.ZoneRecord;
 import io.cactusspring.jobs.port.AdviceService;
 import io.cactusspring.jobs.port.ExecutorClient;
 import io.cactusspring.jobs.port.KeyedTopic;
@@ -50,8 +51,8 @@
   private static final int LANES = 3;
   private static final int INBOX_PARTITIONS = 4;
 
-  private static final SchedulerSettings SCHEDULER =
-      SchedulerSettings.builder().maxLeaseMillis(6_000).stopMillis(100).build();
+  private static final String CONFIGURATION_KEY = "config";
+  private static final String ZONE_KEY_PREFIX = "zone ";
 
   /**
    * An entry host that can be killed and started again; after a kill, no task of the killed
@@ -166,12 +167,13 @@
   private Function<TaskId, Long> taskWorkMillis = id -> 500L;
   private Function<TaskId, ExecutorClient.EndReason> taskEnd = id -> ExecutorClient.EndReason.DONE;
   private double allowedExecutorShare = 1;
+  private long evacuateMillis;
 
   public ClusterSimulation(long seed) {
     random = new Random(seed);
     configuration = new SiteConfiguration(1, queues(), services(), List.of(organisation(null)));
     try {
-      operators.append(List.of(new Entry("config", new byte[] {1}, 0)), Optional.empty());
+      operators.append(List.of(new Entry(CONFIGURATION_KEY, new byte[] {1}, 0)), Optional.empty());
     } catch (StoreException e) {
       throw new IllegalStateException(e);
     }
@@ -207,7 +209,7 @@
         new SiteConfiguration(
             configuration.version() + 1, queues(), services(), List.of(organisation(limit)));
     try {
-      operators.append(List.of(new Entry("config", new byte[] {1}, 0)), Optional.empty());
+      operators.append(List.of(new Entry(CONFIGURATION_KEY, new byte[] {1}, 0)), Optional.empty());
     } catch (StoreException e) {
       throw new IllegalStateException(e);
     }
@@ -298,6 +300,34 @@
     return taskEnd.apply(task);
   }
 
+  /**
+   * Sets the time after which an evacuated zone may get no more starts, for hosts that start from
+   * now on.
+   */
+  public void evacuateMillis(long millis) {
+    evacuateMillis = millis;
+  }
+
+  /** Evacuates an availability zone, as an operator does. */
+  public void evacuate(String zone) {
+    writeZone(zone, new byte[] {1});
+    oracle.evacuated(zone);
+  }
+
+  /** Returns an availability zone to use. */
+  public void returnToUse(String zone) {
+    writeZone(zone, null);
+    oracle.returnedToUse(zone);
+  }
+
+  private void writeZone(String zone, byte[] value) {
+    try {
+      operators.append(List.of(new Entry(ZONE_KEY_PREFIX + zone, value, 0)), Optional.empty());
+    } catch (StoreException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   public Host addHost(String name) {
     Host host = new Host(name);
     hosts.add(host);
@@ -306,7 +336,12 @@
   }
 
   public FakeExecutor addExecutor(String id, Resources capacity) {
-    FakeExecutor executor = new FakeExecutor(id, this, capacity, time);
+    return addExecutor(id, "zone", capacity);
+  }
+
+  /** Adds an executor in an availability zone. */
+  public FakeExecutor addExecutor(String id, String zone, Resources capacity) {
+    FakeExecutor executor = new FakeExecutor(id, zone, this, capacity, time);
     executors.put(id, executor);
     announce(executor);
     return executor;
@@ -339,7 +374,11 @@
             inbox.stream().map(l -> topic(l, host)).toList(),
             new FakeTopic(operators, host.storeLink, time),
             new FakeTopic(announcements, host.storeLink, time),
-            entry -> Optional.of(configuration),
+            entry ->
+                entry.key().equals(CONFIGURATION_KEY)
+                    ? Optional.of(configuration)
+                    : Optional.empty(),
+            ClusterSimulation::readZone,
             this::readExecutor,
             new HostExecutors(host),
             new FakeAdvice(host),
@@ -352,10 +391,25 @@
             FakeNetwork.address(host.name),
             MILLI_PROCESSORS);
     HostSettings settings =
-        new HostSettings(self, SCHEDULER, new ClaimPolicy(500, 1_500, 40), 4_200, 1_800);
+        new HostSettings(self, schedulerSettings(), new ClaimPolicy(500, 1_500, 40), 4_200, 1_800);
     return new EntryHost(ports, settings, log, new Random(random.nextLong()));
   }
 
+  private SchedulerSettings schedulerSettings() {
+    return SchedulerSettings.builder()
+        .maxLeaseMillis(6_000)
+        .stopMillis(100)
+        .evacuateMillis(evacuateMillis)
+        .build();
+  }
+
+  private static Optional<ZoneRecord> readZone(Entry entry) {
+    return entry.key().startsWith(ZONE_KEY_PREFIX)
+        ? Optional.of(
+            new ZoneRecord(entry.key().substring(ZONE_KEY_PREFIX.length()), entry.value() != null))
+        : Optional.empty();
+  }
+
   private KeyedTopic topic(FakeLog log, Host host) {
     return new FakeTopic(log, host.storeLink, time);
   }
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/FakeExecutor.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/FakeExecutor.java
@@ -49,6 +49,7 @@
   }
 
   private final String id;
+  private final String zone;
   private final ClusterSimulation simulation;
   private final Resources capacity;
   private final VirtualTime time;
@@ -72,8 +73,10 @@
   private boolean stallNewTasks;
   private int slowdownFactor = 1;
 
-  FakeExecutor(String id, ClusterSimulation simulation, Resources capacity, VirtualTime time) {
+  FakeExecutor(
+      String id, String zone, ClusterSimulation simulation, Resources capacity, VirtualTime time) {
     this.id = id;
+    this.zone = zone;
     this.simulation = simulation;
     this.capacity = capacity;
     this.time = time;
@@ -85,12 +88,16 @@
     return id;
   }
 
+  public String zone() {
+    return zone;
+  }
+
   public ExecutorInfo info() {
     return new ExecutorInfo(
         id,
         id + ":80",
         ClusterSimulation.SERVICE,
-        "zone",
+        zone,
         draining,
         -1,
         capacity,
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/Oracle.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/Oracle.java
@@ -23,6 +23,9 @@
   /** Milliseconds after an acknowledged cancellation from which no task of the job may start. */
   private static final long CANCEL_MILLIS = 3_000;
 
+  /** Milliseconds after the write of an evacuation from which no task may start in the zone. */
+  public static final long EVACUATE_MILLIS = 5_000;
+
   private final ClusterSimulation simulation;
   private final Map<String, JobSpec> submitted = new HashMap<>();
   private final Map<String, Long> cancelledAtMillis = new HashMap<>();
@@ -30,6 +33,7 @@
   private final Set<TaskId> acknowledgedDone = new HashSet<>();
   private final Map<TaskId, Integer> failures = new HashMap<>();
   private final List<String> violations = new ArrayList<>();
+  private final Map<String, Long> evacuatedAtMillis = new HashMap<>();
   private int startCount;
 
   Oracle(ClusterSimulation simulation) {
@@ -44,6 +48,14 @@
     cancelledAtMillis.putIfAbsent(job, simulation.time().now());
   }
 
+  void evacuated(String zone) {
+    evacuatedAtMillis.putIfAbsent(zone, simulation.time().now());
+  }
+
+  void returnedToUse(String zone) {
+    evacuatedAtMillis.remove(zone);
+  }
+
   JobSpec started(FakeExecutor executor, StartRequest request) {
     startCount++;
     TaskId task = request.task();
@@ -70,6 +82,10 @@
         && simulation.isFaultFree()) {
       recordViolation("unexpected start", task + " starts after its job was cancelled");
     }
+    Long evacuated = evacuatedAtMillis.get(executor.zone());
+    if (evacuated != null && simulation.time().now() >= evacuated + EVACUATE_MILLIS) {
+      recordViolation("evacuation", task + " starts on " + executor.id() + " in an evacuated zone");
+    }
     if (failures.getOrDefault(task, 0) >= ClusterSimulation.MAX_ATTEMPTS) {
       recordViolation("attempt limit", task + " starts after " + failures.get(task) + " failures");
     }
