Date followed data only by reads that reach the end of the topic

Cause: TopicFollower counted each answered read as a confirmation of its data. A read that returns only the first part of the records that are stored does not show that nothing newer is. The age decides whether an evacuated zone is known.

Change: the age counts from the last read that reached the end of the topic.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/TopicFollower.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/TopicFollower.java
@@ -41,6 +41,9 @@
   private boolean unavailable;
   private boolean watching;
 
+  /** Whether the last read returned all records that were stored when it was answered. */
+  private boolean reachedEnd;
+
   /**
    * How much longer than its wait the last read took, if it returned no record. The wait of the
    * next read is shortened accordingly, which bounds the age of the data while the store is slow.
@@ -99,7 +102,8 @@
   }
 
   /**
-   * Returns the age of the data in milliseconds: the time since the last successful read was sent.
+   * Returns the age of the data in milliseconds: the time since the last successful read was sent
+   * that reached the end of the topic.
    */
   public long ageMillis() {
     // Unlike the monotonic clock, the wall clock advances while the machine is suspended.
@@ -192,8 +196,10 @@
   }
 
   private void readSucceeded(long sentAt, long sentAtWallMillis) {
-    confirmedAt = Math.max(confirmedAt, sentAt);
-    confirmedAtWallMillis = sentAtWallMillis;
+    if (reachedEnd) {
+      confirmedAt = Math.max(confirmedAt, sentAt);
+      confirmedAtWallMillis = sentAtWallMillis;
+    }
     answeredAt = timers.nowMillis();
     retryMillis = INITIAL_RETRY_MILLIS;
     if (uninterruptedReadsSince == Long.MAX_VALUE) {
@@ -226,12 +232,14 @@
   private boolean apply(Batch batch) {
     long applied = next;
     next = Math.max(next, batch.next());
+    reachedEnd = next >= batch.end();
     batch.entries().stream().filter(e -> e.offset() >= applied).forEach(sink::apply);
     return !batch.entries().isEmpty();
   }
 
   private boolean finishLoad(PageLoader.Loaded page) {
     next = page.end();
+    reachedEnd = true;
     loaded = true;
     page.entries().stream().sorted(Comparator.comparingLong(Entry::offset)).forEach(sink::apply);
     sink.loaded(page.entries().stream().map(Entry::key).collect(Collectors.toSet()));
