--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/OwnerState.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/OwnerState.java
@@ -40,6 +40,7 @@
   SiteConfiguration configuration = SiteConfiguration.NONE;
   final LearnedDurations learned;
   Durations durations;
+  final ZoneEvacuation zones;
   private final Map<String, Integer> runsByJob = new HashMap<>();
   private Optional<Resources> totalCapacity = Optional.empty();
   private long version;
@@ -57,10 +58,11 @@
     this.decisionListener = decisionListener;
     learned = new LearnedDurations(decisionListener);
     durations = learned;
+    zones = new ZoneEvacuation(settings);
   }
 
   LiveExecutor executor(String id) {
-    return executors.computeIfAbsent(id, LiveExecutor::new);
+    return executors.computeIfAbsent(id, i -> new LiveExecutor(i, zones));
   }
 
   /** Returns a task of an unfinished job, or null if there is none with this id. */
