Decide at submission whether a job could be served

Cause: every submission to a known queue was accepted. Under 1.5 times the capacity, a part of the accepted jobs completed when they were of no use any more, and callers learned nothing before.

Nothing calls the policy yet.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
@@ -59,6 +59,7 @@
   private final RunMonitor monitor;
   private final Evacuation evacuation;
   private final Throttle throttle;
+  private final AdmissionPolicy admission;
   private final PriorityQueue<DueOccurrence> dueOccurrences =
       new PriorityQueue<>(Comparator.comparingLong(DueOccurrence::wallMillis));
   private long lastVersion;
@@ -111,6 +112,7 @@
     monitor = new RunMonitor(state, runs);
     evacuation = new Evacuation(state, runs);
     throttle = new Throttle(state);
+    admission = new AdmissionPolicy(state);
     entries.stream().filter(e -> e.spec().isPresent()).forEach(e -> adopt(e, wallMillis, now));
   }
 
@@ -194,6 +196,14 @@
     }
   }
 
+  /**
+   * Decides whether a new job may be accepted. Must not be called for a job that is accepted or may
+   * be stored already.
+   */
+  public Admission admit(JobSpec spec, long now) {
+    return admission.admit(spec, now);
+  }
+
   /** Adds an accepted job; does nothing if it is known or final already. */
   public void submitted(JobEntry entry, long wallMillis, long now) {
     if (state.jobs.containsKey(entry.id()) || entry.state().isFinal()) {
@@ -202,6 +212,7 @@
     LiveJob job = new LiveJob(entry, state.waitingSteps, wallMillis, now);
     state.jobs.put(job.id(), job);
     schedule(job, wallMillis, now);
+    admission.accepted(job.spec(), now);
   }
 
   /** Adds the occurrences of a job that are due, and schedules the next one. */
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveExecutor.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveExecutor.java
@@ -20,6 +20,7 @@
   private final Map<RunKey, Run> runs = new LinkedHashMap<>();
   private ExecutorInfo info;
   private boolean listed;
+  private long listedAt;
   private long leavesAt;
   private long bootMillis;
   private Resources used = Resources.NONE;
@@ -70,6 +71,11 @@
     return listed;
   }
 
+  /** Returns since when the executor has been listed. */
+  long listedAt() {
+    return listedAt;
+  }
+
   /**
    * Records an announcement of the executor.
    *
@@ -79,6 +85,7 @@
   void announced(ExecutorInfo announced, long drainMillis, long now) {
     boolean wasDraining = isDraining();
     info = announced;
+    listedAt = listed ? listedAt : now;
     listed = true;
     if (announced.remainingMillis() >= 0) {
       leavesAt = now + announced.remainingMillis();
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/RemainingWork.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/RemainingWork.java
@@ -1,5 +1,6 @@
 package io.cactusspring.jobs.schedule;
 
+import io.cactusspring.jobs.model.JobSpec;
 import io.cactusspring.jobs.model.StepSpec;
 import java.util.ArrayList;
 import java.util.List;
@@ -12,31 +13,54 @@
  * @param processorMillis sum over the unfinished tasks of duration times processors
  */
 record RemainingWork(double criticalPathMillis, double processorMillis) {
+  /** Adds up steps, in the order of their numbers. */
+  private static final class Sum {
+    private final Durations durations;
+    private final String queue;
+    private final List<Double> ends = new ArrayList<>();
+    private double longest;
+    private double processors;
+
+    Sum(JobSpec job, Durations durations) {
+      this.durations = durations;
+      queue = job.queue().name();
+    }
+
+    void add(StepSpec step, long unfinishedTasks) {
+      double start = step.after().stream().mapToDouble(ends::get).max().orElse(0);
+      double duration = unfinishedTasks == 0 ? 0 : durations.expectedMillis(queue, step);
+      ends.add(start + duration);
+      longest = Math.max(longest, start + duration);
+      processors += unfinishedTasks * duration * processorsOf(step);
+    }
+
+    RemainingWork result() {
+      return new RemainingWork(longest, processors);
+    }
+  }
+
   /** Returns the remaining work of the occurrences of a job that are due. */
   static RemainingWork of(LiveJob job, Durations durations) {
-    String queue = job.spec().queue().name();
-    double longest = 0;
-    double processors = 0;
-    List<Double> ends = new ArrayList<>();
+    Sum sum = new Sum(job.spec(), durations);
     for (LiveStep step : job.steps()) {
       if (step.id().step() == 0) {
         // The steps of an occurrence follow each other; occurrences do not depend on each other.
-        ends.clear();
+        sum.ends.clear();
       }
-      double start = step.spec().after().stream().mapToDouble(ends::get).max().orElse(0);
-      double duration = step.isDone() ? 0 : durations.expectedMillis(queue, step.spec());
-      ends.add(start + duration);
-      longest = Math.max(longest, start + duration);
-      processors += unfinished(step) * duration * processorsOf(step.spec());
+      sum.add(step.spec(), step.tasks().stream().filter(t -> !t.isDone()).count());
     }
-    return new RemainingWork(longest, processors);
+    return sum.result();
   }
 
-  private static long unfinished(LiveStep step) {
-    return step.tasks().stream().filter(t -> !t.isDone()).count();
+  /** Returns the work of one occurrence of a job that has not begun. */
+  static RemainingWork of(JobSpec job, Durations durations) {
+    Sum sum = new Sum(job, durations);
+    job.steps().forEach(step -> sum.add(step, step.tasks()));
+    return sum.result();
   }
 
-  private static double processorsOf(StepSpec step) {
+  /** Returns the processors that one task of a step occupies. */
+  static double processorsOf(StepSpec step) {
     return step.committed().milliProcessors() / 1_000.0;
   }
 }
