--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/log/JobEvent.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/log/JobEvent.java
@@ -14,6 +14,8 @@
   STOPPED(2005, "the process ends"),
   SETTINGS_RELOADED(2006, "the settings file was read again"),
   INTERNAL_ERROR(2007, "an unexpected error; the owner gives up its term"),
+  EVENT_LOOP_LAGS(2008, "the event loop lags; new submissions are refused"),
+  EVENT_LOOP_RECOVERED(2009, "the event loop lags no longer; new submissions are taken"),
   STORE_LOST(2101, "a topic of the store cannot be read"),
   STORE_REGAINED(2102, "a topic of the store can be read again"),
   RECORD_UNREADABLE(2103, "a record of the store is skipped"),
