Answer 503 with the time to return when a job is rejected

Cause: nothing applied the admission policy, and Retry-After was always 1 s.

Change: OwnerController asks the policy before it stores an unknown job, unless a later owner or a host that wrote to the inbox may have accepted it. A REFUSED verdict with a time to retry becomes Outcome.Refused and HTTP 503 with that Retry-After; the entry host does not put the job into the inbox, and answers "undecided" if one of its earlier requests may have stored it. A host whose event loop lags refuses jobs that the owner does not know, and reports itself not ready.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/EntryHost.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/EntryHost.java
@@ -36,6 +36,8 @@
   private final OwnerLink link;
   private final OwnershipMonitor monitor;
   private final JobService service;
+  private final EventLoopLag lag = new EventLoopLag();
+  private boolean lagging;
   private SiteConfiguration configuration = SiteConfiguration.NONE;
   private Optional<OwnerTerm> term = Optional.empty();
   private long lastTickAt;
@@ -87,7 +89,8 @@
             () -> configuration,
             settings,
             timers,
-            log);
+            log,
+            lag);
   }
 
   /** Starts following the topics of the store. */
@@ -106,6 +109,7 @@
   public boolean isReady() {
     boolean now =
         !draining
+            && lag.isReady()
             && configuration.version() > 0
             && configurationFollower.ageMillis() <= settings.staleMillis();
     if (now != ready) {
@@ -117,11 +121,24 @@
           "configuration",
           configuration.version(),
           "configurationAgeMillis",
-          configurationFollower.ageMillis());
+          configurationFollower.ageMillis(),
+          "eventLoopLagMillis",
+          lag.averageMillis());
     }
     return now;
   }
 
+  private void measureLag(long now) {
+    lag.taskRan(now - lastTickAt - TICK_MILLIS, now);
+    if (lag.isLagging() != lagging) {
+      lagging = lag.isLagging();
+      log.event(
+          lagging ? JobEvent.EVENT_LOOP_LAGS : JobEvent.EVENT_LOOP_RECOVERED,
+          "averageMillis",
+          lag.averageMillis());
+    }
+  }
+
   /** Returns whether this host owns the executors. */
   public boolean isOwner() {
     return term.flatMap(OwnerTerm::controller).isPresent();
@@ -145,6 +162,7 @@
     if (now - lastTickAt > PAUSE_DETECTION_MILLIS) {
       monitor.paused();
     }
+    measureLag(now);
     lastTickAt = now;
     isReady();
     checkOwnership();
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/JobService.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/JobService.java
@@ -50,6 +50,9 @@
 
   private static final int RETRY_AFTER_SECONDS = 1;
 
+  /** A longer time to wait tells a caller no more than that it has to wait. */
+  private static final int MAX_RETRY_AFTER_SECONDS = 30;
+
   private record Count(long jobs, long at) {}
 
   private final Supplier<Optional<OwnerRequests>> owner;
@@ -60,6 +63,8 @@
   private final HostSettings settings;
   private final Timers timers;
   private final JobLog log;
+  private final EventLoopLag lag;
+  private final OpenSubmissions openSubmissions = new OpenSubmissions();
   private final ResponseTimes ownerWrites = new ResponseTimes();
   private final FinalStates finalStates = new FinalStates();
   private final Map<String, Count> counts = new HashMap<>();
@@ -75,7 +80,8 @@
       Supplier<SiteConfiguration> configuration,
       HostSettings settings,
       Timers timers,
-      JobLog log) {
+      JobLog log,
+      EventLoopLag lag) {
     this.owner = owner;
     this.inbox = inbox;
     this.reader = reader;
@@ -84,6 +90,7 @@
     this.settings = settings;
     this.timers = timers;
     this.log = log;
+    this.lag = lag;
   }
 
   /** Finds the queue that a caller addresses, and validates the key. */
@@ -124,11 +131,37 @@
    */
   public Future<Outcome> submit(JobSpec spec, long budgetMillis) {
     long deadline = deadline(budgetMillis);
-    return owner
-        .get()
-        .map(o -> submitTo(o, spec, deadline))
-        .orElseGet(() -> toInbox(spec.id(), LedgerCodec.job(spec), deadline, false))
-        .compose(outcome -> logAndReturn(JobEvent.SUBMISSION, spec.id(), outcome));
+    openSubmissions.begin(spec.id());
+    Optional<OwnerRequests> reached = owner.get();
+    Future<Outcome> outcome =
+        reached
+            .map(
+                o ->
+                    lag.isLagging()
+                        ? submitWhileLagging(o, spec, deadline)
+                        : submitTo(o, spec, deadline))
+            .orElseGet(() -> submitToInbox(spec, deadline, false));
+    return outcome
+        .onComplete(done -> openSubmissions.end(spec.id()))
+        .compose(o -> logAndReturn(JobEvent.SUBMISSION, spec.id(), o));
+  }
+
+  /** Refuses a submission without storing it, unless the owner knows the job. */
+  private Future<Outcome> submitWhileLagging(OwnerRequests reached, JobSpec spec, long deadline) {
+    JobReference job = JobReference.of(spec.id(), spec.queue(), spec.organisation());
+    long left = Math.max(1, deadline - timers.nowMillis());
+    return reached
+        .state(job, left)
+        .compose(
+            state ->
+                state.isPresent()
+                    ? submitTo(reached, spec, deadline)
+                    : Future.succeededFuture(
+                        refusedUnlessInDoubt(
+                            spec.id(),
+                            "the event loop lags by " + lag.averageMillis() + " ms",
+                            RETRY_AFTER_SECONDS)),
+            problem -> submitTo(reached, spec, deadline));
   }
 
   private Future<Outcome> submitTo(OwnerRequests reached, JobSpec spec, long deadline) {
@@ -137,11 +170,36 @@
             verdict ->
                 switch (verdict.kind()) {
                   case STORED -> Future.succeededFuture(new Outcome.Accepted());
-                  case REFUSED -> Future.succeededFuture(new Outcome.Conflict(verdict.reason()));
-                  case UNDECIDED, UNKNOWN_JOB ->
-                      toInbox(spec.id(), LedgerCodec.job(spec), deadline, true);
+                  case REFUSED -> Future.succeededFuture(refused(spec.id(), verdict));
+                  case UNDECIDED, UNKNOWN_JOB -> submitToInbox(spec, deadline, true);
                 },
-            problem -> toInbox(spec.id(), LedgerCodec.job(spec), deadline, maybeExecuted(problem)));
+            problem -> submitToInbox(spec, deadline, maybeExecuted(problem)));
+  }
+
+  private Outcome refused(String job, VerdictReason verdict) {
+    if (verdict.retryAfterMillis().isEmpty()) {
+      return new Outcome.Conflict(verdict.reason());
+    }
+    long seconds = Math.ceilDiv(verdict.retryAfterMillis().getAsLong(), 1_000L);
+    return refusedUnlessInDoubt(
+        job, verdict.reason(), Math.clamp(seconds, RETRY_AFTER_SECONDS, MAX_RETRY_AFTER_SECONDS));
+  }
+
+  /** Returns that a submission is not stored, or that it is undecided if an earlier one may be. */
+  private Outcome refusedUnlessInDoubt(String job, String reason, int retryAfterSeconds) {
+    return openSubmissions.mayBeStored(job, timers.nowMillis())
+        ? new Outcome.Undecided("an earlier request may have stored the job; " + reason)
+        : new Outcome.Refused(reason, retryAfterSeconds);
+  }
+
+  private Future<Outcome> submitToInbox(JobSpec spec, long deadline, boolean maybeStored) {
+    return toInbox(spec.id(), LedgerCodec.job(spec), deadline, maybeStored)
+        .onSuccess(
+            outcome -> {
+              if (!(outcome instanceof Outcome.Refused)) {
+                openSubmissions.putInDoubt(spec.id(), timers.nowMillis());
+              }
+            });
   }
 
   private long deadline(long budgetMillis) {
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/Outcome.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/Outcome.java
@@ -9,7 +9,11 @@
   /** The request is stored. */
   record Accepted() implements Outcome {}
 
-  /** The request is not stored and never will be. */
+  /**
+   * The request is not stored and never will be.
+   *
+   * @param retryAfterSeconds time after which the caller may send it again
+   */
   record Refused(String reason, int retryAfterSeconds) implements Outcome {}
 
   /** The request contradicts an earlier one; it is not stored and never will be. */
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnedJobs.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnedJobs.java
@@ -169,6 +169,14 @@
     }
   }
 
+  /**
+   * Returns whether the inbox holds a cancellation of an unknown job. Another host has seen the job
+   * then, so a submission of it may be stored.
+   */
+  boolean isCancelledBeforeSubmission(String id) {
+    return strayCancellations.containsKey(id);
+  }
+
   /** Returns whether the inbox holds a cancellation of a job that was unknown when it was read. */
   boolean wasCancelledBefore(String id) {
     return strayCancellations.remove(id) != null;
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerController.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerController.java
@@ -19,6 +19,7 @@
 import io.cactusspring.jobs.port.StoreException;
 import io.cactusspring.jobs.port.Timers;
 import io.cactusspring.jobs.schedule.Action;
+import io.cactusspring.jobs.schedule.Admission;
 import io.cactusspring.jobs.schedule.JobScheduler;
 import io.cactusspring.jobs.schedule.JobScheduler.Changes;
 import io.cactusspring.jobs.schedule.JobScheduler.ReceivedEnds;
@@ -36,6 +37,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 
 /**
  * Executes one term as owner of the executors.
@@ -102,6 +104,7 @@
   private final Timers timers;
   private final JobLog log;
   private final long storeGraceMillis;
+  private final BooleanSupplier inboxCurrent;
   private final Runnable onEnd;
   private final Set<Action.Start> pendingStarts = new LinkedHashSet<>();
 
@@ -116,6 +119,7 @@
   private Optional<Promise<Void>> flushed = Optional.empty();
 
   /**
+   * @param inboxCurrent whether the records of the inbox are read as soon as they are stored
    * @param onEnd called when the term has ended because of another owner or an internal error
    */
   OwnerController(
@@ -128,6 +132,7 @@
       Timers timers,
       JobLog log,
       long storeGraceMillis,
+      BooleanSupplier inboxCurrent,
       Runnable onEnd) {
     this.scheduler = scheduler;
     this.jobs = jobs;
@@ -138,6 +143,7 @@
     this.timers = timers;
     this.log = log;
     this.storeGraceMillis = storeGraceMillis;
+    this.inboxCurrent = inboxCurrent;
     this.onEnd = onEnd;
   }
 
@@ -169,13 +175,17 @@
 
   /**
    * Submits a job; completes when the submission is stored or cannot be. Fails with a {@link
-   * PeerException}, without effect, while the store does not answer.
+   * PeerException}, without effect, while the store does not answer. A job that is rejected because
+   * of the load has not been stored and never will be by this request.
    */
   Future<VerdictReason> submit(JobSpec spec) {
     if (!jobs.contains(spec.id())) {
       if (isStoreUnavailable()) {
         return Future.failedFuture(new PeerException(false, "the store does not answer"));
       }
+      if (admit(spec) instanceof Admission.Rejected rejection) {
+        return Future.succeededFuture(VerdictReason.overloaded(rejection));
+      }
       jobs.add(spec);
       JobEntry entry = JobEntry.submitted(spec);
       scheduler.submitted(entry, timers.wallMillis(), timers.nowMillis());
@@ -189,6 +199,18 @@
         .otherwise(OwnerController::undecided);
   }
 
+  /**
+   * Decides whether a job that this owner does not know is accepted. A job is not rejected while
+   * another host may have accepted it: a later owner, or one that has written to the inbox.
+   */
+  private Admission admit(JobSpec spec) {
+    boolean unknownElsewhere =
+        isConfirmed()
+            && inboxCurrent.getAsBoolean()
+            && !jobs.isCancelledBeforeSubmission(spec.id());
+    return unknownElsewhere ? scheduler.admit(spec, timers.nowMillis()) : new Admission.Admitted();
+  }
+
   /** Cancels a job; completes when a final state of the job is stored. */
   Future<VerdictReason> cancel(JobReference job) {
     if (!jobs.isVisible(job)) {
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerTerm.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerTerm.java
@@ -204,6 +204,7 @@
             timers,
             log,
             settings.scheduler().storeGraceMillis(),
+            () -> inboxFollowers.stream().noneMatch(TopicFollower::isOverdue),
             this::end);
     controller = Optional.of(begun);
     log.event(
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/VerdictReason.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/VerdictReason.java
@@ -1,6 +1,7 @@
 package io.cactusspring.jobs.control;
 
 import io.cactusspring.jobs.link.PeerMessage.VerdictKind;
+import io.cactusspring.jobs.schedule.Admission;
 import java.util.OptionalLong;
 
 /**
@@ -13,6 +14,12 @@
 record VerdictReason(VerdictKind kind, String reason, OptionalLong retryAfterMillis) {
   static final VerdictReason STORED = new VerdictReason(VerdictKind.STORED, "");
 
+  /** Creates the verdict on a job that is not stored because of too much work. */
+  static VerdictReason overloaded(Admission.Rejected rejection) {
+    return new VerdictReason(
+        VerdictKind.REFUSED, rejection.reason(), OptionalLong.of(rejection.retryAfterMillis()));
+  }
+
   /** Creates a verdict after which the caller need not retry. */
   VerdictReason(VerdictKind kind, String reason) {
     this(kind, reason, OptionalLong.empty());
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/Oracle.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/Oracle.java
@@ -1,6 +1,7 @@
 package io.cactusspring.jobs.simulation;
 
 import io.cactusspring.core.model.Resources;
+import io.cactusspring.jobs.control.Outcome;
 import io.cactusspring.jobs.model.JobSpec;
 import io.cactusspring.jobs.model.StepSpec;
 import io.cactusspring.jobs.model.TaskId;
@@ -25,6 +26,9 @@
 
   private final ClusterSimulation simulation;
   private final Map<String, JobSpec> submitted = new HashMap<>();
+  private final Map<String, Integer> openSubmissions = new HashMap<>();
+  private final Set<String> rejected = new HashSet<>();
+  private final Set<String> begun = new HashSet<>();
   private final Map<String, Long> cancelledAtMillis = new HashMap<>();
   private final Set<TaskId> done = new HashSet<>();
   private final Set<TaskId> acknowledgedDone = new HashSet<>();
@@ -38,6 +42,22 @@
 
   void submitted(JobSpec spec) {
     submitted.put(spec.id(), spec);
+    openSubmissions.merge(spec.id(), 1, Integer::sum);
+    rejected.remove(spec.id());
+  }
+
+  /**
+   * Records the answer to a submission. A job whose last submission was rejected must not have run
+   * before, and must not run until it is submitted again.
+   */
+  void answered(JobSpec spec, Outcome outcome) {
+    int open = openSubmissions.merge(spec.id(), -1, Integer::sum);
+    if (outcome instanceof Outcome.Refused && open == 0) {
+      rejected.add(spec.id());
+      if (begun.contains(spec.id())) {
+        recordViolation("rejected job", spec.id() + " was rejected after it had started");
+      }
+    }
   }
 
   void cancelled(String job) {
@@ -52,6 +72,10 @@
       recordViolation("unexpected start", task + " belongs to a job that was not submitted");
       throw new IllegalStateException("start of a task of unknown job " + task.job());
     }
+    begun.add(task.job());
+    if (rejected.contains(task.job())) {
+      recordViolation("rejected job", task + " starts after its job was rejected");
+    }
     simulation.executors().stream()
         .filter(e -> e != executor && e.isUp() && e.tasks().contains(task))
         .forEach(
