Never call a retry "not stored" while the first request is in doubt

Cause: a host that can store nothing (owner and store unreachable) answered the retry of a job with 503, although its own earlier append for the same id had no answer and may still be carried out.

Change: a refusal without the owner also becomes "undecided" if an earlier request of this host may have stored the job.

Result: a test with a lost answer followed by an unreachable store; AdmissionTest, HandoverTest and LaggingHostTest pass.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/JobService.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/JobService.java
@@ -194,6 +194,11 @@
 
   private Future<Outcome> submitToInbox(JobSpec spec, long deadline, boolean maybeStored) {
     return toInbox(spec.id(), LedgerCodec.job(spec), deadline, maybeStored)
+        .map(
+            outcome ->
+                outcome instanceof Outcome.Refused r
+                    ? refusedUnlessInDoubt(spec.id(), r.reason(), r.retryAfterSeconds())
+                    : outcome)
         .onSuccess(
             outcome -> {
               if (!(outcome instanceof Outcome.Refused)) {
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/AdmissionTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/AdmissionTest.java
@@ -212,6 +212,26 @@
     assertThat(simulation.oracle().violations()).isEmpty();
   }
 
+  /**
+   * No load. An append to the inbox got no answer, then the store and the owner are unreachable:
+   * the host can store nothing for the retry, but does not know about the first request.
+   */
+  @Test
+  void retryIsUndecidedWhileTheFirstRequestIs() {
+    Host host = otherHost();
+    host.cutFromPeers(true);
+    simulation.time().run(2_000);
+    host.storeLink().answerLossRate(1);
+    JobSpec spec = job("doubtful");
+    Future<Outcome> first = simulation.submit(host, spec);
+    simulation.time().run(3_500);
+    assertThat(first.result()).isInstanceOf(Outcome.Undecided.class);
+    host.storeLink().disconnected(true);
+    simulation.time().run(3_000);
+    assertThat(answer(host, spec)).isInstanceOf(Outcome.Undecided.class);
+    assertThat(answer(host, job("other"))).isInstanceOf(Outcome.Refused.class);
+  }
+
   /** Bad input without any other load. */
   @Test
   void taskLargerThanAnyExecutorIsRejectedWithATimeToWait() {
