--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerTerm.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerTerm.java
@@ -242,6 +242,7 @@
             log,
             settings.scheduler().storeGraceMillis(),
             operators::ageMillis,
+            () -> inboxFollowers.stream().noneMatch(TopicFollower::isOverdue),
             this::end);
     controller = Optional.of(begun);
     log.event(
