--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerController.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerController.java
@@ -37,8 +37,8 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
-import java.util.function.LongSupplier;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 
 /**
  * Executes one term as owner of the executors.
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/FakeExecutor.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/FakeExecutor.java
@@ -95,15 +95,7 @@
 
   public ExecutorInfo info() {
     return new ExecutorInfo(
-        id,
-        id + ":80",
-        ClusterSimulation.SERVICE,
-        zone,
-        draining,
-        -1,
-        capacity,
-        labels,
-        bootedAt);
+        id, id + ":80", ClusterSimulation.SERVICE, zone, draining, -1, capacity, labels, bootedAt);
   }
 
   public boolean isUp() {
