Let the fuzz with evacuations run tasks with checkpoints

Cause: no run of the fuzz could be moved, because its tasks saved no checkpoints.

Change: half of the steps save checkpoints where zones are evacuated. The choice comes from the random source of the evacuations.

--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/ClusterFuzzTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/ClusterFuzzTest.java
@@ -99,6 +99,7 @@
                 .after(i == 0 ? List.of() : List.of(i - 1))
                 .gang(random.nextInt(6) == 0)
                 .maxPerExecutor(random.nextInt(5) == 0 ? 2 : 0)
+                .checkpoints(evacuations.map(r -> r.nextInt(2) == 0).orElse(false))
                 .build());
       }
       AdviceSettings advice = random.nextBoolean() ? new AdviceSettings(20, 1, 2_000) : null;
