--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakRun.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakRun.java
@@ -38,6 +38,9 @@
   private static final long READY_MILLIS = 30_000;
   private static final long POLL_MILLIS = 200;
 
+  /** The JVMs that have just started compile their code, and an owner takes over. */
+  private static final long SETTLE_MILLIS = 3_000;
+
   /** Jobs that wait through an overload end within this time after the load. */
   private static final long DRAIN_MILLIS = 60_000;
 
@@ -128,6 +131,7 @@
                               ? Future.succeededFuture()
                               : Future.failedFuture("the hosts were not ready in time"));
             })
+        .compose(v -> vertx.timer(SETTLE_MILLIS, TimeUnit.MILLISECONDS))
         .compose(v -> load(faults, arrivals))
         .compose(v -> drain());
   }
