Order jobs by plan and entitlement while work does not fit

Cause: in a burst, jobs that cannot complete in time any more took the capacity that others needed, and an organisation that sent several times its usual rate delayed all others. Shares were taken over absolute weights, so they never separated organisations.

Change: OrganisationAccounts keeps for each organisation the processors used in the last seconds and a token bucket of its submissions; OwnerState updates both in constant time a run or job, and a takeover rebuilds the bucket from the stored acceptance times. ShortagePlan defers jobs (Moore-Hodgson) so that more of the others are in time. ShortageMonitor detects every 100 ms whether the waiting tasks of a service fit on its executors, and computes the plan only if they do not. StepOrder ranks by them in a shortage; without one, the order is as before. Surplus jobs do not preempt in a shortage. JOB_DEFERRED is logged once a job.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/DecisionListener.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/DecisionListener.java
@@ -22,6 +22,7 @@
     JOB_FAILED,
     JOB_COMPLETED,
     JOB_CANCELLED,
+    JOB_DEFERRED,
     ADVICE,
     EXECUTOR_REBOOTED,
     EXECUTOR_SILENT,
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
@@ -107,7 +107,8 @@
     reports = new ReportReconciler(state, runs);
     startAnswers = new StartAnswerHandler(state, runs);
     advice = new AdvicePlanner(state);
-    placement = new Placement(state, runs, advice);
+    StepOrder order = new StepOrder(state, new ShortageMonitor(state));
+    placement = new Placement(state, runs, advice, order);
     monitor = new RunMonitor(state, runs);
     evacuation = new Evacuation(state, runs);
     throttle = new Throttle(state);
@@ -120,10 +121,13 @@
 
   private void adopt(JobEntry entry, long wallMillis, long now) {
     if (entry.isFinalStateStored()) {
+      JobSpec spec = entry.spec().orElseThrow();
+      long acceptedAt = LiveJob.acceptedAt(spec, wallMillis, now);
+      state.accounts.submitted(spec.organisation(), acceptedAt, () -> {});
       return;
     }
     LiveJob job = new LiveJob(entry, state.waitingSteps, wallMillis, now);
-    state.jobs.put(job.id(), job);
+    state.addJob(job);
     entry.progress().ifPresent(p -> p.steps().forEach(s -> adoptRuns(job, s, now)));
     schedule(job, wallMillis, now);
     if (entry.cancelled()) {
@@ -149,15 +153,14 @@
               job.spec().organisation(),
               Run.Phase.RUNNING,
               now);
-      state.addRun(executor, run);
+      state.addRun(executor, run, now);
       task.assign(run, executor);
     }
   }
 
   /** Applies a configuration. */
   public void configure(SiteConfiguration configuration) {
-    state.configuration = configuration;
-    state.waitingSteps.all().forEach(LiveStep::retry);
+    state.configure(configuration);
   }
 
   /** Records an executor's announcement. */
@@ -200,7 +203,7 @@
       return;
     }
     LiveJob job = new LiveJob(entry, state.waitingSteps, wallMillis, now);
-    state.jobs.put(job.id(), job);
+    state.addJob(job);
     schedule(job, wallMillis, now);
   }
 
@@ -214,7 +217,7 @@
   public void cancelled(String id, long now) {
     LiveJob job = state.jobs.get(id);
     if (job != null) {
-      runs.finish(job, JobState.CANCELLED);
+      runs.finish(job, JobState.CANCELLED, now);
       state.decisionListener.decisionMade(
           DecisionListener.Kind.JOB_CANCELLED, id, "", "cancelled by its caller");
     }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveJob.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveJob.java
@@ -28,19 +28,26 @@
   private final long submittedAt;
   private JobState state = JobState.PENDING;
   private boolean started;
+  private boolean surplus;
+  private boolean deferralLogged;
   private int nextOccurrence;
 
   LiveJob(JobEntry entry, WaitingSteps waitingSteps, long wallMillis, long now) {
     this.waitingSteps = waitingSteps;
     spec = entry.spec().orElseThrow();
-    long age = wallMillis - spec.acceptedMillis();
-    submittedAt = now - Math.clamp(age, 0, MAX_AGE_MILLIS);
+    submittedAt = acceptedAt(spec, wallMillis, now);
     entry.progress().ifPresent(p -> restore(p, now));
     if (spec.repetitions() == 0 && !doneOccurrences.contains(0)) {
       occurrence(0, now);
     }
   }
 
+  /** Returns when a job was accepted, in milliseconds on the monotonic clock of this host. */
+  static long acceptedAt(JobSpec spec, long wallMillis, long now) {
+    long age = wallMillis - spec.acceptedMillis();
+    return now - Math.clamp(age, 0, MAX_AGE_MILLIS);
+  }
+
   private void restore(JobProgress stored, long now) {
     state = stored.state();
     started = stored.started();
@@ -88,6 +95,27 @@
     return spec.steps().stream().anyMatch(StepSpec::longRunning);
   }
 
+  /** Returns whether any task of the job was ever started. */
+  boolean hasBegun() {
+    return started;
+  }
+
+  /** Returns whether the job was submitted beyond the agreed rate of its organisation. */
+  boolean surplus() {
+    return surplus;
+  }
+
+  void markSurplus() {
+    surplus = true;
+  }
+
+  /** Returns whether this is the first call, so that a deferral is logged once. */
+  boolean firstDeferral() {
+    boolean first = !deferralLogged;
+    deferralLogged = true;
+    return first;
+  }
+
   void finish(JobState end) {
     state = end;
     steps().forEach(waitingSteps::update);
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/OwnerState.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/OwnerState.java
@@ -37,6 +37,8 @@
   final Set<LiveExecutor> draining = new LinkedHashSet<>();
   final List<Action> actions = new ArrayList<>();
   final DecisionListener decisionListener;
+  final OrganisationAccounts accounts = new OrganisationAccounts();
+  final ArrivingWork arrivingWork = new ArrivingWork();
   SiteConfiguration configuration = SiteConfiguration.NONE;
   Durations durations = new DeclaredDurations();
   private final Map<String, Integer> runsByJob = new HashMap<>();
@@ -56,6 +58,33 @@
     this.decisionListener = decisionListener;
   }
 
+  /** Applies a configuration. */
+  void configure(SiteConfiguration current) {
+    configuration = current;
+    accounts.configure(current);
+    waitingSteps.all().forEach(LiveStep::retry);
+  }
+
+  /** Adds an unfinished job, which was just submitted or is restored at a takeover. */
+  void addJob(LiveJob job) {
+    jobs.put(job.id(), job);
+    accounts.submitted(job.spec().organisation(), job.submittedAt(), job::markSurplus);
+    if (job.longRunning()) {
+      return;
+    }
+    accounts.unfinishedJobsChanged(job.spec().organisation(), 1);
+    if (!job.surplus()) {
+      arrivingWork.add(job, queue(job), RemainingWork.of(job, durations));
+    }
+  }
+
+  /** Removes a job that has ended. */
+  void removeJob(LiveJob job) {
+    if (jobs.remove(job.id()) != null && !job.longRunning()) {
+      accounts.unfinishedJobsChanged(job.spec().organisation(), -1);
+    }
+  }
+
   LiveExecutor executor(String id) {
     return executors.computeIfAbsent(id, LiveExecutor::new);
   }
@@ -129,19 +158,27 @@
     executorsChanged();
   }
 
-  void addRun(LiveExecutor executor, Run run) {
+  void addRun(LiveExecutor executor, Run run, long now) {
     touch(executor);
     executor.add(run);
     runsByJob.merge(run.key().task().job(), 1, Integer::sum);
     usage.merge(run.organisation(), run.spec().resources(), Resources::plus);
+    account(run, run.committed().milliProcessors(), now);
   }
 
-  void removeRun(LiveExecutor executor, Run run) {
+  void removeRun(LiveExecutor executor, Run run, long now) {
     touch(executor);
     if (executor.remove(run.key())) {
       gainedCapacity(executor);
       runsByJob.computeIfPresent(run.key().task().job(), (job, n) -> n == 1 ? null : n - 1);
       usage.merge(run.organisation(), run.spec().resources(), Resources::minus);
+      account(run, -run.committed().milliProcessors(), now);
+    }
+  }
+
+  private void account(Run run, long milliProcessors, long now) {
+    if (!run.spec().longRunning()) {
+      accounts.milliProcessorsChanged(run.organisation(), milliProcessors, now);
     }
   }
 
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Placement.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Placement.java
@@ -21,11 +21,11 @@
   private final AdvicePlanner advice;
   private final StepOrder order;
 
-  Placement(OwnerState state, RunLifecycle runs, AdvicePlanner advice) {
+  Placement(OwnerState state, RunLifecycle runs, AdvicePlanner advice, StepOrder order) {
     this.state = state;
     this.runs = runs;
     this.advice = advice;
-    order = new StepOrder(state);
+    this.order = order;
   }
 
   /** Places the waiting tasks for which an executor is free. */
@@ -62,7 +62,7 @@
     step.expensiveSearchNotBefore(now + EXPENSIVE_SEARCH_INTERVAL_MILLIS);
     advice.plan(step, left, LiveExecutor::free, slots, now);
     Queue queue = state.queue(step.job());
-    boolean urgent = Preemption.mayPreempt(queue) && order.isInTime(step, queue, now);
+    boolean urgent = order.mayPreempt(step, queue, now);
     if (urgent && !step.tickets().callPending()) {
       int lacking = left - preemption.makeRoom(step, queue, left, now);
       if (lacking > 0) {
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/RunLifecycle.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/RunLifecycle.java
@@ -27,7 +27,7 @@
             job.spec().organisation(),
             Run.Phase.DECIDED,
             now);
-    state.addRun(executor, run);
+    state.addRun(executor, run, now);
     task.assign(run, executor);
     job.taskStarted();
     state.changed.add(job);
@@ -42,7 +42,7 @@
 
   /** Ends a run whose end its executor has reported. */
   void ended(LiveExecutor executor, Run run, EndReason reason, String checkpoint, long now) {
-    state.removeRun(executor, run);
+    state.removeRun(executor, run, now);
     state.decisionListener.decisionMade(
         Kind.RUN_ENDED,
         run.key().task().job(),
@@ -62,7 +62,7 @@
 
   /** Ends a run that is over without a reported end; its task waits for the next run. */
   void lost(LiveExecutor executor, Run run, String reason, long now) {
-    state.removeRun(executor, run);
+    state.removeRun(executor, run, now);
     state.decisionListener.decisionMade(
         Kind.RUN_LOST,
         run.key().task().job(),
@@ -79,7 +79,7 @@
     executor.runSucceeded();
     task.complete();
     if (step.spec().gang()) {
-      step.tasks().forEach(this::completeMember);
+      step.tasks().forEach(m -> completeMember(m, now));
     }
     state.changed.add(step.job());
     if (step.isDone()) {
@@ -91,11 +91,11 @@
    * Completes another member of a gang of which one member is done. A confirmed run of the member
    * is not stopped; it is removed when its executor reports the end.
    */
-  private void completeMember(LiveTask member) {
+  private void completeMember(LiveTask member, long now) {
     Run run = member.run();
     if (run != null && run.phase() != Run.Phase.RUNNING) {
       // The start may still be carried out.
-      withdraw(member.executor(), run, run.phaseAt());
+      withdraw(member.executor(), run, now);
     }
     if (!member.isDone()) {
       member.complete();
@@ -107,7 +107,7 @@
     job.stepDone(step);
     job.markReady(now);
     if (job.isFinal()) {
-      state.jobs.remove(job.id());
+      state.removeJob(job);
       state.decisionListener.decisionMade(Kind.JOB_COMPLETED, job.id(), "", "all steps are done");
     }
   }
@@ -130,7 +130,7 @@
           step.job().id(),
           task.id().toString(),
           failures + " of " + queue.maxAttempts() + " attempts failed");
-      finish(step.job(), JobState.FAILED);
+      finish(step.job(), JobState.FAILED, now);
       return;
     }
     requeue(task, now);
@@ -169,7 +169,7 @@
   /** Stops a run, or removes it if its start was not sent yet. */
   void withdraw(LiveExecutor executor, Run run, long now) {
     if (run.phase() == Run.Phase.DECIDED) {
-      state.removeRun(executor, run);
+      state.removeRun(executor, run, now);
       LiveTask task = state.task(run.key().task());
       if (task != null && task.run() == run) {
         task.release(now);
@@ -180,16 +180,16 @@
   }
 
   /** Ends a job and stops its runs, which occupy capacity until they are certainly over. */
-  void finish(LiveJob job, JobState end) {
+  void finish(LiveJob job, JobState end, long now) {
     job.finish(end);
-    state.jobs.remove(job.id());
+    state.removeJob(job);
     state.changed.add(job);
     List<LiveTask> active =
         job.steps().stream().flatMap(s -> s.tasks().stream()).filter(t -> t.run() != null).toList();
     for (LiveTask task : active) {
       Run run = task.run();
       if (run.phase() == Run.Phase.DECIDED) {
-        state.removeRun(task.executor(), run);
+        state.removeRun(task.executor(), run, now);
       } else {
         run.stop();
       }
@@ -212,7 +212,7 @@
         new Run(
             key, spec.get().steps().get(step), spec.get().organisation(), Run.Phase.ORPHANED, now);
     run.stop();
-    state.addRun(executor, run);
+    state.addRun(executor, run, now);
     state.decisionListener.decisionMade(
         Kind.RUN_UNKNOWN, key.task().job(), key.toString(), "stopped on " + executor.id());
   }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/StepOrder.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/StepOrder.java
@@ -15,6 +15,12 @@
  * to be of use to their callers come last. The other steps are ordered by the priority of their
  * queue, then by whether the job can still meet its objective, then by how much of the capacity the
  * organisation uses relative to its weight.
+ *
+ * <p>In a shortage, jobs that exceed the agreed rate of their organisation come after the others.
+ * Within a priority, jobs that the {@link ShortagePlan} defers come later, and organisations within
+ * their entitlement precede those above it. Begun jobs then precede new ones, so that fewer jobs
+ * are in progress at the same time, and the job that has to start first in order to complete in
+ * time comes first.
  */
 final class StepOrder {
   /** Whether a job can meet its latency objective. */
@@ -25,22 +31,31 @@
     OVERDUE
   }
 
+  /**
+   * The criteria; those that apply only in a shortage, or only without one, are equal otherwise.
+   */
   private record Rank(
       boolean finite,
       boolean overdue,
+      boolean surplus,
       int priority,
+      boolean deferred,
       ObjectiveStatus objectiveStatus,
       double shareUsed,
-      long objectiveAt,
+      boolean isNew,
+      long startAt,
       long since) {}
 
   private static final Comparator<Rank> ORDER =
       Comparator.comparing(Rank::finite)
           .thenComparing(Rank::overdue)
+          .thenComparing(Rank::surplus)
           .thenComparingInt(Rank::priority)
+          .thenComparing(Rank::deferred)
           .thenComparing(Rank::objectiveStatus)
           .thenComparingDouble(Rank::shareUsed)
-          .thenComparingLong(Rank::objectiveAt)
+          .thenComparing(Rank::isNew)
+          .thenComparingLong(Rank::startAt)
           .thenComparingLong(Rank::since);
 
   /** Shares are rounded down to this step, so that age decides between similar shares. */
@@ -53,13 +68,16 @@
   private static final double MIN_ESTIMATE_FRACTION = 0.6;
 
   private final OwnerState state;
+  private final ShortageMonitor shortage;
 
-  StepOrder(OwnerState state) {
+  StepOrder(OwnerState state, ShortageMonitor shortage) {
     this.state = state;
+    this.shortage = shortage;
   }
 
   /** Returns the steps in the order in which they are to be placed. */
   List<LiveStep> sorted(List<LiveStep> steps, long now) {
+    shortage.update(steps, this::objective, now);
     if (steps.size() < 2) {
       return steps;
     }
@@ -69,27 +87,59 @@
     return steps.stream().sorted(Comparator.comparing(ranks::get, ORDER)).toList();
   }
 
+  private ShortageMonitor.Objective objective(LiveStep step, long now) {
+    long millis = objectiveMillis(step, state.queue(step.job()));
+    return new ShortageMonitor.Objective(
+        step.job().submittedAt() + millis, isOverdue(step, objectiveStatus(step, millis, now)));
+  }
+
+  private static boolean isOverdue(LiveStep step, ObjectiveStatus objectiveStatus) {
+    return objectiveStatus == ObjectiveStatus.OVERDUE && step.job().spec().repetitions() == 0;
+  }
+
   private Rank rank(LiveStep step, Resources total, long now) {
-    Queue queue = state.queue(step.job());
-    String organisation = step.job().spec().organisation();
-    double weight =
-        state.configuration.organisation(organisation).map(Organisation::weight).orElse(1.0);
-    double share = state.usage(organisation).dominantShareOf(total) / Math.max(weight, 1e-3);
-    double steps = Double.isFinite(share) ? Math.floor(share / SHARE_STEP) : 0;
+    LiveJob job = step.job();
+    Queue queue = state.queue(job);
+    boolean isShort = shortage.isShort(queue.service());
     long objective = objectiveMillis(step, queue);
     ObjectiveStatus objectiveStatus = objectiveStatus(step, objective, now);
+    long objectiveAt = job.submittedAt() + objective;
     return new Rank(
         !step.spec().longRunning(),
-        objectiveStatus == ObjectiveStatus.OVERDUE && step.job().spec().repetitions() == 0,
+        isOverdue(step, objectiveStatus),
+        isSurplus(job, queue),
         queue.priority(),
+        shortage.defers(queue.service(), job),
         objectiveStatus,
-        steps,
-        step.job().submittedAt() + objective,
+        isShort ? shortage.overuse(job.spec().organisation()) : shareUsed(job, total),
+        isShort && !job.hasBegun(),
+        isShort ? objectiveAt - shortage.criticalPathMillis(job) : objectiveAt,
         step.readySince());
   }
 
+  /** Returns the rounded share of the capacity that the organisation of a job uses. */
+  private double shareUsed(LiveJob job, Resources total) {
+    String organisation = job.spec().organisation();
+    double weight =
+        state.configuration.organisation(organisation).map(Organisation::weight).orElse(1.0);
+    double share = state.usage(organisation).dominantShareOf(total) / Math.max(weight, 1e-3);
+    return Double.isFinite(share) ? Math.floor(share / SHARE_STEP) : 0;
+  }
+
+  /** Returns whether a job comes after all others because it exceeds the agreed rate. */
+  private boolean isSurplus(LiveJob job, Queue queue) {
+    return job.surplus() && shortage.isShort(queue.service());
+  }
+
+  /** Returns whether tasks of lower priority may be stopped to make room for a step. */
+  boolean mayPreempt(LiveStep step, Queue queue, long now) {
+    return Preemption.mayPreempt(queue)
+        && !isSurplus(step.job(), queue)
+        && isInTime(step, queue, now);
+  }
+
   /** Returns whether a job can still meet its objective. */
-  boolean isInTime(LiveStep step, Queue queue, long now) {
+  private boolean isInTime(LiveStep step, Queue queue, long now) {
     return objectiveStatus(step, objectiveMillis(step, queue), now) == ObjectiveStatus.IN_TIME;
   }
 
