--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/DecisionListener.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/DecisionListener.java
@@ -23,6 +23,7 @@
     JOB_COMPLETED,
     JOB_CANCELLED,
     JOB_REJECTED,
+    JOB_DEFERRED,
     ADVICE,
     EXECUTOR_REBOOTED,
     EXECUTOR_SILENT,
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/AdmissionCluster.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/AdmissionCluster.java
@@ -81,7 +81,7 @@
       Active run = i.next();
       if (run.endsAt <= now) {
         i.remove();
-        state.removeRun(run.executor, run.run);
+        state.removeRun(run.executor, run.run, now);
         run.task.complete();
         LiveJob job = run.task.step().job();
         if (run.task.step().isDone()) {
@@ -89,7 +89,7 @@
           job.markReady(now);
         }
         if (job.isFinal()) {
-          state.jobs.remove(job.id());
+          state.removeJob(job);
         }
       }
     }
@@ -109,7 +109,7 @@
         .ifPresent(
             e -> {
               Run run = new Run(new RunKey(task.id(), 1), spec, "team", Run.Phase.RUNNING, now);
-              state.addRun(e, run);
+              state.addRun(e, run, now);
               task.assign(run, e);
               long end = spec.longRunning() ? Long.MAX_VALUE : now + spec.estimateMillis();
               active.add(new Active(task, run, e, end));
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/MeasuredRunTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/MeasuredRunTest.java
@@ -139,7 +139,7 @@
       if (reason != EndReason.DONE) {
         LiveTask task = task(step());
         runs.ended(executor, confirmed(task), reason, "", 520);
-        runs.finish(task.step().job(), JobState.FAILED);
+        runs.finish(task.step().job(), JobState.FAILED, 520);
       }
     }
     assertThat(state.durations.hasObservations("quick")).isFalse();
