Rank waiting steps at most every 20 ms

Cause: a rank needs expected durations, that is logarithms and exponentials for each step of the job and a walk over its tasks, in every round and for every waiting step; large sites have hundreds of rounds a second.

Change: LiveStep counts its unfinished tasks, and StepOrder keeps ranks for 20 ms.

Result: tests of the scheduler, OverloadTest and JobLifecycleTest pass; not measured on its own.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveStep.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveStep.java
@@ -69,6 +69,11 @@
     return doneTasks == tasks.size();
   }
 
+  /** Returns the number of tasks that are not done. */
+  int unfinishedTasks() {
+    return tasks.size() - doneTasks;
+  }
+
   /** Returns whether the step may start: it is due and all preceding steps are done. */
   boolean isReady() {
     return ready;
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/StepOrder.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/StepOrder.java
@@ -67,8 +67,16 @@
   /** Estimates of callers are rough, but tasks rarely take less than this fraction of one. */
   private static final double MIN_ESTIMATE_FRACTION = 0.6;
 
+  /**
+   * Ranks are computed anew after this time. Expected durations make a rank too expensive for each
+   * round, of which a large site has hundreds a second, and no objective is this short.
+   */
+  private static final long RANK_LIFETIME_MILLIS = 20;
+
   private final OwnerState state;
   private final ShortageMonitor shortage;
+  private final Map<LiveStep, Rank> ranks = new IdentityHashMap<>();
+  private long rankedAt = Long.MIN_VALUE / 2;
 
   StepOrder(OwnerState state, ShortageMonitor shortage) {
     this.state = state;
@@ -82,8 +90,11 @@
       return steps;
     }
     Resources total = state.totalCapacity();
-    Map<LiveStep, Rank> ranks = new IdentityHashMap<>();
-    steps.forEach(s -> ranks.put(s, rank(s, total, now)));
+    if (now - rankedAt >= RANK_LIFETIME_MILLIS) {
+      ranks.clear();
+      rankedAt = now;
+    }
+    steps.forEach(s -> ranks.computeIfAbsent(s, k -> rank(k, total, now)));
     return steps.stream().sorted(Comparator.comparing(ranks::get, ORDER)).toList();
   }
 
