Test the two guards of an evacuation that no other test needed

Change: one test delays the starts that an owner without the record has sent; the other lets a host without an age bound take over while the topic is unreadable.

--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/EvacuationTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/EvacuationTest.java
@@ -225,6 +225,51 @@
     assertNoViolations();
   }
 
+  /**
+   * Guards against a new owner that decides before it has read the records, where no bound is set.
+   */
+  @Test
+  void newOwnerThatCannotReadTheRecordsStartsNothing() {
+    startThreeZones(0);
+    Host before = owner();
+    simulation.hosts().stream()
+        .filter(h -> h != before)
+        .forEach(h -> h.storeLink().disconnected(true));
+    simulation.time().run(1_500);
+    simulation.evacuate("a");
+    JobSpec waiting = submit(tasks(60));
+    simulation.time().run(100);
+    before.kill();
+    simulation.operators().unreadable(true);
+    simulation.hosts().forEach(h -> h.storeLink().disconnected(false));
+    simulation.time().run(6_000);
+    assertThat(running("a")).isEqualTo(0);
+    assertThat(simulation.oracle().isDone(waiting)).isFalse();
+    simulation.operators().unreadable(false);
+    simulation.time().run(5_000);
+    assertThat(simulation.oracle().isDone(waiting)).isTrue();
+    assertNoViolations();
+  }
+
+  /**
+   * The network delivers starts up to 6 s late that the owner sent before it knew of the
+   * evacuation.
+   */
+  @Test
+  void startThatIsDeliveredAfterTheBoundIsNotCarriedOut() {
+    Host sender = owner();
+    simulation.operators().unreadable(true);
+    simulation.evacuate("a");
+    simulation.time().run(200);
+    sender.executorLink().delayedCallRate(1);
+    submit(tasks(48));
+    simulation.time().run(100);
+    sender.executorLink().disconnected(true);
+    simulation.time().run(10_000);
+    assertThat(simulation.oracle().startCount()).isGreaterThan(0);
+    assertNoViolations();
+  }
+
   /** Runs are being moved when the owner is killed. */
   @Test
   void takeoverInTheMiddleCompletesTheEvacuationWithinTheBudget() {
