Correct wrong inherited speeds, whatever they were

What counts as a normal executor depended on the inherited factors, and with it which jobs are in time.

Change: label and executor each keep the mean of the factors that runs show, so that the label takes over what its executors have in common. The mean factor of the executors with a known label is set to 1.

The takeover tests fail without the inherited factors, the new test of the model without the centring. Tests of jobs and platform pass.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/estimate/ExecutorSpeeds.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/estimate/ExecutorSpeeds.java
@@ -4,11 +4,11 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
@@ -25,10 +25,13 @@
   private static final double MAX_DEVIATION = 1.0;
 
   /** Weight of "the executor is as fast as its label", in observations. */
-  private static final double PRIOR_WEIGHT = 2;
+  private static final double PRIOR_WEIGHT = 1;
 
-  /** Decay of an executor's earlier observations by each new one; 50 of them count. */
-  private static final double DECAY = 0.98;
+  /** Weight that an executor's earlier observations have at most against a new one. */
+  private static final double MAX_WEIGHT = 33;
+
+  /** Growth of that weight; see {@link LabelSpeed}. */
+  private static final double GROWTH = 0.33;
 
   /** No executor is credibly faster or slower than this; bounds inherited factors as well. */
   private static final double MAX_FACTOR = 20;
@@ -52,6 +55,10 @@
   private final Map<String, Integer> executorsByLabel = new HashMap<>();
   private final Map<String, LabelSpeed> labels = new LinkedHashMap<>();
   private double spreadSquared = INITIAL_SPREAD * INITIAL_SPREAD;
+
+  /** Added to all stored logarithms, so that the mean factor of the executors is 1. */
+  private double offset;
+
   private boolean unequal;
   private long unequalRevision = -1;
   private long unequalPopulation = -1;
@@ -66,26 +73,27 @@
   private static final class Executor {
     private Set<String> labels = Set.of();
     private long boot;
-    private double sum;
+    private double mean;
     private double weight;
     private String prior = "";
     private long priorPopulation = -1;
     private double factor = 1;
     private long factorRevision = -1;
 
-    double deviation() {
-      return sum / (weight + PRIOR_WEIGHT);
+    /** Returns the mean of the own observations, shrunk to that of the label. */
+    double logFactor(double prior) {
+      return prior + (mean - prior) * weight / (weight + PRIOR_WEIGHT);
     }
 
-    void observe(double deviation) {
-      sum = sum * DECAY + deviation;
-      weight = weight * DECAY + 1;
+    void observe(double shownLogFactor) {
+      weight = weight == 0 ? 1 : Math.min(MAX_WEIGHT, weight + GROWTH);
+      mean += (shownLogFactor - mean) / weight;
       factorRevision = -1;
     }
 
     void reset(long newBoot) {
       boot = newBoot;
-      sum = 0;
+      mean = 0;
       weight = 0;
       factorRevision = -1;
     }
@@ -101,7 +109,8 @@
     inherited.entrySet().stream()
         .filter(e -> Double.isFinite(e.getValue()) && e.getValue() > 0)
         .limit(MAX_LABELS)
-        .forEach(e -> labels.put(e.getKey(), new LabelSpeed(bounded(Math.log(e.getValue())))));
+        .forEach(
+            e -> labels.put(e.getKey(), LabelSpeed.inherited(bounded(Math.log(e.getValue())))));
   }
 
   private static double bounded(double logFactor) {
@@ -153,12 +162,12 @@
   }
 
   private double logFactor(Executor executor) {
-    return bounded(priorLogFactor(prior(executor)) + executor.deviation());
+    return bounded(executor.logFactor(priorLogFactor(prior(executor)) - offset) + offset);
   }
 
   private double priorLogFactor(String label) {
     LabelSpeed speed = labels.get(label);
-    return speed == null ? 0 : speed.logFactor();
+    return speed == null ? 0 : speed.logFactor() + offset;
   }
 
   private String prior(Executor executor) {
@@ -187,6 +196,7 @@
    * @return the mean logarithmic duration of the tasks on a normal executor
    */
   double learn(List<Sample> sisters) {
+    center();
     double[] corrected = sisters.stream().mapToDouble(this::corrected).toArray();
     double median = median(corrected);
     double[] clamped =
@@ -200,37 +210,59 @@
     return mean;
   }
 
-  private void learn(List<Sample> sisters, double[] deviations) {
-    String[] priors = sisters.stream().map(this::prior).toArray(String[]::new);
-    double[] before = Arrays.stream(priors).mapToDouble(this::priorLogFactor).toArray();
-    for (int i = 0; i < priors.length; i++) {
-      label(priors[i]).ifPresent(collector(deviations[i]));
+  /**
+   * Makes the mean factor of the executors with a known label 1. Runs show only ratios of factors;
+   * without this, what counts as a normal executor would depend on inherited factors.
+   */
+  private void center() {
+    double sum = 0;
+    long counted = 0;
+    for (Map.Entry<String, LabelSpeed> label : labels.entrySet()) {
+      if (label.getValue().isKnown()) {
+        sum += count(label.getKey()) * label.getValue().logFactor();
+        counted += count(label.getKey());
+      }
     }
-    Arrays.stream(priors).distinct().flatMap(p -> label(p).stream()).forEach(LabelSpeed::apply);
+    offset = counted == 0 ? offset : -sum / counted;
     revision++;
-    for (int i = 0; i < priors.length; i++) {
-      // What the label's factor now explains is not the executor's own.
-      double own = deviations[i] - (priorLogFactor(priors[i]) - before[i]);
-      observe(sisters.get(i), own);
-      spreadSquared += SPREAD_GAIN * (own * own - spreadSquared);
-    }
   }
 
-  private static Consumer<LabelSpeed> collector(double deviation) {
-    return speed -> speed.collect(deviation);
+  private void learn(List<Sample> sisters, double[] deviations) {
+    double[] shown = new double[deviations.length];
+    for (int i = 0; i < shown.length; i++) {
+      shown[i] = Math.log(factor(sisters.get(i))) - offset + deviations[i];
+    }
+    Set<LabelSpeed> observed = new LinkedHashSet<>();
+    for (int i = 0; i < shown.length; i++) {
+      Optional<LabelSpeed> label = label(prior(sisters.get(i)));
+      if (label.isPresent()) {
+        label.get().collect(shown[i]);
+        observed.add(label.get());
+      }
+    }
+    observed.forEach(LabelSpeed::apply);
+    revision++;
+    for (int i = 0; i < shown.length; i++) {
+      observe(sisters.get(i), shown[i]);
+    }
   }
 
-  private void observe(Sample sample, double own) {
+  private void observe(Sample sample, double shown) {
+    double unexplained = shown + offset - Math.log(factor(sample));
+    spreadSquared += SPREAD_GAIN * (unexplained * unexplained - spreadSquared);
     Executor executor = executors.get(sample.executor());
     // A run of an earlier boot says nothing of the executor that has its id now.
     if (executor != null && executor.boot == sample.bootMillis()) {
-      executor.observe(executor.deviation() + own);
+      executor.observe(shown);
     }
   }
 
+  private double factor(Sample sample) {
+    return factor(sample.executor(), sample.bootMillis(), sample.labels());
+  }
+
   private double corrected(Sample sample) {
-    return sample.logMillis()
-        - Math.log(factor(sample.executor(), sample.bootMillis(), sample.labels()));
+    return sample.logMillis() - Math.log(factor(sample));
   }
 
   private static double median(double[] values) {
@@ -250,7 +282,7 @@
     if (name.isEmpty() || (!labels.containsKey(name) && labels.size() >= MAX_LABELS)) {
       return Optional.empty();
     }
-    return Optional.of(labels.computeIfAbsent(name, k -> new LabelSpeed()));
+    return Optional.of(labels.computeIfAbsent(name, k -> LabelSpeed.unknown(-offset)));
   }
 
   /** Returns the labels whose factors are known, with the number of observations. */
@@ -261,7 +293,7 @@
             e ->
                 new RunTimeModel.LabelFactor(
                     e.getKey(),
-                    Math.exp(bounded(e.getValue().logFactor())),
+                    Math.exp(bounded(e.getValue().logFactor() + offset)),
                     e.getValue().observations()));
   }
 
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/estimate/LabelSpeed.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/estimate/LabelSpeed.java
@@ -27,14 +27,20 @@
   private double batchSum;
   private int batchSize;
 
-  LabelSpeed() {
-    inherited = false;
+  private LabelSpeed(double logFactor, boolean inherited) {
+    this.logFactor = logFactor;
+    this.inherited = inherited;
+    weight = inherited ? INHERITED_WEIGHT : 0;
   }
 
-  LabelSpeed(double inheritedLogFactor) {
-    inherited = true;
-    logFactor = inheritedLogFactor;
-    weight = INHERITED_WEIGHT;
+  /** Creates the factor of a label of which nothing is known. */
+  static LabelSpeed unknown(double logFactor) {
+    return new LabelSpeed(logFactor, false);
+  }
+
+  /** Creates a factor that the previous owner learned. */
+  static LabelSpeed inherited(double logFactor) {
+    return new LabelSpeed(logFactor, true);
   }
 
   double logFactor() {
@@ -56,13 +62,13 @@
     return observations < MIN_OBSERVATIONS ? MIN_GAIN : Math.max(1 / weight, MIN_GAIN);
   }
 
-  /** Adds the deviation of one task from its sisters, to be applied with those of its sisters. */
-  void collect(double deviation) {
-    batchSum += deviation;
+  /** Adds the factor that one task shows, to be applied with those of its sisters. */
+  void collect(double shownLogFactor) {
+    batchSum += shownLogFactor - logFactor;
     batchSize++;
   }
 
-  /** Applies the collected deviations. Sisters share their reference and count as one mean. */
+  /** Applies the collected factors. Sisters share their reference and count as one mean. */
   void apply() {
     if (batchSize == 0) {
       return;
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/estimate/RunTimeModelTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/estimate/RunTimeModelTest.java
@@ -246,6 +246,21 @@
     assertThat(labelFactor("kind1") / labelFactor("kind0")).isWithin(0.2).of(1);
   }
 
+  /**
+   * Whether a job is in time depends on what a normal executor is, which must not depend on wrong
+   * factors of an earlier owner.
+   */
+  @Test
+  void normalExecutorIsAnAverageOneWhateverWasInherited() {
+    listExecutors(SLOW);
+    runSteps(300);
+    double learned = labelFactor("kind2");
+    model = new RunTimeModel(Map.of("kind0", 3.0, "kind1", 4.0, "kind2", 5.0));
+    listExecutors(SLOW);
+    runSteps(300);
+    assertThat(labelFactor("kind2")).isWithin(0.1).of(learned);
+  }
+
   @Test
   void unusableInheritedFactorsAreIgnored() {
     model = new RunTimeModel(Map.of("kind0", 0.0, "kind1", Double.NaN, "kind2", -1.0));
