--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/estimate/ExecutorSpeeds.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/estimate/ExecutorSpeeds.java
@@ -24,15 +24,6 @@
    */
   private static final double MAX_DEVIATION = 1.0;
 
-  /** Weight of "the executor is as fast as its label", in observations. */
-  private static final double PRIOR_WEIGHT = 1;
-
-  /** Weight that an executor's earlier observations have at most against a new one. */
-  private static final double MAX_WEIGHT = 33;
-
-  /** Growth of that weight; see {@link LabelSpeed}. */
-  private static final double GROWTH = 0.33;
-
   /** No executor is credibly faster or slower than this; bounds inherited factors as well. */
   private static final double MAX_FACTOR = 20;
 
@@ -69,32 +60,19 @@
   /** Number of changes of label factors. */
   private long revision;
 
-  /** What is known of one executor. */
+  /** An executor as it is listed, and what is known of its boot. */
   private static final class Executor {
     private Set<String> labels = Set.of();
     private long boot;
-    private double mean;
-    private double weight;
+    private ExecutorSpeed speed = new ExecutorSpeed();
     private String prior = "";
     private long priorPopulation = -1;
     private double factor = 1;
     private long factorRevision = -1;
 
-    /** Returns the mean of the own observations, shrunk to that of the label. */
-    double logFactor(double prior) {
-      return prior + (mean - prior) * weight / (weight + PRIOR_WEIGHT);
-    }
-
-    void observe(double shownLogFactor) {
-      weight = weight == 0 ? 1 : Math.min(MAX_WEIGHT, weight + GROWTH);
-      mean += (shownLogFactor - mean) / weight;
-      factorRevision = -1;
-    }
-
-    void reset(long newBoot) {
+    void rebooted(long newBoot) {
       boot = newBoot;
-      mean = 0;
-      weight = 0;
+      speed = new ExecutorSpeed();
       factorRevision = -1;
     }
   }
@@ -121,7 +99,7 @@
   void listed(String id, long boot, Set<String> newLabels) {
     Executor executor = executors.computeIfAbsent(id, k -> newExecutor());
     if (executor.boot != boot) {
-      executor.reset(boot);
+      executor.rebooted(boot);
     }
     if (!executor.labels.equals(newLabels)) {
       executor.labels.forEach(this::uncount);
@@ -162,7 +140,7 @@
   }
 
   private double logFactor(Executor executor) {
-    return bounded(executor.logFactor(priorLogFactor(prior(executor)) - offset) + offset);
+    return bounded(executor.speed.logFactor(priorLogFactor(prior(executor)) - offset) + offset);
   }
 
   private double priorLogFactor(String label) {
@@ -253,7 +231,8 @@
     Executor executor = executors.get(sample.executor());
     // A run of an earlier boot says nothing of the executor that has its id now.
     if (executor != null && executor.boot == sample.bootMillis()) {
-      executor.observe(shown);
+      executor.speed.observe(shown);
+      executor.factorRevision = -1;
     }
   }
 
