--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/JobFacts.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/JobFacts.java
@@ -33,6 +33,7 @@
   boolean cancelSent;
   private int openSubmissions;
   private boolean perhapsStored;
+  private boolean keyRefused;
 
   JobFacts(String id, String organisation, List<StepSpec> steps, long firstSentAt) {
     this.id = id;
@@ -47,6 +48,7 @@
 
   void answered(Answered answer) {
     openSubmissions--;
+    keyRefused |= answer.verdict() == Verdict.UNKNOWN_KEY;
     perhapsStored |= !NOT_STORED.contains(answer.verdict());
     if (answer.verdict() == Verdict.ACCEPTED && acceptedAt < 0) {
       acceptedAt = answer.at();
@@ -58,6 +60,11 @@
     return openSubmissions == 0 && !perhapsStored;
   }
 
+  /** Returns whether the caller lost time with a withdrawn key. */
+  boolean wasKeyRefused() {
+    return keyRefused;
+  }
+
   void stateSeen(Answered answer) {
     states.add(answer);
   }
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakOracle.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakOracle.java
@@ -131,7 +131,7 @@
     Map<String, List<JobFacts>> started =
         jobs.values().stream()
             .filter(j -> j.firstSentAt >= surge.at() && j.firstSentAt <= surge.until())
-            .filter(j -> j.firstStartAt >= 0)
+            .filter(j -> j.firstStartAt >= 0 && !j.wasKeyRefused())
             .collect(Collectors.groupingBy(j -> j.organisation));
     OptionalDouble surging = meanWait(started.getOrDefault(surge.organisation(), List.of()));
     started.forEach(
--- a/cactusspring-soak/src/test/java/io/cactusspring/soak/SoakOracleTest.java
+++ b/cactusspring-soak/src/test/java/io/cactusspring/soak/SoakOracleTest.java
@@ -288,6 +288,21 @@
     assertThat(history.broken()).containsExactly(Rule.INVALID_ANSWER);
   }
 
+  @Test
+  void timeLostWithAWithdrawnKeyIsNoDelayByASurge() {
+    history
+        .observe(at -> new Observation.Surge(at, at + 5_000, "other"))
+        .sent("other-job", "other", step(1, 100).build())
+        .started("x1", new TaskId("other-job", 0, 0, 0), 1)
+        .sent(SMALL)
+        .answered(Request.SUBMISSION, Verdict.UNKNOWN_KEY, null)
+        .pass(2_000)
+        .accepted(SMALL)
+        .started("x0", task(0, 0), 1)
+        .ended("x0", task(0, 0), 1, EndReason.DONE);
+    assertThat(history.brokenAtTheEnd()).doesNotContain(Rule.SURGE_DELAYED_OTHERS);
+  }
+
   @Test
   void surgeThatDelaysOtherOrganisationsIsFound() {
     history
