Compute the backlog without visiting waiting tasks

Change: steps count their unfinished and waiting tasks; only steps with runs are visited task by task.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Backlog.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Backlog.java
@@ -175,13 +175,11 @@
     for (LiveStep step : job.steps()) {
       double processors = RemainingWork.processorsOf(step.spec());
       double duration = state.durations.expectedMillis(queue.name(), step.spec());
-      long unfinished = 0;
-      for (LiveTask task : step.tasks()) {
-        unfinished += task.isDone() ? 0 : 1;
-        spent += Math.min(duration, runningMillis(task, now)) * processors;
-        waiting += step.isReady() && task.isDue(now) ? processors : 0;
+      if (step.waitingTasks() < step.unfinishedTasks()) {
+        spent += spentMillis(step, duration, now) * processors;
       }
-      most = Math.max(most, unfinished * processors);
+      waiting += step.isReady() ? step.waitingTasks() * processors : 0;
+      most = Math.max(most, step.unfinishedTasks() * processors);
     }
     double left = RemainingWork.of(job, state.durations).processorMillis() - spent;
     contributions.add(
@@ -194,9 +192,16 @@
             usefulUntil(job, queue)));
   }
 
-  private static long runningMillis(LiveTask task, long now) {
-    Run run = task.run();
-    return run != null && run.phase() == Run.Phase.RUNNING ? now - run.phaseAt() : 0;
+  /** Returns for how long the current runs of a step have been running, without overruns. */
+  private static double spentMillis(LiveStep step, double duration, long now) {
+    double spent = 0;
+    for (LiveTask task : step.tasks()) {
+      Run run = task.run();
+      if (run != null && run.phase() == Run.Phase.RUNNING) {
+        spent += Math.min(duration, now - run.phaseAt());
+      }
+    }
+    return spent;
   }
 
   private double usefulUntil(LiveJob job, Queue queue) {
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveStep.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveStep.java
@@ -69,6 +69,15 @@
     return doneTasks == tasks.size();
   }
 
+  int unfinishedTasks() {
+    return tasks.size() - doneTasks;
+  }
+
+  /** Returns the number of tasks that have no run and are not done. */
+  int waitingTasks() {
+    return waiting.size();
+  }
+
   /** Returns whether the step may start: it is due and all preceding steps are done. */
   boolean isReady() {
     return ready;
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/RemainingWork.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/RemainingWork.java
@@ -47,7 +47,7 @@
         // The steps of an occurrence follow each other; occurrences do not depend on each other.
         sum.ends.clear();
       }
-      sum.add(step.spec(), step.tasks().stream().filter(t -> !t.isDone()).count());
+      sum.add(step.spec(), step.unfinishedTasks());
     }
     return sum.result();
   }
