Test the order under shortage, and credit running tasks

Cause: the plan took the whole critical path of a job whose tasks had run for most of their duration, and deferred it although it could be in time. Among jobs of equal work it deferred one by its id.

Change: the time that all current tasks of a job have run is taken off its critical path; of equal jobs, the one with the latest objective is deferred. OverloadTest has a surge of one organisation in the emulator, for which ClusterSimulation takes organisations.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ShortageMonitor.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ShortageMonitor.java
@@ -203,12 +203,26 @@
         job.id(),
         job.surplus(),
         queue.priority(),
-        new RemainingWork(anew.criticalPathMillis(), left),
+        new RemainingWork(Math.max(0, anew.criticalPathMillis() - elapsedMillis(job, now)), left),
         once ? objective.dueAt - now : Double.POSITIVE_INFINITY,
         once && waits && left >= (1 - MAX_DONE_FRACTION) * all,
         overuse(job.spec().organisation()));
   }
 
+  /**
+   * Returns for how long all tasks of the current steps of a job have run, which {@link
+   * RemainingWork} leaves out; 0 if one of them waits.
+   */
+  private static long elapsedMillis(LiveJob job, long now) {
+    return job.steps().stream()
+        .filter(s -> s.isReady() && !s.isDone())
+        .flatMap(s -> s.tasks().stream())
+        .filter(t -> !t.isDone())
+        .mapToLong(t -> t.run() == null ? 0 : now - t.run().phaseAt())
+        .min()
+        .orElse(0);
+  }
+
   /** Returns the expected processor-milliseconds of some tasks of each step of a job. */
   private double work(LiveJob job, Queue queue, ToLongFunction<LiveStep> tasks) {
     return job.steps().stream()
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ShortagePlan.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ShortagePlan.java
@@ -113,6 +113,7 @@
     private static final Comparator<Candidate> FIRST_TO_DEFER =
         Comparator.comparingInt(Candidate::overuse)
             .thenComparingDouble((Candidate j) -> j.remaining.processorMillis())
+            .thenComparingDouble(Candidate::objectiveInMillis)
             .reversed()
             .thenComparing(Candidate::id);
 
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/OverloadTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/OverloadTest.java
@@ -5,10 +5,14 @@
 import io.cactusspring.core.model.Resources;
 import io.cactusspring.jobs.model.AdviceSettings;
 import io.cactusspring.jobs.model.JobSpec;
+import io.cactusspring.jobs.model.Organisation;
 import io.cactusspring.jobs.model.Queue;
 import io.cactusspring.jobs.model.StepSpec;
 import io.cactusspring.jobs.simulation.ClusterSimulation;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -28,13 +32,17 @@
   }
 
   private JobSpec submit(String id, int tasks) {
+    return submit(id, "team", tasks, TASK_RESOURCES);
+  }
+
+  private JobSpec submit(String id, String organisation, int tasks, Resources resources) {
     StepSpec step =
-        StepSpec.builder().tasks(tasks).resources(TASK_RESOURCES).estimateMillis(500).build();
+        StepSpec.builder().tasks(tasks).resources(resources).estimateMillis(500).build();
     JobSpec spec =
         new JobSpec(
             id,
             ClusterSimulation.queue("quick", 0, null),
-            "team",
+            organisation,
             "payload",
             List.of(step),
             0,
@@ -61,6 +69,42 @@
     assertThat(simulation.oracle().violations()).isEmpty();
   }
 
+  /**
+   * One organisation sends seven times its usual rate for 6 s, in all 1.5 times the capacity. Its
+   * own surplus waits; all jobs run once the surge is over.
+   */
+  @Test
+  void surgeOfOneOrganisationDelaysNoOther() {
+    Resources noLimit = new Resources(0, 0, 0);
+    simulation.organisations(
+        List.of(
+            new Organisation("steady", Set.of("key1"), 13, noLimit),
+            new Organisation("surging", Set.of("key2"), 13, noLimit)));
+    simulation.time().run(1_000);
+    Resources quarter = new Resources(250, 250, 0);
+    Deque<JobSpec> steady = new ArrayDeque<>();
+    int late = 0;
+    for (int i = 0; i < 504; i++) {
+      submit("surge" + i, "surging", 1, quarter);
+      if (i % 7 == 0) {
+        steady.add(submit("steady" + i, "steady", 1, quarter));
+      }
+      simulation.time().run(12);
+      if (isDue(steady.getFirst())) {
+        late += simulation.oracle().isDone(steady.removeFirst()) ? 0 : 1;
+      }
+    }
+    assertThat(late).isEqualTo(0);
+    simulation.time().run(10_000);
+    assertThat(simulation.oracle().startCount()).isEqualTo(504 + 72);
+    assertThat(simulation.oracle().violations()).isEmpty();
+  }
+
+  /** The objective of a task of 500 ms is 1,250 ms; the rest is the time of messages and ends. */
+  private boolean isDue(JobSpec spec) {
+    return simulation.time().now() - spec.acceptedMillis() >= 1_400;
+  }
+
   /** Fills the capacity of all executors with tasks of a low-priority queue. */
   private JobSpec fillExecutorsWithLongTasks(boolean checkpoints) {
     simulation.taskWorkMillis(id -> id.job().equals("large") ? 6_000L : 500L);
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/ClusterSimulation.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/ClusterSimulation.java
@@ -203,9 +203,13 @@
 
   /** Publishes a configuration that limits the resources of the running tasks of the team. */
   public void limit(Resources limit) {
+    organisations(List.of(organisation(limit)));
+  }
+
+  /** Publishes a configuration with other organisations. */
+  public void organisations(List<Organisation> organisations) {
     configuration =
-        new SiteConfiguration(
-            configuration.version() + 1, queues(), services(), List.of(organisation(limit)));
+        new SiteConfiguration(configuration.version() + 1, queues(), services(), organisations);
     try {
       operators.append(List.of(new Entry("config", new byte[] {1}, 0)), Optional.empty());
     } catch (StoreException e) {
