--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/StepOrder.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/StepOrder.java
@@ -150,7 +150,7 @@
   }
 
   /** Returns whether a job can still meet its objective. */
-  private boolean isInTime(LiveStep step, Queue queue, long now) {
+  boolean isInTime(LiveStep step, Queue queue, long now) {
     return objectiveStatus(step, objectiveMillis(step, queue), now) == ObjectiveStatus.IN_TIME;
   }
 
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/ExpectedObjectiveTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/ExpectedObjectiveTest.java
@@ -59,7 +59,7 @@
   }
 
   private boolean isInTime(LiveStep step, long now) {
-    return new StepOrder(state).isInTime(step, QUEUE, now);
+    return new StepOrder(state, new ShortageMonitor(state)).isInTime(step, QUEUE, now);
   }
 
   @Test
