Count running tasks of a step without walking them

Cause: a plan walked all tasks of each unfinished job three times.

Change: LiveStep derives the number of running tasks from its counts, the critical path is computed once for each job and plan, and elapsed times are read only for steps without waiting tasks. No decision changes.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveStep.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveStep.java
@@ -91,6 +91,11 @@
     return !waiting.isEmpty();
   }
 
+  /** Returns the number of tasks that have a run. */
+  int runningTasks() {
+    return tasks.size() - doneTasks - waiting.size();
+  }
+
   Stream<LiveTask> due(long now) {
     return waiting.stream().filter(t -> t.isDue(now));
   }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ShortageMonitor.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ShortageMonitor.java
@@ -10,7 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
-import java.util.function.ToLongFunction;
+import java.util.function.ToIntFunction;
 import java.util.stream.Collectors;
 
 /**
@@ -193,7 +193,8 @@
   private ShortagePlan.Candidate candidate(
       LiveJob job, Queue queue, Objective objective, long now) {
     RemainingWork anew = RemainingWork.of(job, state.durations);
-    double running = work(job, queue, s -> s.tasks().stream().filter(t -> t.run() != null).count());
+    criticalPathMillis.put(job, Math.round(anew.criticalPathMillis()));
+    double running = work(job, queue, LiveStep::runningTasks);
     double all = work(job, queue, s -> s.tasks().size());
     double left = Math.max(0, anew.processorMillis() - running);
     boolean waits = job.steps().stream().anyMatch(LiveStep::hasWaiting);
@@ -214,21 +215,24 @@
    * RemainingWork} leaves out; 0 if one of them waits.
    */
   private static long elapsedMillis(LiveJob job, long now) {
-    return job.steps().stream()
-        .filter(s -> s.isReady() && !s.isDone())
+    List<LiveStep> current = job.steps().stream().filter(s -> s.isReady() && !s.isDone()).toList();
+    if (current.stream().anyMatch(LiveStep::hasWaiting)) {
+      return 0;
+    }
+    return current.stream()
         .flatMap(s -> s.tasks().stream())
         .filter(t -> !t.isDone())
-        .mapToLong(t -> t.run() == null ? 0 : now - t.run().phaseAt())
+        .mapToLong(t -> now - t.run().phaseAt())
         .min()
         .orElse(0);
   }
 
   /** Returns the expected processor-milliseconds of some tasks of each step of a job. */
-  private double work(LiveJob job, Queue queue, ToLongFunction<LiveStep> tasks) {
+  private double work(LiveJob job, Queue queue, ToIntFunction<LiveStep> tasks) {
     return job.steps().stream()
         .mapToDouble(
             s ->
-                tasks.applyAsLong(s)
+                tasks.applyAsInt(s)
                     * state.durations.expectedMillis(queue.name(), s.spec())
                     * s.spec().committed().milliProcessors()
                     / 1_000)
