--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/EntryHost.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/EntryHost.java
@@ -4,6 +4,7 @@
 import io.cactusspring.jobs.log.JobEvent;
 import io.cactusspring.jobs.log.JobLog;
 import io.cactusspring.jobs.model.SiteConfiguration;
+import io.cactusspring.jobs.model.ZoneStates;
 import io.cactusspring.jobs.port.KeyedTopic.Entry;
 import io.cactusspring.jobs.port.Timers;
 import io.vertx.core.Future;
@@ -32,10 +33,13 @@
   private final JobLog log;
   private final Random random;
   private final TopicFollower configurationFollower;
+  private final ZoneTracker zones;
   private final PeerServer peers;
   private final OwnerLink link;
   private final OwnershipMonitor monitor;
   private final JobService service;
+  private final EventLoopLag lag = new EventLoopLag();
+  private boolean lagging;
   private SiteConfiguration configuration = SiteConfiguration.NONE;
   private Optional<OwnerTerm> term = Optional.empty();
   private long lastTickAt;
@@ -48,6 +52,7 @@
     this.log = log;
     this.random = random;
     timers = ports.timers();
+    zones = new ZoneTracker(ports.readZone(), timers, log, this::zonesChanged);
     configurationFollower =
         new TopicFollower(
             "operators",
@@ -55,7 +60,7 @@
             new ConfigurationSink(),
             timers,
             log,
-            CONFIGURATION_WAIT_MILLIS,
+            configurationWaitMillis(settings.scheduler().maxZoneAgeMillis()),
             () -> 0);
     peers = new PeerServer(ports.network(), settings.self(), timers, log);
     link =
@@ -87,7 +92,18 @@
             () -> configuration,
             settings,
             timers,
-            log);
+            log,
+            lag);
+  }
+
+  /**
+   * Returns how long a read of the configuration waits. The data may be as old as two waits and a
+   * response before the next read completes; that has to stay below its maximum age.
+   */
+  private static long configurationWaitMillis(long maxZoneAgeMillis) {
+    return maxZoneAgeMillis == 0
+        ? CONFIGURATION_WAIT_MILLIS
+        : Math.min(CONFIGURATION_WAIT_MILLIS, maxZoneAgeMillis / 3);
   }
 
   /** Starts following the topics of the store. */
@@ -106,6 +122,7 @@
   public boolean isReady() {
     boolean now =
         !draining
+            && lag.isReady()
             && configuration.version() > 0
             && configurationFollower.ageMillis() <= settings.staleMillis();
     if (now != ready) {
@@ -117,11 +134,24 @@
           "configuration",
           configuration.version(),
           "configurationAgeMillis",
-          configurationFollower.ageMillis());
+          configurationFollower.ageMillis(),
+          "eventLoopLagMillis",
+          lag.averageMillis());
     }
     return now;
   }
 
+  private void measureLag(long now) {
+    lag.taskRan(now - lastTickAt - TICK_MILLIS, now);
+    if (lag.isLagging() != lagging) {
+      lagging = lag.isLagging();
+      log.event(
+          lagging ? JobEvent.EVENT_LOOP_LAGS : JobEvent.EVENT_LOOP_RECOVERED,
+          "averageMillis",
+          lag.averageMillis());
+    }
+  }
+
   /** Returns whether this host owns the executors. */
   public boolean isOwner() {
     return term.flatMap(OwnerTerm::controller).isPresent();
@@ -145,6 +175,7 @@
     if (now - lastTickAt > PAUSE_DETECTION_MILLIS) {
       monitor.paused();
     }
+    measureLag(now);
     lastTickAt = now;
     isReady();
     checkOwnership();
@@ -155,9 +186,14 @@
     monitor.check();
   }
 
+  private void zonesChanged(ZoneStates states) {
+    term.ifPresent(t -> t.updateZones(states));
+  }
+
   private void termChanged(OwnerTerm changed) {
     if (changed.isEnded() && term.filter(t -> t == changed).isPresent()) {
       term = Optional.empty();
+      link.rememberDurationFactors(changed.durationFactors());
       monitor.termEnded(changed.number());
     }
     peers.termChanged();
@@ -185,6 +221,9 @@
               end,
               random.nextInt(FIRST_SEQUENCE_BOUND),
               configuration,
+              link.durationFactors(),
+              configurationFollower,
+              zones::states,
               EntryHost.this::termChanged);
       term = Optional.of(begun);
       peers.setTerm(begun);
@@ -203,6 +242,7 @@
   private final class ConfigurationSink implements TopicSink {
     @Override
     public void apply(Entry entry) {
+      zones.apply(entry, configurationFollower.ageMillis());
       ports.readConfiguration().apply(entry).ifPresent(this::activate);
     }
 
@@ -216,6 +256,8 @@
     }
 
     @Override
-    public void loaded(Set<String> keys) {}
+    public void loaded(Set<String> keys) {
+      zones.loaded(keys, configurationFollower.next(), configurationFollower.ageMillis());
+    }
   }
 }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerController.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerController.java
@@ -19,6 +19,7 @@
 import io.cactusspring.jobs.port.StoreException;
 import io.cactusspring.jobs.port.Timers;
 import io.cactusspring.jobs.schedule.Action;
+import io.cactusspring.jobs.schedule.Admission;
 import io.cactusspring.jobs.schedule.JobScheduler;
 import io.cactusspring.jobs.schedule.JobScheduler.Changes;
 import io.cactusspring.jobs.schedule.JobScheduler.ReceivedEnds;
@@ -36,6 +37,8 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 
 /**
  * Executes one term as owner of the executors.
@@ -61,6 +64,9 @@
 
   private static final int STORE_TIMEOUT_RESPONSES = 4;
 
+  // Above any bound; an unknown age is Long.MAX_VALUE, which would overflow.
+  private static final long MAX_ZONES_AGE_MILLIS = 1L << 40;
+
   /** What is stored by one append, and what may be done afterwards. */
   private static final class Batch {
     private final List<JobSpec> submissions;
@@ -102,6 +108,8 @@
   private final Timers timers;
   private final JobLog log;
   private final long storeGraceMillis;
+  private final LongSupplier zonesAgeMillis;
+  private final BooleanSupplier inboxCurrent;
   private final Runnable onEnd;
   private final Set<Action.Start> pendingStarts = new LinkedHashSet<>();
 
@@ -116,6 +124,8 @@
   private Optional<Promise<Void>> flushed = Optional.empty();
 
   /**
+   * @param zonesAgeMillis returns the time since the last read that confirmed the zones' states
+   * @param inboxCurrent whether the records of the inbox are read as soon as they are stored
    * @param onEnd called when the term has ended because of another owner or an internal error
    */
   OwnerController(
@@ -128,6 +138,8 @@
       Timers timers,
       JobLog log,
       long storeGraceMillis,
+      LongSupplier zonesAgeMillis,
+      BooleanSupplier inboxCurrent,
       Runnable onEnd) {
     this.scheduler = scheduler;
     this.jobs = jobs;
@@ -138,6 +150,8 @@
     this.timers = timers;
     this.log = log;
     this.storeGraceMillis = storeGraceMillis;
+    this.zonesAgeMillis = zonesAgeMillis;
+    this.inboxCurrent = inboxCurrent;
     this.onEnd = onEnd;
   }
 
@@ -169,13 +183,17 @@
 
   /**
    * Submits a job; completes when the submission is stored or cannot be. Fails with a {@link
-   * PeerException}, without effect, while the store does not answer.
+   * PeerException}, without effect, while the store does not answer. A job that is rejected because
+   * of the load has not been stored and never will be by this request.
    */
   Future<VerdictReason> submit(JobSpec spec) {
     if (!jobs.contains(spec.id())) {
       if (isStoreUnavailable()) {
         return Future.failedFuture(new PeerException(false, "the store does not answer"));
       }
+      if (admit(spec) instanceof Admission.Rejected rejection) {
+        return Future.succeededFuture(VerdictReason.overloaded(rejection));
+      }
       jobs.add(spec);
       JobEntry entry = JobEntry.submitted(spec);
       scheduler.submitted(entry, timers.wallMillis(), timers.nowMillis());
@@ -189,6 +207,18 @@
         .otherwise(OwnerController::undecided);
   }
 
+  /**
+   * Decides whether a job that this owner does not know is accepted. A job is not rejected while
+   * another host may have accepted it: a later owner, or one that has written to the inbox.
+   */
+  private Admission admit(JobSpec spec) {
+    boolean unknownElsewhere =
+        isConfirmed()
+            && inboxCurrent.getAsBoolean()
+            && !jobs.isCancelledBeforeSubmission(spec.id());
+    return unknownElsewhere ? scheduler.admit(spec, timers.nowMillis()) : new Admission.Admitted();
+  }
+
   /** Cancels a job; completes when a final state of the job is stored. */
   Future<VerdictReason> cancel(JobReference job) {
     if (!jobs.isVisible(job)) {
@@ -295,6 +325,7 @@
       return;
     }
     long now = timers.nowMillis();
+    confirmZones(now);
     scheduler.decide(adviceDispatcher, timers.wallMillis(), now).forEach(this::execute);
     storeChanges();
     renewLeases(now);
@@ -475,8 +506,10 @@
       pendingStarts.add(start);
       return;
     }
+    long now = timers.nowMillis();
+    confirmZones(now);
     scheduler
-        .startRequest(start.executor(), start.run(), timers.nowMillis())
+        .startRequest(start.executor(), start.run(), now)
         .ifPresent(
             request ->
                 executors
@@ -484,6 +517,10 @@
                     .onSuccess(result -> guarded(() -> startAnswered(start, result))));
   }
 
+  private void confirmZones(long now) {
+    scheduler.zonesConfirmed(now - Math.min(zonesAgeMillis.getAsLong(), MAX_ZONES_AGE_MILLIS));
+  }
+
   private void startAnswered(Action.Start start, CommandResult result) {
     checkFence(result);
     scheduler.startAnswered(start.executor(), start.run(), result, timers.nowMillis());
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/DecisionListener.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/DecisionListener.java
@@ -22,13 +22,15 @@
     JOB_FAILED,
     JOB_COMPLETED,
     JOB_CANCELLED,
+    JOB_REJECTED,
     JOB_DEFERRED,
     ADVICE,
     EXECUTOR_REBOOTED,
     EXECUTOR_SILENT,
     EXECUTOR_ANSWERS,
     EXECUTOR_QUARANTINED,
-    PACED
+    PACED,
+    SPEED_LEARNED
   }
 
   /**
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
@@ -10,6 +10,7 @@
 import io.cactusspring.jobs.model.SiteConfiguration;
 import io.cactusspring.jobs.model.StepId;
 import io.cactusspring.jobs.model.TaskId;
+import io.cactusspring.jobs.model.ZoneStates;
 import io.cactusspring.jobs.port.ExecutorClient.CommandResult;
 import io.cactusspring.jobs.port.ExecutorClient.LeaseRenewalRequest;
 import io.cactusspring.jobs.port.ExecutorClient.LeaseRenewalResult;
@@ -57,11 +58,13 @@
   private final AdvicePlanner advice;
   private final Placement placement;
   private final RunMonitor monitor;
-  private final Evacuation evacuation;
+  private final RunMoves moves;
   private final Throttle throttle;
+  private final AdmissionPolicy admission;
   private final PriorityQueue<DueOccurrence> dueOccurrences =
       new PriorityQueue<>(Comparator.comparingLong(DueOccurrence::wallMillis));
   private long lastVersion;
+  private boolean zonesWereConfirmed;
 
   /** The next occurrence of a scheduled job, which is due at a time in Unix milliseconds. */
   private record DueOccurrence(long wallMillis, LiveJob job) {}
@@ -110,8 +113,9 @@
     StepOrder order = new StepOrder(state, new ShortageMonitor(state));
     placement = new Placement(state, runs, advice, order);
     monitor = new RunMonitor(state, runs);
-    evacuation = new Evacuation(state, runs);
+    moves = new RunMoves(state, runs, now);
     throttle = new Throttle(state);
+    admission = new AdmissionPolicy(state);
     entries.stream().filter(e -> e.spec().isPresent()).forEach(e -> adopt(e, wallMillis, now));
   }
 
@@ -158,6 +162,16 @@
     }
   }
 
+  /** Starts with the duration factors of executor labels that a previous owner learned. */
+  public void inheritDurationFactors(Map<String, Double> factorByLabel) {
+    state.learned.inherit(factorByLabel);
+  }
+
+  /** Returns the learned duration factors of executor labels, for a later owner. */
+  public Map<String, Double> durationFactors() {
+    return state.learned.sharedFactors();
+  }
+
   /** Applies a configuration. */
   public void configure(SiteConfiguration configuration) {
     state.configure(configuration);
@@ -169,12 +183,50 @@
     boolean changed = !executor.listed() || !info.equals(executor.info());
     executor.announced(info, state.settings.drainMillis(), now);
     reports.updateBoot(executor, info.bootMillis(), now);
+    state.learned.executorListed(executor);
     if (changed) {
       executorChanged(executor);
       state.gainedCapacity(executor);
     }
   }
 
+  /**
+   * Applies the states of the availability zones. Starts that were decided in an evacuated zone and
+   * are not sent yet are withdrawn.
+   */
+  public void updateZones(ZoneStates zones, long now) {
+    state.zones.update(zones, now);
+    state.executors.values().stream()
+        .filter(e -> e.isCallable() && state.zones.isEvacuated(e.info().zone()))
+        .forEach(e -> withdrawDecided(e, now));
+  }
+
+  private void withdrawDecided(LiveExecutor executor, long now) {
+    List.copyOf(executor.runs()).stream()
+        .filter(r -> r.phase() == Run.Phase.DECIDED && executor.run(r.key()) == r)
+        .forEach(r -> runs.lost(executor, r, "zone is evacuated before the start was sent", now));
+  }
+
+  /**
+   * Records that the states of the zones are known as of a time.
+   *
+   * @param when when the last completed read of the operators' records was sent
+   */
+  public void zonesConfirmed(long when) {
+    state.zones.confirmed(when);
+  }
+
+  /**
+   * Retries all steps once the zones are confirmed again, because no executor was usable before.
+   */
+  private void retryAfterUnconfirmedZones(long now) {
+    boolean confirmed = state.zones.isConfirmed(now);
+    if (confirmed && !zonesWereConfirmed) {
+      state.waitingSteps.all().forEach(LiveStep::retry);
+    }
+    zonesWereConfirmed = confirmed;
+  }
+
   private void executorChanged(LiveExecutor executor) {
     state.executorsChanged();
     state.touch(executor);
@@ -197,6 +249,14 @@
     }
   }
 
+  /**
+   * Decides whether a new job may be accepted. Must not be called for a job that is accepted or may
+   * be stored already.
+   */
+  public Admission admit(JobSpec spec, long now) {
+    return admission.admit(spec, now);
+  }
+
   /** Adds an accepted job; does nothing if it is known or final already. */
   public void submitted(JobEntry entry, long wallMillis, long now) {
     if (state.jobs.containsKey(entry.id()) || entry.state().isFinal()) {
@@ -205,6 +265,7 @@
     LiveJob job = new LiveJob(entry, state.waitingSteps, wallMillis, now);
     state.addJob(job);
     schedule(job, wallMillis, now);
+    admission.accepted(job.spec(), now);
   }
 
   /** Adds the occurrences of a job that are due, and schedules the next one. */
@@ -236,8 +297,11 @@
       }
     }
     monitor.check(now);
-    evacuation.moveRuns(now);
+    state.zones.admitReturning(state.executors.values(), now).forEach(state::gainedCapacity);
+    retryAfterUnconfirmedZones(now);
+    moves.leaveDraining(now);
     placement.place(slots, now);
+    moves.leaveEvacuatedZones(now);
     List<Action> decided = new ArrayList<>(state.actions);
     state.actions.clear();
     return decided;
@@ -424,11 +488,14 @@
       return Optional.empty();
     }
     boolean first = run.phase() == Run.Phase.DECIDED;
-    boolean unfit = first && (!executor.isUsable(now) || !executor.hasClock());
+    String zone = executor.isCallable() ? executor.info().zone() : "";
+    // A start that was sent before is not sent again to a zone that is not in use.
+    boolean unfit =
+        first ? !executor.isUsable(now) || !executor.hasClock() : !state.zones.isInUse(zone, now);
     Optional<String> ticket = ticket(task, executor, now);
     if (unfit || ticket.isEmpty()) {
       if (first) {
-        runs.lost(executor, run, "executor or ticket not usable any more", now);
+        runs.lost(executor, run, "executor, zone or ticket not usable any more", now);
       } else {
         run.stop();
       }
@@ -440,7 +507,8 @@
             key.task(),
             key.number(),
             task.step().job().spec().payload(),
-            executor.grantLease(state.settings.leaseMillis(), now),
+            executor.grantLease(
+                state.zones.startLeaseMillis(zone, state.settings.leaseMillis(), now), now),
             state.term,
             task.checkpoint(),
             ticket.get()));
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveExecutor.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveExecutor.java
@@ -17,9 +17,11 @@
   private static final long MAX_QUARANTINE_MILLIS = 16_000;
 
   private final String id;
+  private final ZoneEvacuation zones;
   private final Map<RunKey, Run> runs = new LinkedHashMap<>();
   private ExecutorInfo info;
   private boolean listed;
+  private long listedAt;
   private long leavesAt;
   private long bootMillis;
   private Resources used = Resources.NONE;
@@ -41,8 +43,9 @@
   private long quarantineMillis = QUARANTINE_MILLIS;
   private long quarantinedUntil = NEVER;
 
-  LiveExecutor(String id) {
+  LiveExecutor(String id, ZoneEvacuation zones) {
     this.id = id;
+    this.zones = zones;
   }
 
   String id() {
@@ -70,6 +73,11 @@
     return listed;
   }
 
+  /** Returns since when the executor has been listed. */
+  long listedAt() {
+    return listedAt;
+  }
+
   /**
    * Records an announcement of the executor.
    *
@@ -79,6 +87,7 @@
   void announced(ExecutorInfo announced, long drainMillis, long now) {
     boolean wasDraining = isDraining();
     info = announced;
+    listedAt = listed ? listedAt : now;
     listed = true;
     if (announced.remainingMillis() >= 0) {
       leavesAt = now + announced.remainingMillis();
@@ -164,7 +173,8 @@
         && !info.draining()
         && silentSince == NEVER
         && !suspect
-        && now >= quarantinedUntil;
+        && now >= quarantinedUntil
+        && zones.admits(id, info.zone(), now);
   }
 
   /** Returns whether the executor takes tasks now and did not at the last call. */
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/OwnerState.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/OwnerState.java
@@ -40,7 +40,9 @@
   final OrganisationAccounts accounts = new OrganisationAccounts();
   final ArrivingWork arrivingWork = new ArrivingWork();
   SiteConfiguration configuration = SiteConfiguration.NONE;
-  Durations durations = new DeclaredDurations();
+  final LearnedDurations learned;
+  Durations durations;
+  final ZoneEvacuation zones;
   private final Map<String, Integer> runsByJob = new HashMap<>();
   private Optional<Resources> totalCapacity = Optional.empty();
   private long version;
@@ -56,6 +58,9 @@
     this.term = term;
     this.specs = specs;
     this.decisionListener = decisionListener;
+    learned = new LearnedDurations(decisionListener);
+    durations = learned;
+    zones = new ZoneEvacuation(settings);
   }
 
   /** Applies a configuration. */
@@ -86,7 +91,7 @@
   }
 
   LiveExecutor executor(String id) {
-    return executors.computeIfAbsent(id, LiveExecutor::new);
+    return executors.computeIfAbsent(id, i -> new LiveExecutor(i, zones));
   }
 
   /** Returns a task of an unfinished job, or null if there is none with this id. */
@@ -155,6 +160,7 @@
     renewable.remove(executor);
     withEndsToStore.remove(executor);
     draining.remove(executor);
+    learned.executorRemoved(executor);
     executorsChanged();
   }
 
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/StepOrder.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/StepOrder.java
@@ -67,8 +67,16 @@
   /** Estimates of callers are rough, but tasks rarely take less than this fraction of one. */
   private static final double MIN_ESTIMATE_FRACTION = 0.6;
 
+  /**
+   * Ranks are computed anew after this time. Expected durations make a rank too expensive for each
+   * round, of which a large site has hundreds a second, and no objective is this short.
+   */
+  private static final long RANK_LIFETIME_MILLIS = 20;
+
   private final OwnerState state;
   private final ShortageMonitor shortage;
+  private final Map<LiveStep, Rank> ranks = new IdentityHashMap<>();
+  private long rankedAt = Long.MIN_VALUE / 2;
 
   StepOrder(OwnerState state, ShortageMonitor shortage) {
     this.state = state;
@@ -82,8 +90,11 @@
       return steps;
     }
     Resources total = state.totalCapacity();
-    Map<LiveStep, Rank> ranks = new IdentityHashMap<>();
-    steps.forEach(s -> ranks.put(s, rank(s, total, now)));
+    if (now - rankedAt >= RANK_LIFETIME_MILLIS) {
+      ranks.clear();
+      rankedAt = now;
+    }
+    steps.forEach(s -> ranks.computeIfAbsent(s, k -> rank(k, total, now)));
     return steps.stream().sorted(Comparator.comparing(ranks::get, ORDER)).toList();
   }
 
@@ -139,17 +150,19 @@
   }
 
   /** Returns whether a job can still meet its objective. */
-  private boolean isInTime(LiveStep step, Queue queue, long now) {
+  boolean isInTime(LiveStep step, Queue queue, long now) {
     return objectiveStatus(step, objectiveMillis(step, queue), now) == ObjectiveStatus.IN_TIME;
   }
 
-  private static ObjectiveStatus objectiveStatus(LiveStep step, long objectiveMillis, long now) {
+  private ObjectiveStatus objectiveStatus(LiveStep step, long objectiveMillis, long now) {
     double left =
-        MIN_ESTIMATE_FRACTION
-            * step.job().steps().stream()
-                .filter(s -> !s.isDone())
-                .mapToLong(s -> s.spec().estimateMillis())
-                .sum();
+        isObserved(step.job())
+            ? RemainingWork.of(step.job(), state.durations).criticalPathMillis()
+            : MIN_ESTIMATE_FRACTION
+                * step.job().steps().stream()
+                    .filter(s -> !s.isDone())
+                    .mapToLong(s -> s.spec().estimateMillis())
+                    .sum();
     double total = now - step.job().submittedAt() + left;
     if (total <= objectiveMillis) {
       return ObjectiveStatus.IN_TIME;
@@ -159,7 +172,15 @@
         : ObjectiveStatus.OVERDUE;
   }
 
-  private static long objectiveMillis(LiveStep step, Queue queue) {
+  /** Returns whether expected durations are more than the estimates of callers. */
+  private boolean isObserved(LiveJob job) {
+    return state.durations.hasObservations(job.spec().queue().name());
+  }
+
+  private long objectiveMillis(LiveStep step, Queue queue) {
+    if (isObserved(step.job())) {
+      return Math.round(ExpectedCompletion.objectiveMillis(step.job(), queue, state.durations));
+    }
     long estimate = step.job().spec().steps().stream().mapToLong(s -> s.estimateMillis()).sum();
     return Math.round(queue.stretch() * estimate) + queue.targetLatencyMillis();
   }
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/FakeExecutor.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/FakeExecutor.java
@@ -49,6 +49,7 @@
   }
 
   private final String id;
+  private final String zone;
   private final ClusterSimulation simulation;
   private final Resources capacity;
   private final VirtualTime time;
@@ -71,9 +72,12 @@
   private boolean draining;
   private boolean stallNewTasks;
   private int slowdownFactor = 1;
+  private Set<String> labels = Set.of("a");
 
-  FakeExecutor(String id, ClusterSimulation simulation, Resources capacity, VirtualTime time) {
+  FakeExecutor(
+      String id, String zone, ClusterSimulation simulation, Resources capacity, VirtualTime time) {
     this.id = id;
+    this.zone = zone;
     this.simulation = simulation;
     this.capacity = capacity;
     this.time = time;
@@ -85,17 +89,13 @@
     return id;
   }
 
+  public String zone() {
+    return zone;
+  }
+
   public ExecutorInfo info() {
     return new ExecutorInfo(
-        id,
-        id + ":80",
-        ClusterSimulation.SERVICE,
-        "zone",
-        draining,
-        -1,
-        capacity,
-        Set.of("a"),
-        bootedAt);
+        id, id + ":80", ClusterSimulation.SERVICE, zone, draining, -1, capacity, labels, bootedAt);
   }
 
   public boolean isUp() {
@@ -116,6 +116,11 @@
     slowdownFactor = factor;
   }
 
+  /** Sets the labels of the next announcement. */
+  public void labels(Set<String> values) {
+    labels = values;
+  }
+
   /** Stops the executor: all state is lost, and calls get no answer until it boots. */
   public void crash() {
     up = false;
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/Oracle.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/Oracle.java
@@ -1,6 +1,7 @@
 package io.cactusspring.jobs.simulation;
 
 import io.cactusspring.core.model.Resources;
+import io.cactusspring.jobs.control.Outcome;
 import io.cactusspring.jobs.model.JobSpec;
 import io.cactusspring.jobs.model.StepSpec;
 import io.cactusspring.jobs.model.TaskId;
@@ -23,13 +24,20 @@
   /** Milliseconds after an acknowledged cancellation from which no task of the job may start. */
   private static final long CANCEL_MILLIS = 3_000;
 
+  /** Milliseconds after the write of an evacuation from which no task may start in the zone. */
+  public static final long EVACUATE_MILLIS = 5_000;
+
   private final ClusterSimulation simulation;
   private final Map<String, JobSpec> submitted = new HashMap<>();
+  private final Map<String, Integer> openSubmissions = new HashMap<>();
+  private final Set<String> rejected = new HashSet<>();
+  private final Set<String> begun = new HashSet<>();
   private final Map<String, Long> cancelledAtMillis = new HashMap<>();
   private final Set<TaskId> done = new HashSet<>();
   private final Set<TaskId> acknowledgedDone = new HashSet<>();
   private final Map<TaskId, Integer> failures = new HashMap<>();
   private final List<String> violations = new ArrayList<>();
+  private final Map<String, Long> evacuatedAtMillis = new HashMap<>();
   private int startCount;
 
   Oracle(ClusterSimulation simulation) {
@@ -38,12 +46,36 @@
 
   void submitted(JobSpec spec) {
     submitted.put(spec.id(), spec);
+    openSubmissions.merge(spec.id(), 1, Integer::sum);
+    rejected.remove(spec.id());
+  }
+
+  /**
+   * Records the answer to a submission. A job whose last submission was rejected must not have run
+   * before, and must not run until it is submitted again.
+   */
+  void answered(JobSpec spec, Outcome outcome) {
+    int open = openSubmissions.merge(spec.id(), -1, Integer::sum);
+    if (outcome instanceof Outcome.Refused && open == 0) {
+      rejected.add(spec.id());
+      if (begun.contains(spec.id())) {
+        recordViolation("rejected job", spec.id() + " was rejected after it had started");
+      }
+    }
   }
 
   void cancelled(String job) {
     cancelledAtMillis.putIfAbsent(job, simulation.time().now());
   }
 
+  void evacuated(String zone) {
+    evacuatedAtMillis.putIfAbsent(zone, simulation.time().now());
+  }
+
+  void returnedToUse(String zone) {
+    evacuatedAtMillis.remove(zone);
+  }
+
   JobSpec started(FakeExecutor executor, StartRequest request) {
     startCount++;
     TaskId task = request.task();
@@ -52,6 +84,10 @@
       recordViolation("unexpected start", task + " belongs to a job that was not submitted");
       throw new IllegalStateException("start of a task of unknown job " + task.job());
     }
+    begun.add(task.job());
+    if (rejected.contains(task.job())) {
+      recordViolation("rejected job", task + " starts after its job was rejected");
+    }
     simulation.executors().stream()
         .filter(e -> e != executor && e.isUp() && e.tasks().contains(task))
         .forEach(
@@ -70,6 +106,10 @@
         && simulation.isFaultFree()) {
       recordViolation("unexpected start", task + " starts after its job was cancelled");
     }
+    Long evacuated = evacuatedAtMillis.get(executor.zone());
+    if (evacuated != null && simulation.time().now() >= evacuated + EVACUATE_MILLIS) {
+      recordViolation("evacuation", task + " starts on " + executor.id() + " in an evacuated zone");
+    }
     if (failures.getOrDefault(task, 0) >= ClusterSimulation.MAX_ATTEMPTS) {
       recordViolation("attempt limit", task + " starts after " + failures.get(task) + " failures");
     }
