Mend what the reviews of admission, evacuation, estimates and order found

Cause: two reviewers who did not write the parts read them.

Change: - The owner rejects a submission only while all inbox followers have read to the end and wait for the next record; an overdue read alone was too weak. - A lagging host looks into the store before it refuses, asks the owner for at most 300 ms, and ends the submission also after an exception. - Evacuated zones are no capacity for admission; a start's lease allows for slow clocks; runs are not stopped for room that the advice service may deny, and steps that may not move are left out. - A step's durations are learned when it is complete; its first 32 ends are its shortest. Steps of cancelled and failed jobs are dropped. - A queue that begins without estimates is not anchored at 1 ms. - Work that waits because of an organisation's limit is no shortage, and long-running work leaves a tenth of the capacity to the plan. - Expected durations are cached for 20 ms, not ranks; a rank takes the organisation's use of the moment again.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/JobService.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/JobService.java
@@ -132,26 +132,32 @@
   public Future<Outcome> submit(JobSpec spec, long budgetMillis) {
     long deadline = deadline(budgetMillis);
     openSubmissions.begin(spec.id());
-    Optional<OwnerRequests> reached = owner.get();
-    Future<Outcome> outcome =
-        reached
-            .map(
-                o ->
-                    lag.isLagging()
-                        ? submitWhileLagging(o, spec, deadline)
-                        : submitTo(o, spec, deadline))
-            .orElseGet(() -> submitToInbox(spec, deadline, false));
-    return outcome
+    // An exception of the first step fails the future as well, so that the submission ends.
+    return Future.succeededFuture()
+        .compose(begun -> route(spec, deadline))
         .onComplete(done -> openSubmissions.end(spec.id()))
         .compose(o -> logAndReturn(JobEvent.SUBMISSION, spec.id(), o));
   }
 
+  private Future<Outcome> route(JobSpec spec, long deadline) {
+    return owner
+        .get()
+        .map(
+            o ->
+                lag.isLagging()
+                    ? submitWhileLagging(o, spec, deadline)
+                    : submitTo(o, spec, deadline))
+        .orElseGet(() -> submitToInbox(spec, deadline, false));
+  }
+
   /** Refuses a submission without storing it, unless the owner knows the job. */
   private Future<Outcome> submitWhileLagging(OwnerRequests reached, JobSpec spec, long deadline) {
     JobReference job = JobReference.of(spec.id(), spec.queue(), spec.organisation());
-    long left = Math.max(1, deadline - timers.nowMillis());
     return reached
-        .state(job, left)
+        .state(job, OWNER_READ_TIMEOUT_MILLIS)
+        .compose(
+            // Another host may have stored the job in the inbox just before.
+            known -> known.isPresent() ? Future.succeededFuture(known) : storedState(job))
         .compose(
             state ->
                 state.isPresent()
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerTerm.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerTerm.java
@@ -242,7 +242,7 @@
             log,
             settings.scheduler().storeGraceMillis(),
             operators::ageMillis,
-            () -> inboxFollowers.stream().noneMatch(TopicFollower::isOverdue),
+            () -> inboxFollowers.stream().allMatch(TopicFollower::isCaughtUp),
             this::end);
     controller = Optional.of(begun);
     log.event(
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/TopicFollower.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/TopicFollower.java
@@ -121,6 +121,14 @@
     return watching && !isOverdue();
   }
 
+  /**
+   * Returns whether all records are applied that were stored when the last read was answered, and
+   * whether a read is in progress that returns the next one as soon as it is stored.
+   */
+  public boolean isCaughtUp() {
+    return loaded && reachedEnd && isWatching();
+  }
+
   /** Returns since when all reads have succeeded; {@link Long#MAX_VALUE} while reads fail. */
   public long uninterruptedReadsSince() {
     return uninterruptedReadsSince;
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/estimate/EstimateRegression.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/estimate/EstimateRegression.java
@@ -28,7 +28,11 @@
 
   /** Learns from a step whose tasks took {@code logMillis} on a normal executor, on average. */
   void observe(long estimateMillis, double logMillis) {
-    double x = distance(estimateMillis) + meanEstimate;
+    // The first step without an estimate shows what estimates of the queue would be.
+    double x =
+        estimateMillis == 0 && !hasObservations()
+            ? logMillis
+            : distance(estimateMillis) + meanEstimate;
     double error = logMillis - x;
     weight = weight * DECAY + 1;
     double dx = x - meanEstimate;
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/estimate/RunTimeModel.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/estimate/RunTimeModel.java
@@ -20,8 +20,8 @@
  * @since 0.2
  */
 public final class RunTimeModel {
-  /** Tasks of one step that are compared with each other; wider steps are split. */
-  private static final int MAX_SISTERS = 32;
+  /** Bound on the memory of one step; a wider one is represented by a part of its tasks. */
+  private static final int MAX_SISTERS = 512;
 
   /** Bounds on memory; the oldest entries are dropped. */
   private static final int MAX_STEPS = 4_096;
@@ -46,12 +46,22 @@
     private final String queue;
     private final long estimateMillis;
     private final List<Sample> samples = new ArrayList<>();
-    private boolean estimateLearned;
+    private int observed;
 
     Sisters(Observation first) {
       queue = first.queue();
       estimateMillis = first.estimateMillis();
     }
+
+    void add(Sample sample) {
+      if (samples.size() < MAX_SISTERS) {
+        samples.add(sample);
+      } else {
+        // Tasks end in the order of their durations, so early ones must not be kept only.
+        samples.set(observed % MAX_SISTERS, sample);
+      }
+      observed++;
+    }
   }
 
   /**
@@ -86,30 +96,26 @@
 
   /** Records a completed run. It takes effect when its step is complete. */
   public void observe(Observation run) {
-    Sisters sisters = steps.computeIfAbsent(run.step(), k -> new Sisters(run));
-    sisters.samples.add(
-        new Sample(run.executor(), run.bootMillis(), run.labels(), run.logMillis()));
-    if (sisters.samples.size() == MAX_SISTERS) {
-      learn(sisters);
-    }
+    steps
+        .computeIfAbsent(run.step(), k -> new Sisters(run))
+        .add(new Sample(run.executor(), run.bootMillis(), run.labels(), run.logMillis()));
   }
 
-  /** Learns from the runs of a step, of which no more will be observed. */
+  /** Learns from the runs of a step that is complete. */
   public void stepEnded(StepId step) {
     Sisters sisters = steps.remove(step);
-    if (sisters != null && !sisters.samples.isEmpty()) {
-      learn(sisters);
+    if (sisters != null) {
+      double logMillis = speeds.learn(sisters.samples);
+      regression(sisters.queue).ifPresent(r -> r.observe(sisters.estimateMillis, logMillis));
     }
   }
 
-  private void learn(Sisters sisters) {
-    double logMillis = speeds.learn(sisters.samples);
-    sisters.samples.clear();
-    // A wide step has one estimate and counts once.
-    if (!sisters.estimateLearned) {
-      sisters.estimateLearned = true;
-      regression(sisters.queue).ifPresent(r -> r.observe(sisters.estimateMillis, logMillis));
-    }
+  /**
+   * Drops the runs of a step that will not be complete. Those that have ended are its shortest, so
+   * they would make the queue and their executors appear fast.
+   */
+  public void stepAbandoned(StepId step) {
+    steps.remove(step);
   }
 
   private Optional<EstimateRegression> regression(String queue) {
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Backlog.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Backlog.java
@@ -151,6 +151,7 @@
     capacities.clear();
     state.executors.values().stream()
         .filter(e -> e.listed() && e.isCallable() && !e.isDraining())
+        .filter(e -> !state.zones.isEvacuated(e.info().zone()))
         .forEach(this::addCapacity);
     state.jobs.values().stream().filter(j -> !j.isFinal()).forEach(j -> addJob(j, now));
   }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LearnedDurations.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LearnedDurations.java
@@ -104,7 +104,7 @@
 
   /** Records that no more runs of an unfinished job will be observed. */
   void jobEnded(LiveJob job) {
-    job.steps().forEach(s -> model.stepEnded(s.id()));
+    job.steps().forEach(s -> model.stepAbandoned(s.id()));
   }
 
   private void log(LabelFactor factor, long now) {
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/OwnerState.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/OwnerState.java
@@ -193,6 +193,13 @@
     return runsByJob.containsKey(job);
   }
 
+  /** Returns whether more tasks of a step stay within the limit of their organisation. */
+  boolean withinLimit(LiveStep step, int tasks) {
+    String organisation = step.job().spec().organisation();
+    Resources after = usage(organisation).plus(step.spec().resources().times(tasks));
+    return configuration.organisation(organisation).map(o -> o.allows(after)).orElse(true);
+  }
+
   Resources usage(String organisation) {
     return usage.getOrDefault(organisation, Resources.NONE);
   }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Placement.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Placement.java
@@ -1,7 +1,5 @@
 package io.cactusspring.jobs.schedule;
 
-import io.cactusspring.core.model.Resources;
-import io.cactusspring.jobs.model.Organisation;
 import io.cactusspring.jobs.model.Queue;
 import io.cactusspring.jobs.model.StepSpec;
 import java.util.ArrayList;
@@ -41,7 +39,7 @@
   }
 
   private void placeStep(LiveStep step, AdviceSlots slots, Preemption preemption, long now) {
-    if (!withinLimit(step, step.spec().gang() ? step.tasks().size() : 1)) {
+    if (!state.withinLimit(step, step.spec().gang() ? step.tasks().size() : 1)) {
       return;
     }
     long version = state.version();
@@ -52,7 +50,7 @@
     List<LiveTask> waiting = step.due(now).toList();
     int placed = version > step.triedAtVersion() ? placeTasks(step, waiting, now) : 0;
     int left = waiting.size() - placed;
-    if (left == 0 || !withinLimit(step, 1)) {
+    if (left == 0 || !state.withinLimit(step, 1)) {
       return;
     }
     step.triedAtVersion(version);
@@ -78,7 +76,7 @@
     int placed = 0;
     for (LiveTask task : waiting) {
       Optional<LiveExecutor> executor = choose(step, candidates, List.of(), preference);
-      if (executor.isEmpty() || !withinLimit(step, 1)) {
+      if (executor.isEmpty() || !state.withinLimit(step, 1)) {
         break;
       }
       runs.decide(task, task.lastRun() + 1, executor.get(), now);
@@ -125,13 +123,6 @@
     }
   }
 
-  private boolean withinLimit(LiveStep step, int tasks) {
-    String organisation = step.job().spec().organisation();
-    Optional<Organisation> limits = state.configuration.organisation(organisation);
-    Resources after = state.usage(organisation).plus(step.spec().resources().times(tasks));
-    return limits.map(o -> o.allows(after)).orElse(true);
-  }
-
   /**
    * Returns the executors that may run tasks of a step and have changed since its last search: all
    * others had no room then.
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/RunMoves.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/RunMoves.java
@@ -82,7 +82,7 @@
             .flatMap(e -> e.runs().stream().filter(this::isCurrent).map(r -> new Located(e, r)))
             .toList();
     Map<LiveStep, List<Located>> movable =
-        byStep(current, l -> reports(l.executor) && isActive(l.run));
+        byStep(current, l -> reports(l.executor) && isActive(l.run) && mayStop(l.run.spec()));
     if (!movable.isEmpty()) {
       Room room = new Room(now);
       byStep(current, l -> l.run.stopping()).forEach((s, runs) -> room.take(s, runs.size()));
@@ -117,6 +117,10 @@
     return task != null && task.run() == run;
   }
 
+  private static boolean mayStop(StepSpec spec) {
+    return spec.checkpoints() || spec.maxUnavailable() > 0;
+  }
+
   private void moveStep(LiveStep step, List<Located> located, Room room, long now) {
     // Waiting tasks show that there is no room for more tasks of the step.
     if (step.hasWaiting()) {
@@ -170,7 +174,10 @@
     private final Map<LiveStep, Map<LiveExecutor, Integer>> planned = new HashMap<>();
 
     Room(long now) {
-      usable = state.executors.values().stream().filter(e -> e.isUsable(now)).toList();
+      usable =
+          state.executors.values().stream()
+              .filter(e -> e.isUsable(now) && !e.free().equals(Resources.NONE))
+              .toList();
     }
 
     /** Takes room for further tasks of a step; returns for how many there is room. */
@@ -183,10 +190,14 @@
         if (found == tasks) {
           break;
         }
-        if (step.tickets().isDenied(executor)) {
+        boolean allowed = !queue.needsAdvice() || step.tickets().isAllowed(executor);
+        if (step.tickets().isDenied(executor) || (!allowed && found > 0)) {
           continue;
         }
-        while (found < tasks && fits(executor, step, queue, ofStep.getOrDefault(executor, 0))) {
+        // An executor that the advice service was not asked about may be denied, so only one run is
+        // stopped for it.
+        int max = allowed ? tasks : 1;
+        while (found < max && fits(executor, step, queue, ofStep.getOrDefault(executor, 0))) {
           taken.merge(executor, one, Resources::plus);
           ofStep.merge(executor, 1, Integer::sum);
           found++;
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ShortageMonitor.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ShortageMonitor.java
@@ -24,6 +24,9 @@
   /** From this fraction of its work on, deferring a job would waste what it has received. */
   private static final double MAX_DONE_FRACTION = 0.5;
 
+  /** Long-running tasks that find no room must not hide that there is a shortage. */
+  private static final double MIN_LEFT_SHARE = 0.1;
+
   /** Finer differences than a thousand times the entitlement do not matter. */
   private static final int MAX_OVERUSE = 10;
 
@@ -68,7 +71,7 @@
     }
     useOverEntitlement =
         state.accounts.useOverEntitlement(
-            state.totalCapacity().milliProcessors() - 1_000 * longRunningProcessors(j -> true),
+            1_000 * leftByLongRunning(state.totalCapacity().milliProcessors() / 1_000.0, j -> true),
             now);
     Map<String, ShortagePlan> updated = new HashMap<>();
     scarce.forEach(s -> updated.put(s, plan(s, objectives, now)));
@@ -106,7 +109,10 @@
 
   private Set<String> scarceServices(List<LiveStep> waiting, long now) {
     Map<String, List<LiveStep>> byService =
-        waiting.stream().collect(Collectors.groupingBy(s -> state.queue(s.job()).service()));
+        waiting.stream()
+            // What waits because of a limit does not show that capacity is short.
+            .filter(s -> state.withinLimit(s, 1))
+            .collect(Collectors.groupingBy(s -> state.queue(s.job()).service()));
     return byService.entrySet().stream()
         .filter(e -> !fits(e.getKey(), e.getValue(), now))
         .map(Map.Entry::getKey)
@@ -157,7 +163,7 @@
             .mapToLong(e -> e.info().capacity().milliProcessors())
             .sum();
     double processors =
-        total / 1_000 - longRunningProcessors(j -> state.queue(j).service().equals(service));
+        leftByLongRunning(total / 1_000.0, j -> state.queue(j).service().equals(service));
     List<ShortagePlan.Candidate> candidates = new ArrayList<>();
     Map<String, LiveJob> jobs = new HashMap<>();
     for (LiveJob job : state.jobs.values()) {
@@ -180,14 +186,17 @@
     return plan;
   }
 
-  /** Returns the processors that long-running tasks use or wait for. */
-  private double longRunningProcessors(Predicate<LiveJob> filter) {
-    return state.jobs.values().stream()
-        .filter(LiveJob::longRunning)
-        .filter(filter)
-        .flatMap(j -> j.steps().stream())
-        .mapToDouble(s -> s.tasks().size() * s.spec().committed().milliProcessors() / 1_000.0)
-        .sum();
+  /** Returns the processors that long-running tasks neither use nor wait for. */
+  private double leftByLongRunning(double total, Predicate<LiveJob> filter) {
+    double longRunning =
+        state.jobs.values().stream()
+            .filter(LiveJob::longRunning)
+            .filter(filter)
+            .flatMap(j -> j.steps().stream())
+            .filter(s -> s.spec().longRunning())
+            .mapToDouble(s -> s.unfinishedTasks() * RemainingWork.processorsOf(s.spec()))
+            .sum();
+    return Math.max(total - longRunning, MIN_LEFT_SHARE * total);
   }
 
   private ShortagePlan.Candidate candidate(
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/StepOrder.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/StepOrder.java
@@ -68,15 +68,23 @@
   private static final double MIN_ESTIMATE_FRACTION = 0.6;
 
   /**
-   * Ranks are computed anew after this time. Expected durations make a rank too expensive for each
-   * round, of which a large site has hundreds a second, and no objective is this short.
+   * Expected durations are computed anew after this time. They are too expensive for each round, of
+   * which a large site has hundreds a second, and no objective is this short.
    */
-  private static final long RANK_LIFETIME_MILLIS = 20;
+  private static final long EXPECTATION_LIFETIME_MILLIS = 20;
+
+  /**
+   * What is expected of the job of a step.
+   *
+   * @param objectiveMillis its target duration
+   * @param leftMillis duration of its unfinished steps
+   */
+  private record Expectation(long objectiveMillis, double leftMillis) {}
 
   private final OwnerState state;
   private final ShortageMonitor shortage;
-  private final Map<LiveStep, Rank> ranks = new IdentityHashMap<>();
-  private long rankedAt = Long.MIN_VALUE / 2;
+  private final Map<LiveStep, Expectation> expectations = new IdentityHashMap<>();
+  private long expectedAt = Long.MIN_VALUE / 2;
 
   StepOrder(OwnerState state, ShortageMonitor shortage) {
     this.state = state;
@@ -85,23 +93,25 @@
 
   /** Returns the steps in the order in which they are to be placed. */
   List<LiveStep> sorted(List<LiveStep> steps, long now) {
+    if (now - expectedAt >= EXPECTATION_LIFETIME_MILLIS) {
+      expectations.clear();
+      expectedAt = now;
+    }
     shortage.update(steps, this::objective, now);
     if (steps.size() < 2) {
       return steps;
     }
     Resources total = state.totalCapacity();
-    if (now - rankedAt >= RANK_LIFETIME_MILLIS) {
-      ranks.clear();
-      rankedAt = now;
-    }
-    steps.forEach(s -> ranks.computeIfAbsent(s, k -> rank(k, total, now)));
+    Map<LiveStep, Rank> ranks = new IdentityHashMap<>();
+    steps.forEach(s -> ranks.put(s, rank(s, total, now)));
     return steps.stream().sorted(Comparator.comparing(ranks::get, ORDER)).toList();
   }
 
   private ShortageMonitor.Objective objective(LiveStep step, long now) {
-    long millis = objectiveMillis(step, state.queue(step.job()));
+    Expectation expected = expectation(step, state.queue(step.job()));
     return new ShortageMonitor.Objective(
-        step.job().submittedAt() + millis, isOverdue(step, objectiveStatus(step, millis, now)));
+        step.job().submittedAt() + expected.objectiveMillis,
+        isOverdue(step, objectiveStatus(step, expected, now)));
   }
 
   private static boolean isOverdue(LiveStep step, ObjectiveStatus objectiveStatus) {
@@ -112,9 +122,9 @@
     LiveJob job = step.job();
     Queue queue = state.queue(job);
     boolean isShort = shortage.isShort(queue.service());
-    long objective = objectiveMillis(step, queue);
-    ObjectiveStatus objectiveStatus = objectiveStatus(step, objective, now);
-    long objectiveAt = job.submittedAt() + objective;
+    Expectation expected = expectation(step, queue);
+    ObjectiveStatus objectiveStatus = objectiveStatus(step, expected, now);
+    long objectiveAt = job.submittedAt() + expected.objectiveMillis;
     return new Rank(
         !step.spec().longRunning(),
         isOverdue(step, objectiveStatus),
@@ -151,37 +161,37 @@
 
   /** Returns whether a job can still meet its objective. */
   boolean isInTime(LiveStep step, Queue queue, long now) {
-    return objectiveStatus(step, objectiveMillis(step, queue), now) == ObjectiveStatus.IN_TIME;
+    return objectiveStatus(step, expectation(step, queue), now) == ObjectiveStatus.IN_TIME;
   }
 
-  private ObjectiveStatus objectiveStatus(LiveStep step, long objectiveMillis, long now) {
-    double left =
-        isObserved(step.job())
-            ? RemainingWork.of(step.job(), state.durations).criticalPathMillis()
-            : MIN_ESTIMATE_FRACTION
-                * step.job().steps().stream()
-                    .filter(s -> !s.isDone())
-                    .mapToLong(s -> s.spec().estimateMillis())
-                    .sum();
-    double total = now - step.job().submittedAt() + left;
-    if (total <= objectiveMillis) {
+  private static ObjectiveStatus objectiveStatus(LiveStep step, Expectation expected, long now) {
+    double total = now - step.job().submittedAt() + expected.leftMillis;
+    if (total <= expected.objectiveMillis) {
       return ObjectiveStatus.IN_TIME;
     }
-    return total <= OVERDUE_MULTIPLE * (double) objectiveMillis
+    return total <= OVERDUE_MULTIPLE * (double) expected.objectiveMillis
         ? ObjectiveStatus.LATE
         : ObjectiveStatus.OVERDUE;
   }
 
-  /** Returns whether expected durations are more than the estimates of callers. */
-  private boolean isObserved(LiveJob job) {
-    return state.durations.hasObservations(job.spec().queue().name());
+  private Expectation expectation(LiveStep step, Queue queue) {
+    return expectations.computeIfAbsent(step, s -> newExpectation(s.job(), queue));
   }
 
-  private long objectiveMillis(LiveStep step, Queue queue) {
-    if (isObserved(step.job())) {
-      return Math.round(ExpectedCompletion.objectiveMillis(step.job(), queue, state.durations));
+  private Expectation newExpectation(LiveJob job, Queue queue) {
+    if (state.durations.hasObservations(job.spec().queue().name())) {
+      return new Expectation(
+          Math.round(ExpectedCompletion.objectiveMillis(job, queue, state.durations)),
+          RemainingWork.of(job, state.durations).criticalPathMillis());
     }
-    long estimate = step.job().spec().steps().stream().mapToLong(s -> s.estimateMillis()).sum();
-    return Math.round(queue.stretch() * estimate) + queue.targetLatencyMillis();
+    long estimate = job.spec().steps().stream().mapToLong(s -> s.estimateMillis()).sum();
+    long left =
+        job.steps().stream()
+            .filter(s -> !s.isDone())
+            .mapToLong(s -> s.spec().estimateMillis())
+            .sum();
+    return new Expectation(
+        Math.round(queue.stretch() * estimate) + queue.targetLatencyMillis(),
+        MIN_ESTIMATE_FRACTION * left);
   }
 }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ZoneEvacuation.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ZoneEvacuation.java
@@ -154,7 +154,11 @@
    * so that a start which the network delays is not carried out after the bound.
    */
   long startLeaseMillis(String zone, long leaseMillis, long now) {
-    boolean bounded = evacuateMillis > 0 && !zone.isEmpty();
-    return bounded ? Math.min(leaseMillis, confirmedAt + evacuateMillis - now) : leaseMillis;
+    if (evacuateMillis == 0 || zone.isEmpty()) {
+      return leaseMillis;
+    }
+    // The lease ends on the clock of the executor, which may be slow.
+    double left = (confirmedAt + evacuateMillis - now) * SchedulerSettings.MIN_CLOCK_RATE;
+    return Math.min(leaseMillis, (long) left);
   }
 }
