--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveJob.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveJob.java
@@ -137,7 +137,7 @@
       steps.add(
           new LiveStep(new StepId(id(), number, i), spec.steps().get(i), this, waitingSteps, now));
     }
-    return steps;
+    return List.copyOf(steps);
   }
 
   /**
@@ -170,7 +170,10 @@
   }
 
   List<LiveStep> steps() {
-    return occurrences.values().stream().flatMap(List::stream).toList();
+    // Most jobs have one occurrence, and each round asks for the steps of all waiting ones.
+    return occurrences.size() == 1
+        ? occurrences.firstEntry().getValue()
+        : occurrences.values().stream().flatMap(List::stream).toList();
   }
 
   LiveTask task(TaskId id) {
