--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ShortageMonitor.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ShortageMonitor.java
@@ -57,17 +57,17 @@
     this.state = state;
   }
 
-  /** Updates the plans, unless they are recent. */
-  void update(List<LiveStep> waiting, Objectives objectives, long now) {
+  /** Updates the plans, unless they are recent; returns whether it did. */
+  boolean update(List<LiveStep> waiting, Objectives objectives, long now) {
     if (now - checkedAt < PLAN_INTERVAL_MILLIS) {
-      return;
+      return false;
     }
     checkedAt = now;
     criticalPathMillis.clear();
     Set<String> scarce = scarceServices(waiting, now);
     if (scarce.isEmpty()) {
       plans = Map.of();
-      return;
+      return true;
     }
     useOverEntitlement =
         state.accounts.useOverEntitlement(
@@ -76,6 +76,7 @@
     Map<String, ShortagePlan> updated = new HashMap<>();
     scarce.forEach(s -> updated.put(s, plan(s, objectives, now)));
     plans = updated;
+    return true;
   }
 
   /** Returns whether the waiting work of a service does not fit into its free capacity. */
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/StepOrder.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/StepOrder.java
@@ -84,6 +84,10 @@
   private final OwnerState state;
   private final ShortageMonitor shortage;
   private final Map<LiveStep, Expectation> expectations = new IdentityHashMap<>();
+
+  /** Ranks in a shortage, in which many steps wait; they are as old as the expectations at most. */
+  private final Map<LiveStep, Rank> ranksInShortage = new IdentityHashMap<>();
+
   private long expectedAt = Long.MIN_VALUE / 2;
 
   StepOrder(OwnerState state, ShortageMonitor shortage) {
@@ -95,15 +99,18 @@
   List<LiveStep> sorted(List<LiveStep> steps, long now) {
     if (now - expectedAt >= EXPECTATION_LIFETIME_MILLIS) {
       expectations.clear();
+      ranksInShortage.clear();
       expectedAt = now;
     }
-    shortage.update(steps, this::objective, now);
+    if (shortage.update(steps, this::objective, now)) {
+      ranksInShortage.clear();
+    }
     if (steps.size() < 2) {
       return steps;
     }
     Resources total = state.totalCapacity();
     Map<LiveStep, Rank> ranks = new IdentityHashMap<>();
-    steps.forEach(s -> ranks.put(s, rank(s, total, now)));
+    steps.forEach(s -> ranks.put(s, currentRank(s, total, now)));
     return steps.stream().sorted(Comparator.comparing(ranks::get, ORDER)).toList();
   }
 
@@ -118,6 +125,12 @@
     return objectiveStatus == ObjectiveStatus.OVERDUE && step.job().spec().repetitions() == 0;
   }
 
+  private Rank currentRank(LiveStep step, Resources total, long now) {
+    return shortage.isShort(state.queue(step.job()).service())
+        ? ranksInShortage.computeIfAbsent(step, s -> rank(s, total, now))
+        : rank(step, total, now);
+  }
+
   private Rank rank(LiveStep step, Resources total, long now) {
     LiveJob job = step.job();
     Queue queue = state.queue(job);
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/SlotModel.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/SlotModel.java
@@ -92,7 +92,9 @@
             ? new ShortageMonitor(state)
             : new ShortageMonitor(state) {
               @Override
-              void update(List<LiveStep> waiting, Objectives objectives, long time) {}
+              boolean update(List<LiveStep> waiting, Objectives objectives, long time) {
+                return false;
+              }
             };
     placement = new Placement(state, runs, new AdvicePlanner(state), new StepOrder(state, monitor));
   }
