--- a/cactusspring-benchmarks/src/main/java/io/cactusspring/benchmarks/Bench.java
+++ b/cactusspring-benchmarks/src/main/java/io/cactusspring/benchmarks/Bench.java
@@ -3,6 +3,7 @@
 import io.cactusspring.benchmarks.rounds.Regression;
 import io.cactusspring.benchmarks.rounds.RoundsPlot;
 import io.cactusspring.benchmarks.slopes.SlopeReport;
+import io.cactusspring.benchmarks.stages.StageReport;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
@@ -45,12 +46,17 @@
     parser
         .addArgument("what")
         .nargs("?")
-        .choices("report", "slopes", "rounds", "regress")
+        .choices("report", "slopes", "rounds", "regress", "stages")
         .setDefault("report")
         .help(
             "report: decisions versus baselines; slopes: cost of each role by size; rounds: worth of"
                 + " the standard days over the entries in journal/; regress: plays deployments and"
-                + " compares each day with its last entry");
+                + " compares each day with its last entry; stages: where the time of jobs went, from"
+                + " the logs of entry hosts");
+    parser
+        .addArgument("files")
+        .nargs("*")
+        .help("logs of entry hosts, for stages; lines of other programs are passed over");
     parser
         .addArgument("--plots")
         .type(String.class)
@@ -91,16 +97,33 @@
       case "slopes" -> new SlopeReport(csv, plots).run(System.out);
       case "rounds" -> RoundsPlot.write(JOURNAL, plots);
       case "regress" -> regress(options);
+      case "stages" -> stages(options.getList("files"), plots);
       default -> new Report(effort, options.getLong("seed"), csv).run(System.out);
     }
   }
 
+  private static void stages(List<String> files, Path plots) throws IOException {
+    if (files.isEmpty()) {
+      exit("stages needs at least one log of an entry host");
+    }
+    StageReport report = StageReport.read(files.stream().map(Path::of).toList());
+    if (report.size() == 0) {
+      exit("no line with event CS2402 in " + String.join(", ", files));
+    }
+    report.print(System.out);
+    report.plot(plots);
+  }
+
+  private static void exit(String problem) {
+    System.err.println("bench: " + problem);
+    System.exit(BAD_INPUT);
+  }
+
   private static void regress(Namespace options) throws IOException, InterruptedException {
     String program = options.getString("program");
     List<String> sites = options.getList("site");
     if (program == null || sites.isEmpty()) {
-      System.err.println("bench: regress needs --program and at least one --site");
-      System.exit(BAD_INPUT);
+      exit("regress needs --program and at least one --site");
     }
     boolean sound =
         new Regression(JOURNAL, System.out)
--- /dev/null
+++ b/cactusspring-benchmarks/src/main/java/io/cactusspring/benchmarks/stages/package-info.java
@@ -0,0 +1,2 @@
+/** Where the time of jobs went, read from the logs of entry hosts. */
+package io.cactusspring.benchmarks.stages;
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/EntryHost.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/EntryHost.java
@@ -158,6 +158,11 @@
     return term.flatMap(OwnerTerm::controller).isPresent();
   }
 
+  /** Returns whether this host is connected to another one that owns the executors. */
+  public boolean isLinked() {
+    return term.isEmpty() && link.isFresh();
+  }
+
   /** Releases the ownership of the executors; callers are still served. */
   public Future<Void> drain() {
     draining = true;
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerTerm.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerTerm.java
@@ -13,6 +13,7 @@
 import io.cactusspring.jobs.port.KeyedTopic.Entry;
 import io.cactusspring.jobs.port.Timers;
 import io.cactusspring.jobs.schedule.DecisionListener;
+import io.cactusspring.jobs.schedule.EndedJob;
 import io.cactusspring.jobs.schedule.JobScheduler;
 import io.vertx.core.Future;
 import java.util.ArrayList;
@@ -231,7 +232,7 @@
             claim.term(),
             snapshot.jobs(),
             jobs::spec,
-            this::logDecision,
+            new DecisionLog(),
             earlierLeasesLapseAt,
             timers.wallMillis(),
             now);
@@ -363,23 +364,6 @@
     return ended;
   }
 
-  private void logDecision(DecisionListener.Kind kind, String job, String subject, String reason) {
-    log.event(
-        JobEvent.DECISION,
-        "decision",
-        kind,
-        "job",
-        job,
-        "subject",
-        subject,
-        "reason",
-        reason,
-        "term",
-        claim.term(),
-        "storeAgeMillis",
-        timers.nowMillis() - lastStoredSentAt());
-  }
-
   @Override
   public long number() {
     return claim.term();
@@ -418,6 +402,32 @@
     advice.removeHost(host, service);
   }
 
+  /** Logs the decisions of the scheduler. */
+  private final class DecisionLog implements DecisionListener {
+    @Override
+    public void decisionMade(Kind kind, String job, String subject, String reason) {
+      log.event(
+          JobEvent.DECISION,
+          "decision",
+          kind,
+          "job",
+          job,
+          "subject",
+          subject,
+          "reason",
+          reason,
+          "term",
+          claim.term(),
+          "storeAgeMillis",
+          timers.nowMillis() - lastStoredSentAt());
+    }
+
+    @Override
+    public void jobEnded(EndedJob job) {
+      log.jobEnded(job, claim.term());
+    }
+  }
+
   private final class InboxSink implements TopicSink {
     @Override
     public void apply(Entry entry) {
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/link/VertxPeerNetwork.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/link/VertxPeerNetwork.java
@@ -51,6 +51,11 @@
         .mapEmpty();
   }
 
+  /** Returns the port on which links are accepted, which the system may have chosen. */
+  public int port() {
+    return server.actualPort();
+  }
+
   @Override
   public void onAccept(Function<PeerLink, PeerLink.Handler> handler) {
     acceptHandler = handler;
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/log/JobEvent.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/log/JobEvent.java
@@ -36,6 +36,7 @@
   CANCELLATION(2302, "a cancellation was answered"),
   REQUEST_REFUSED(2303, "a request was refused"),
   DECISION(2401, "the owner decided or observed something"),
+  JOB_ENDED(2402, "a job has ended; how long it spent in each stage"),
   LINES_DROPPED(2501, "log lines were dropped because the output was too slow");
 
   private final int number;
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/log/JobLog.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/log/JobLog.java
@@ -2,10 +2,14 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
+import io.cactusspring.jobs.schedule.EndedJob;
+import io.cactusspring.jobs.schedule.StageTimes.Stage;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.io.StringWriter;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.atomic.AtomicLong;
@@ -43,6 +47,11 @@
      *     all other events
      */
     void count(JobEvent event, String kind);
+
+    /**
+     * Records how long a job of a queue spent in a stage; called for all stages when it has ended.
+     */
+    default void recordStage(String queue, Stage stage, long millis) {}
   }
 
   /**
@@ -77,11 +86,26 @@
     }
   }
 
+  /** Logs the end of a job with its stages, and records these in the metrics. */
+  public void jobEnded(EndedJob job, long term) {
+    List<Object> fields = new ArrayList<>();
+    fields.addAll(List.of("job", job.id(), "queue", job.queue()));
+    fields.addAll(List.of("organisation", job.organisation(), "state", job.state()));
+    fields.addAll(List.of("millis", job.millis(), "objectiveMillis", job.objectiveMillis()));
+    for (Stage stage : Stage.values()) {
+      fields.addAll(List.of(stage.fieldName(), job.stages().in(stage)));
+      counter.recordStage(job.queue(), stage, job.stages().in(stage));
+    }
+    fields.addAll(List.of("term", term));
+    event(JobEvent.JOB_ENDED, fields.toArray());
+  }
+
   private static String kind(JobEvent event, Object... fields) {
     return switch (event) {
       case DECISION -> String.valueOf(fields[1]);
       case SUBMISSION, CANCELLATION -> fields[3].getClass().getSimpleName();
       case REQUEST_REFUSED -> String.valueOf(fields[5]);
+      case JOB_ENDED -> String.valueOf(fields[7]);
       default -> "";
     };
   }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/AdmissionPolicy.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/AdmissionPolicy.java
@@ -128,14 +128,15 @@
   }
 
   private Optional<Admission.Rejected> rejectLate(JobSpec spec, long now) {
+    Queue queue = state.configuration.queue(spec.queue().name()).orElse(spec.queue());
+    ResourceKind kind = state.scarceResource(queue.service(), now);
     boolean longRunning = spec.steps().stream().anyMatch(StepSpec::longRunning);
-    boolean needsProcessors =
-        spec.steps().stream().anyMatch(s -> s.committed().milliProcessors() > 0);
-    if (longRunning || !needsProcessors || spec.repetitions() > 0) {
+    boolean needsScarce = spec.steps().stream().anyMatch(s -> kind.of(s.committed()) > 0);
+    boolean off = !state.uses(Mechanism.ADMISSION);
+    if (off || longRunning || !needsScarce || spec.repetitions() > 0) {
       return Optional.empty();
     }
-    Queue queue = state.configuration.queue(spec.queue().name()).orElse(spec.queue());
-    RemainingWork work = RemainingWork.of(spec, state.durations);
+    RemainingWork work = RemainingWork.of(spec, state.durations, kind);
     double latestStart = usefulMillis(queue, work.criticalPathMillis()) - work.criticalPathMillis();
     double allowed =
         Math.max(MIN_REJECTED_START_MILLIS, latestStart) + rejected.waitedMillis(spec.id(), now);
@@ -143,7 +144,7 @@
     if (!load.isShortage() || load.expectedStartMillis() <= allowed) {
       return Optional.empty();
     }
-    double share = work.processorMillis() / load.processors();
+    double share = work.work() / load.capacity();
     long retryAfter =
         rejected.add(
             spec.id(), queue.service(), queue.priority(), load.expectedStartMillis(), share, now);
@@ -154,13 +155,15 @@
                 + " ms, useful until "
                 + Math.round(allowed)
                 + " ms; backlog of "
-                + Math.round(load.processorMillis())
-                + " processor-ms for "
-                + Math.round(load.processors())
-                + " processors, "
-                + Math.round(load.waitingProcessors())
+                + Math.round(load.work())
+                + " ms x "
+                + kind
+                + " for "
+                + Math.round(load.capacity())
+                + ", "
+                + Math.round(load.waiting())
                 + " waiting for "
-                + Math.round(load.freeProcessors())
+                + Math.round(load.free())
                 + " free ones",
             retryAfter));
   }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/AdvicePlanner.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/AdvicePlanner.java
@@ -4,6 +4,7 @@
 import io.cactusspring.jobs.model.AdviceSettings;
 import io.cactusspring.jobs.model.Queue;
 import io.cactusspring.jobs.schedule.DecisionListener.Kind;
+import io.cactusspring.jobs.schedule.Reservations.Reservation;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -29,6 +30,10 @@
   // Bound on the probability that none of the named executors is allowed.
   private static final double MAX_MISS_PROBABILITY = 0.03;
   private static final long RETRY_MILLIS = 300;
+  // Some of the executors that are allowed are taken for long, or lost.
+  private static final double EXPLORED_PER_MEMBER = 3;
+  // Expected ends are off by about this much, and a ticket is valid for longer.
+  private static final long RENEWAL_MARGIN_MILLIS = 300;
 
   private final OwnerState state;
   private final Map<String, Double> allowedShares = new HashMap<>();
@@ -65,19 +70,66 @@
     if (settings.callMillis(1) >= refusedMillis) {
       return;
     }
-    List<LiveExecutor> named = candidates(step, queue, waiting, room, now);
-    if (named.isEmpty()) {
+    call(step, queue, candidates(step, queue, waiting, room, now), slots, now);
+  }
+
+  /**
+   * Asks which executors may run a gang, whether they have room now or not: that does not change,
+   * and only they can be kept for it.
+   *
+   * @return whether there are executors of which that is not known
+   */
+  boolean explore(LiveStep step, AdviceSlots slots, long now) {
+    Queue queue = state.queue(step.job());
+    if (!queue.needsAdvice() || !step.tickets().mayCall(now)) {
+      return false;
+    }
+    List<LiveExecutor> unknown =
+        state.executors.values().stream()
+            .filter(e -> e.isUsable(now) && Placement.mayRun(e, step, queue, 0))
+            .filter(e -> step.spec().committed().fitsIn(e.info().capacity()))
+            .filter(e -> !step.tickets().isDenied(e) && !step.tickets().isAllowed(e))
+            .sorted(preference(step, queue, now))
+            .toList();
+    double share = Math.max(MIN_ALLOWED_SHARE, allowedShare(queue));
+    long wanted = Math.round(step.tasks().size() * EXPLORED_PER_MEMBER / share);
+    call(step, queue, unknown.stream().limit(wanted).toList(), slots, now);
+    return !unknown.isEmpty();
+  }
+
+  /**
+   * Asks for tickets for executors that are kept for a gang, so that these are valid when the
+   * executors are free.
+   */
+  void renew(LiveStep step, List<Reservation> kept, AdviceSlots slots, long now) {
+    Queue queue = state.queue(step.job());
+    if (!queue.needsAdvice() || !step.tickets().mayCall(now)) {
       return;
     }
+    List<LiveExecutor> named = kept.stream().map(Reservation::executor).distinct().toList();
+    long at = kept.stream().mapToLong(Reservation::at).max().orElse(now);
+    double callMillis = queue.advice().callMillis(named.size());
+    boolean valid = named.stream().allMatch(e -> step.tickets().valid(e, now).isPresent());
+    if (!valid && at - now <= callMillis + RENEWAL_MARGIN_MILLIS) {
+      call(step, queue, named, slots, now);
+    }
+  }
+
+  private void call(
+      LiveStep step, Queue queue, List<LiveExecutor> named, AdviceSlots slots, long now) {
+    AdviceSettings settings = queue.advice();
     double callMillis = settings.callMillis(named.size());
+    if (named.isEmpty() || !step.tickets().mayCall(now) || callMillis >= refusedMillis) {
+      return;
+    }
     if (!slots.reserve(callMillis)) {
       refusedMillis = Math.min(refusedMillis, callMillis);
-    } else {
-      step.tickets().callStarted(settings);
-      state.actions.add(
-          new Action.RequestAdvice(
-              step.id(), named.stream().map(LiveExecutor::id).toList(), settings));
+      return;
     }
+    step.tickets().callStarted(settings, now);
+    state.actions.add(
+        new Action.RequestAdvice(
+            step.id(), named.stream().map(LiveExecutor::id).toList(), settings));
   }
 
   private List<LiveExecutor> candidates(
@@ -112,7 +164,8 @@
     Comparator<LiveExecutor> byKnownAllowed =
         Comparator.comparingInt(e -> step.tickets().isAllowed(e) ? 0 : 1);
     Comparator<LiveExecutor> byInterference =
-        Comparator.comparingInt(e -> Placement.interferes(e, step.spec()) ? 1 : 0);
+        Comparator.comparing(
+            e -> state.uses(Mechanism.INTERFERENCE) && Placement.interferes(e, step.spec()));
     return Placement.bySoundness(now)
         .thenComparing(byKnownAllowed)
         .thenComparing(byInterference)
@@ -167,7 +220,7 @@
 
   /** Records that a call was not answered. */
   void failed(LiveStep step, String problem, long now) {
-    step.tickets().callFailed(now + RETRY_MILLIS);
+    step.tickets().callFailed(now + RETRY_MILLIS, now);
     step.retry();
     state.decisionListener.decisionMade(
         Kind.ADVICE, step.id().job(), step.id().toString(), problem);
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ArrivingWork.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ArrivingWork.java
@@ -12,25 +12,30 @@
   /** A burst of 4 s is noticed before it ends, and a single large job is not taken for one. */
   private static final long TIME_CONSTANT_MILLIS = 5_000;
 
-  private record Source(String service, int priority) {}
+  private record Source(String service, int priority, ResourceKind kind) {}
 
   private final Map<Source, RecentAverage> sources = new HashMap<>();
 
   /** Records the work of a job at the time of its acceptance. */
-  void add(LiveJob job, Queue queue, RemainingWork work) {
-    sources
-        .computeIfAbsent(
-            new Source(queue.service(), queue.priority()),
-            s -> new RecentAverage(TIME_CONSTANT_MILLIS))
-        .add(work.processorMillis(), job.submittedAt());
+  void add(LiveJob job, Queue queue, Durations durations) {
+    for (ResourceKind kind : ResourceKind.values()) {
+      double work = RemainingWork.of(job, durations, kind).work();
+      if (work > 0) {
+        sources
+            .computeIfAbsent(
+                new Source(queue.service(), queue.priority(), kind),
+                s -> new RecentAverage(TIME_CONSTANT_MILLIS))
+            .add(work, job.submittedAt());
+      }
+    }
   }
 
-  /** Returns the processors that the arriving jobs of a service need, by priority. */
-  Map<Integer, Double> processors(String service, long now) {
+  /** Returns how much of a resource the arriving jobs of a service need, by priority. */
+  Map<Integer, Double> amounts(String service, ResourceKind kind, long now) {
     Map<Integer, Double> byPriority = new HashMap<>();
     sources.forEach(
         (source, average) -> {
-          if (source.service.equals(service)) {
+          if (source.service.equals(service) && source.kind == kind) {
             byPriority.put(source.priority, average.value(now));
           }
         });
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Backlog.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Backlog.java
@@ -9,7 +9,8 @@
 import java.util.Map;
 
 /**
- * The work of the accepted jobs, which new jobs of the same or a lower priority have to wait for.
+ * The work of the accepted jobs, which new jobs of the same or a lower priority have to wait for,
+ * in the scarce resource of their service.
  *
  * <p>It is computed from all jobs at most every {@link #REFRESH_MILLIS}; jobs that are accepted in
  * between are added to it.
@@ -19,7 +20,7 @@
   static final long REFRESH_MILLIS = 100;
 
   /**
-   * Long-running tasks end at times that are not known. At least this share of the processors is
+   * Long-running tasks end at times that are not known. At least this share of the capacity is
    * assumed to be available to other tasks.
    */
   private static final double MIN_CAPACITY_SHARE = 0.1;
@@ -27,52 +28,47 @@
   /**
    * What one job contributes.
    *
-   * @param processorMillis processor time that its unfinished tasks still need
-   * @param processors processors that it can use at the same time
-   * @param waitingProcessors processors of its tasks that could start now
+   * @param work what its unfinished tasks still need, in milliseconds times the amount
+   * @param most amount that it can use at the same time
+   * @param waiting amount that its tasks need that could start now
    * @param usefulUntil when its result is of no use any more, and its tasks are placed last
    */
   private record Contribution(
-      String service,
-      int priority,
-      double processorMillis,
-      double processors,
-      double waitingProcessors,
-      double usefulUntil) {
-    /** Returns the processor time that the job can use within a time from now. */
+      String service, int priority, double work, double most, double waiting, double usefulUntil) {
+    /** Returns the part of its work that the job can have done within a time from now. */
     double within(double millis, double capacity, long now) {
       double mostUntilUseless = capacity * (usefulUntil - now);
-      return Math.min(processorMillis, Math.min(processors * millis, mostUntilUseless));
+      return Math.min(work, Math.min(most * millis, mostUntilUseless));
     }
   }
 
-  /** The executors of one service; processors are relative to those of a normal executor. */
+  /** The executors of one service; amounts are relative to those of a normal executor. */
   private static final class Capacity {
-    private double processors;
-    private double freeProcessors;
-    private double longRunningProcessors;
+    private double amount;
+    private double free;
+    private double longRunning;
 
     double available() {
-      return Math.max(processors - longRunningProcessors, processors * MIN_CAPACITY_SHARE);
+      return Math.max(amount - longRunning, amount * MIN_CAPACITY_SHARE);
     }
   }
 
   /**
    * What a new job finds.
    *
-   * @param processorMillis processor time of the jobs that are served before it
-   * @param processors processors that are not occupied by long-running tasks
-   * @param waitingProcessors processors of the tasks that wait for an executor
+   * @param work work of the jobs that are served before it, in milliseconds times the amount
+   * @param capacity amount that is not occupied by long-running tasks
+   * @param waiting amount that the tasks need that wait for an executor
+   * @param free amount that is free now
    */
-  record Load(
-      double processorMillis, double processors, double waitingProcessors, double freeProcessors) {
+  record Load(double work, double capacity, double waiting, double free) {
     /** Returns whether tasks wait because there is no room, not because they have just arrived. */
     boolean isShortage() {
-      return processors > 0 && waitingProcessors > freeProcessors;
+      return capacity > 0 && waiting > free;
     }
 
     double expectedStartMillis() {
-      return processors > 0 ? processorMillis / processors : 0;
+      return capacity > 0 ? work / capacity : 0;
     }
   }
 
@@ -102,10 +98,10 @@
           && c.priority <= queue.priority()
           && c.usefulUntil > now) {
         work += c.within(horizonMillis, capacity.available(), now);
-        waiting += c.waitingProcessors;
+        waiting += c.waiting;
       }
     }
-    return new Load(work, capacity.available(), waiting, capacity.freeProcessors);
+    return new Load(work, capacity.available(), waiting, capacity.free);
   }
 
   /** Adds a job that was accepted just now. */
@@ -115,23 +111,21 @@
     if (due || spec.repetitions() > 0 || isLongRunning(spec)) {
       return;
     }
-    RemainingWork work = RemainingWork.of(spec, state.durations);
+    ResourceKind kind = state.scarceResource(spec.queue().service(), now);
+    RemainingWork work = RemainingWork.of(spec, state.durations, kind);
     double first =
         spec.steps().stream()
             .filter(s -> s.after().isEmpty())
-            .mapToDouble(s -> s.tasks() * RemainingWork.processorsOf(s))
+            .mapToDouble(s -> s.tasks() * kind.of(s.committed()))
             .sum();
     double most =
-        spec.steps().stream()
-            .mapToDouble(s -> s.tasks() * RemainingWork.processorsOf(s))
-            .max()
-            .orElse(0);
+        spec.steps().stream().mapToDouble(s -> s.tasks() * kind.of(s.committed())).max().orElse(0);
     double useful = AdmissionPolicy.usefulMillis(spec.queue(), work.criticalPathMillis());
     contributions.add(
         new Contribution(
             spec.queue().service(),
             spec.queue().priority(),
-            work.processorMillis(),
+            work.work(),
             most,
             first,
             now + useful));
@@ -152,37 +146,40 @@
     state.executors.values().stream()
         .filter(e -> e.listed() && e.isCallable() && !e.isDraining())
         .filter(e -> !state.zones.isEvacuated(e.info().zone()))
-        .forEach(this::addCapacity);
+        .forEach(e -> addCapacity(e, now));
     state.jobs.values().stream().filter(j -> !j.isFinal()).forEach(j -> addJob(j, now));
   }
 
   /** Executors that do not answer count, because they usually return within seconds. */
-  private void addCapacity(LiveExecutor executor) {
-    Capacity capacity = capacities.computeIfAbsent(executor.info().service(), s -> new Capacity());
+  private void addCapacity(LiveExecutor executor, long now) {
+    String service = executor.info().service();
+    ResourceKind kind = state.scarceResource(service, now);
+    Capacity capacity = capacities.computeIfAbsent(service, s -> new Capacity());
     double factor = state.durations.factor(executor);
-    capacity.processors += executor.info().capacity().milliProcessors() / 1_000.0 / factor;
-    capacity.freeProcessors += executor.free().milliProcessors() / 1_000.0 / factor;
+    capacity.amount += kind.of(executor.info().capacity()) / factor;
+    capacity.free += kind.of(executor.free()) / factor;
   }
 
   private void addJob(LiveJob job, long now) {
+    Queue queue = state.queue(job);
+    ResourceKind kind = state.scarceResource(queue.service(), now);
     if (job.longRunning()) {
-      addLongRunning(job);
+      addLongRunning(job, queue, kind);
       return;
     }
-    Queue queue = state.queue(job);
     double spent = 0;
     double most = 0;
     double waiting = 0;
     for (LiveStep step : job.steps()) {
-      double processors = RemainingWork.processorsOf(step.spec());
+      double amount = kind.of(step.spec().committed());
       double duration = state.durations.expectedMillis(queue.name(), step.spec());
       if (step.waitingTasks() < step.unfinishedTasks()) {
-        spent += spentMillis(step, duration, now) * processors;
+        spent += spentMillis(step, duration, now) * amount;
       }
-      waiting += step.isReady() ? step.waitingTasks() * processors : 0;
-      most = Math.max(most, step.unfinishedTasks() * processors);
+      waiting += step.isReady() ? step.waitingTasks() * amount : 0;
+      most = Math.max(most, step.unfinishedTasks() * amount);
     }
-    double left = RemainingWork.of(job, state.durations).processorMillis() - spent;
+    double left = RemainingWork.of(job, state.durations, kind).work() - spent;
     contributions.add(
         new Contribution(
             queue.service(),
@@ -209,22 +206,23 @@
     if (job.spec().repetitions() > 0) {
       return Double.POSITIVE_INFINITY;
     }
-    double path = RemainingWork.of(job.spec(), state.durations).criticalPathMillis();
+    double path =
+        RemainingWork.of(job.spec(), state.durations, ResourceKind.PROCESSORS).criticalPathMillis();
     return job.submittedAt() + AdmissionPolicy.usefulMillis(queue, path);
   }
 
-  private void addLongRunning(LiveJob job) {
-    double processors =
+  private void addLongRunning(LiveJob job, Queue queue, ResourceKind kind) {
+    double amount =
         job.steps().stream()
             .filter(s -> s.spec().longRunning())
             .mapToDouble(
                 s ->
                     s.tasks().stream().filter(t -> t.run() != null).count()
-                        * RemainingWork.processorsOf(s.spec()))
+                        * kind.of(s.spec().committed()))
             .sum();
-    Capacity capacity = capacities.get(state.queue(job).service());
+    Capacity capacity = capacities.get(queue.service());
     if (capacity != null) {
-      capacity.longRunningProcessors += processors;
+      capacity.longRunning += amount;
     }
   }
 }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/DecisionListener.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/DecisionListener.java
@@ -45,4 +45,7 @@
    * @param reason the inputs of the decision, with their values
    */
   void decisionMade(Kind kind, String job, String subject, String reason);
+
+  /** Called when a job that is neither scheduled nor long-running has ended. */
+  default void jobEnded(EndedJob job) {}
 }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
@@ -194,7 +194,7 @@
           new Run(
               new RunKey(task.id(), p.run()),
               task.step().spec(),
-              job.spec().organisation(),
+              job.spec(),
               Run.Phase.RUNNING,
               now);
       run.bootMillis(p.bootMillis());
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LearnedDurations.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LearnedDurations.java
@@ -25,6 +25,7 @@
   /** A larger spread is not due to the tasks; it would send all work to the fastest executors. */
   private static final double MAX_SPREAD = 0.35;
 
+  private final SchedulerSettings settings;
   private final DecisionListener decisionListener;
   private final Map<String, Logged> logged = new HashMap<>();
   private RunTimeModel model = new RunTimeModel();
@@ -32,7 +33,8 @@
   /** The factor of a label that was logged last. */
   private record Logged(double factor, long at) {}
 
-  LearnedDurations(DecisionListener decisionListener) {
+  LearnedDurations(SchedulerSettings settings, DecisionListener decisionListener) {
+    this.settings = settings;
     this.decisionListener = decisionListener;
   }
 
@@ -48,17 +50,19 @@
 
   @Override
   public double expectedMillis(String queue, StepSpec step) {
-    return model.expectedMillis(queue, step.estimateMillis());
+    return settings.uses(Mechanism.ESTIMATE_CORRECTION)
+        ? model.expectedMillis(queue, step.estimateMillis())
+        : step.estimateMillis();
   }
 
   @Override
   public boolean hasObservations(String queue) {
-    return model.hasObservations(queue);
+    return settings.uses(Mechanism.ESTIMATE_CORRECTION) && model.hasObservations(queue);
   }
 
   @Override
   public double factor(LiveExecutor executor) {
-    return executor.isCallable()
+    return executor.isCallable() && settings.uses(Mechanism.EXECUTOR_SPEEDS)
         ? model.factor(executor.id(), executor.bootMillis(), executor.labels())
         : 1;
   }
@@ -70,7 +74,7 @@
 
   @Override
   public boolean unequal() {
-    return model.unequal();
+    return settings.uses(Mechanism.EXECUTOR_SPEEDS) && model.unequal();
   }
 
   void executorListed(LiveExecutor executor) {
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveJob.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveJob.java
@@ -26,6 +26,7 @@
   private final TreeMap<Integer, List<LiveStep>> occurrences = new TreeMap<>();
   private final Set<Integer> doneOccurrences = new HashSet<>();
   private final long submittedAt;
+  private final long knownSince;
   private JobState state = JobState.PENDING;
   private boolean started;
   private boolean surplus;
@@ -36,6 +37,7 @@
     this.waitingSteps = waitingSteps;
     spec = entry.spec().orElseThrow();
     submittedAt = acceptedAt(spec, wallMillis, now);
+    knownSince = now;
     entry.progress().ifPresent(p -> restore(p, now));
     if (spec.repetitions() == 0 && !doneOccurrences.contains(0)) {
       occurrence(0, now);
@@ -82,6 +84,11 @@
     return submittedAt;
   }
 
+  /** Returns since when this owner has known the job. */
+  long knownSince() {
+    return knownSince;
+  }
+
   JobState state() {
     return state;
   }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveStep.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveStep.java
@@ -32,6 +32,8 @@
   private boolean begun;
   private boolean ready;
   private long readySince;
+  private long doneAt = Long.MIN_VALUE;
+  private StageTimes stages = StageTimes.NONE;
   private long triedAtVersion = NEVER_TRIED;
   private long expensiveSearchNotBefore = Long.MIN_VALUE;
 
@@ -114,6 +116,22 @@
     return readySince;
   }
 
+  /** Records when the last task ended, and where the time of the step went. */
+  void done(StageTimes spent, long now) {
+    stages = spent;
+    doneAt = now;
+  }
+
+  /** Returns when the last task ended under this owner; before all times otherwise. */
+  long doneAt() {
+    return doneAt;
+  }
+
+  /** Returns where the time of the step went, which is known once it is done. */
+  StageTimes stages() {
+    return stages;
+  }
+
   /** Returns whether any task has no run and is not done. */
   boolean hasWaiting() {
     return !waiting.isEmpty();
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveTask.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveTask.java
@@ -17,6 +17,8 @@
   private LiveExecutor executor;
   private long waitingSince;
   private long retryAt;
+  private long callMillisBeforeWait;
+  private long adviceMillis;
 
   LiveTask(TaskId id, LiveStep step, long now) {
     this.id = id;
@@ -92,11 +94,17 @@
     return waitingSince;
   }
 
+  /** Returns how long advice was being asked for while the task waited for its current run. */
+  long adviceMillis() {
+    return adviceMillis;
+  }
+
   void assign(Run started, LiveExecutor on) {
     Optional<LiveExecutor> before = Optional.ofNullable(executor);
     run = started;
     executor = on;
     lastRun = Math.max(lastRun, started.key().number());
+    adviceMillis = step.tickets().callMillis(started.decidedAt()) - callMillisBeforeWait;
     step.taskChanged(this, before, Optional.of(on), false);
   }
 
@@ -105,6 +113,7 @@
     run = null;
     executor = null;
     waitingSince = now;
+    callMillisBeforeWait = step.tickets().callMillis(now);
     step.taskChanged(this, before, Optional.empty(), false);
   }
 
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/OrganisationAccounts.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/OrganisationAccounts.java
@@ -1,9 +1,11 @@
 package io.cactusspring.jobs.schedule;
 
+import io.cactusspring.core.model.Resources;
 import io.cactusspring.jobs.model.Organisation;
 import io.cactusspring.jobs.model.SiteConfiguration;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -31,11 +33,27 @@
    */
   static final long LATE_SUBMISSION_MILLIS = 1_000;
 
+  /** Less than this of any resource is what rounding leaves, not use. */
+  private static final double MIN_USE = 0.001;
+
   private static final class Account {
-    private final RecentAverage milliProcessors = new RecentAverage(USE_TIME_CONSTANT_MILLIS);
-    private int unfinishedJobs;
+    private final Map<String, ServiceUse> useByService = new HashMap<>();
     private double tokens;
     private long tokensAt = Long.MIN_VALUE;
+
+    private ServiceUse use(String service) {
+      return useByService.computeIfAbsent(service, s -> new ServiceUse());
+    }
+  }
+
+  /** What an organisation uses of the executors of one service. */
+  private static final class ServiceUse {
+    private final Map<ResourceKind, RecentAverage> amounts = new EnumMap<>(ResourceKind.class);
+    private int unfinishedJobs;
+
+    private RecentAverage amount(ResourceKind kind) {
+      return amounts.computeIfAbsent(kind, k -> new RecentAverage(USE_TIME_CONSTANT_MILLIS));
+    }
   }
 
   private record Submission(String organisation, long acceptedAt, Runnable markSurplus) {}
@@ -107,28 +125,41 @@
     return accounts.computeIfAbsent(organisation, name -> new Account());
   }
 
-  /** Records that an organisation has one more or one less unfinished job. */
-  void unfinishedJobsChanged(String organisation, int difference) {
-    account(organisation).unfinishedJobs += difference;
+  /** Records that an organisation has one more or one less unfinished job at a service. */
+  void unfinishedJobsChanged(String organisation, String service, int difference) {
+    account(organisation).use(service).unfinishedJobs += difference;
   }
 
-  /** Records that the running tasks of an organisation take more or fewer processors. */
-  void milliProcessorsChanged(String organisation, long difference, long now) {
-    account(organisation).milliProcessors.changeLevel(difference, now);
+  /**
+   * Records that more or fewer runs of an organisation occupy executors of a service.
+   *
+   * @param one what one of these runs occupies
+   * @param runs the number of runs; negative if they have ended
+   */
+  void runsChanged(String organisation, String service, Resources one, int runs, long now) {
+    ServiceUse use = account(organisation).use(service);
+    for (ResourceKind kind : ResourceKind.values()) {
+      double amount = kind.of(one);
+      if (amount > 0) {
+        use.amount(kind).changeLevel(runs * amount, now);
+      }
+    }
   }
 
   /**
-   * Returns the average processors in use by each organisation over its entitlement. The
+   * Returns the average use of a service's resource by each organisation over its entitlement. The
    * entitlement is the share of the capacity that corresponds to the weight of the organisation
-   * among all organisations with unfinished jobs. Organisations without an account are left out.
+   * among all organisations with unfinished jobs at the service. Organisations without an account
+   * are left out.
    *
-   * @param milliProcessors capacity that is shared between the organisations
+   * @param capacity amount of the resource that is shared between the organisations
    */
-  Map<String, Double> useOverEntitlement(double milliProcessors, long now) {
+  Map<String, Double> useOverEntitlement(
+      String service, ResourceKind kind, double capacity, long now) {
     Map<String, Double> weights = new HashMap<>();
     accounts.forEach(
         (name, account) -> {
-          if (account.unfinishedJobs > 0) {
+          if (account.use(service).unfinishedJobs > 0) {
             configuration.organisation(name).ifPresent(o -> weights.put(name, weight(o)));
           }
         });
@@ -136,9 +167,9 @@
     Map<String, Double> ratios = new HashMap<>();
     weights.forEach(
         (name, weight) -> {
-          double use = account(name).milliProcessors.value(now);
-          double entitlement = sum == 0 ? 0 : Math.max(0, milliProcessors) * weight / sum;
-          ratios.put(name, use < 1 ? 0 : use / entitlement);
+          double use = account(name).use(service).amount(kind).value(now);
+          double entitlement = sum == 0 ? 0 : Math.max(0, capacity) * weight / sum;
+          ratios.put(name, use < MIN_USE ? 0 : use / entitlement);
         });
     return ratios;
   }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/OwnerState.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/OwnerState.java
@@ -15,6 +15,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.stream.Stream;
 
 /** The owner's state of executors and jobs, shared by the parts of the scheduler. */
 final class OwnerState {
@@ -44,12 +45,16 @@
   final OrganisationAccounts accounts = new OrganisationAccounts();
   final FailureRates failureRates = new FailureRates();
   final ArrivingWork arrivingWork = new ArrivingWork();
+  private final ScarceResources scarce = new ScarceResources(executors.values(), waitingSteps);
   SiteConfiguration configuration = SiteConfiguration.NONE;
   final LearnedDurations learned;
   Durations durations;
   final ZoneEvacuation zones;
   final CrashAttribution crashes;
+  final Reservations reservations = new Reservations(this);
   private final Map<String, Integer> runsByJob = new HashMap<>();
+  private final Map<String, Resources> capacityByService = new HashMap<>();
+  private final Map<String, Resources> largestByService = new HashMap<>();
   private Optional<Resources> totalCapacity = Optional.empty();
   private long version;
   private final Map<String, Resources> usage = new HashMap<>();
@@ -64,7 +69,7 @@
     this.term = term;
     this.specs = specs;
     this.decisionListener = decisionListener;
-    learned = new LearnedDurations(decisionListener);
+    learned = new LearnedDurations(settings, decisionListener);
     durations = learned;
     zones = new ZoneEvacuation(settings);
     crashes = new CrashAttribution(this);
@@ -77,23 +82,34 @@
     waitingSteps.all().forEach(LiveStep::retry);
   }
 
+  /** Returns whether a part of the policy is in use. */
+  boolean uses(Mechanism mechanism) {
+    return settings.uses(mechanism);
+  }
+
+  /** Returns the resource in which amounts of work and room at a service are compared. */
+  ResourceKind scarceResource(String service, long now) {
+    return uses(Mechanism.SCARCE_RESOURCE) ? scarce.of(service, now) : ResourceKind.PROCESSORS;
+  }
+
   /** Adds an unfinished job, which was just submitted or is restored at a takeover. */
   void addJob(LiveJob job) {
     jobs.put(job.id(), job);
-    accounts.submitted(job.spec().organisation(), job.submittedAt(), job::markSurplus);
+    Runnable markSurplus = uses(Mechanism.SURPLUS) ? job::markSurplus : () -> {};
+    accounts.submitted(job.spec().organisation(), job.submittedAt(), markSurplus);
     if (job.longRunning()) {
       return;
     }
-    accounts.unfinishedJobsChanged(job.spec().organisation(), 1);
+    accounts.unfinishedJobsChanged(job.spec().organisation(), job.spec().queue().service(), 1);
     if (!job.surplus()) {
-      arrivingWork.add(job, queue(job), RemainingWork.of(job, durations));
+      arrivingWork.add(job, queue(job), durations);
     }
   }
 
   /** Removes a job that has ended. */
   void removeJob(LiveJob job) {
     if (jobs.remove(job.id()) != null && !job.longRunning()) {
-      accounts.unfinishedJobsChanged(job.spec().organisation(), -1);
+      accounts.unfinishedJobsChanged(job.spec().organisation(), job.spec().queue().service(), -1);
     }
   }
 
@@ -161,6 +177,8 @@
   /** Records that the set of executors or their announced capacity has changed. */
   void executorsChanged() {
     totalCapacity = Optional.empty();
+    capacityByService.clear();
+    largestByService.clear();
   }
 
   /** Returns the capacity of all announced executors. */
@@ -176,6 +194,31 @@
     return totalCapacity.get();
   }
 
+  /** Returns the capacity of the announced executors of a service. */
+  Resources capacity(String service) {
+    return capacityByService.computeIfAbsent(
+        service, s -> capacities(s).reduce(Resources.NONE, Resources::plus));
+  }
+
+  /** Returns the most that any announced executor of a service offers of each resource. */
+  Resources largestExecutor(String service) {
+    return largestByService.computeIfAbsent(
+        service, s -> capacities(s).reduce(Resources.NONE, OwnerState::largerOf));
+  }
+
+  private Stream<Resources> capacities(String service) {
+    return executors.values().stream()
+        .filter(e -> e.isCallable() && e.listed() && e.info().service().equals(service))
+        .map(e -> e.info().capacity());
+  }
+
+  private static Resources largerOf(Resources a, Resources b) {
+    return new Resources(
+        Math.max(a.milliProcessors(), b.milliProcessors()),
+        Math.max(a.memoryMib(), b.memoryMib()),
+        Math.max(a.accelerators(), b.accelerators()));
+  }
+
   void removeExecutor(LiveExecutor executor) {
     executors.remove(executor.id());
     attention.remove(executor);
@@ -193,7 +236,7 @@
     executor.add(run);
     runsByJob.merge(run.key().task().job(), 1, Integer::sum);
     usage.merge(run.organisation(), run.spec().resources(), Resources::plus);
-    account(run, run.committed().milliProcessors(), now);
+    account(run, 1, now);
   }
 
   void removeRun(LiveExecutor executor, Run run, long now) {
@@ -202,13 +245,13 @@
       gainedCapacity(executor);
       runsByJob.computeIfPresent(run.key().task().job(), (job, n) -> n == 1 ? null : n - 1);
       usage.merge(run.organisation(), run.spec().resources(), Resources::minus);
-      account(run, -run.committed().milliProcessors(), now);
+      account(run, -1, now);
     }
   }
 
-  private void account(Run run, long milliProcessors, long now) {
+  private void account(Run run, int runs, long now) {
     if (!run.spec().longRunning()) {
-      accounts.milliProcessorsChanged(run.organisation(), milliProcessors, now);
+      accounts.runsChanged(run.organisation(), run.service(), run.committed(), runs, now);
     }
   }
 
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Placement.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Placement.java
@@ -2,6 +2,7 @@
 
 import io.cactusspring.jobs.model.Queue;
 import io.cactusspring.jobs.model.StepSpec;
+import io.cactusspring.jobs.schedule.Reservations.Reservation;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
@@ -37,8 +38,10 @@
       return;
     }
     advice.startRound();
+    state.reservations.beginRound();
     Preemption preemption = new Preemption(state, runs);
     order.sorted(waiting, now).forEach(s -> placeStep(s, slots, preemption, now));
+    state.reservations.endRound();
   }
 
   private void placeStep(LiveStep step, AdviceSlots slots, Preemption preemption, long now) {
@@ -139,6 +142,7 @@
       }
       if (chosen.size() == members.size()) {
         startGang(members, chosen, now);
+        state.reservations.end(step);
         if (suspected) {
           members.forEach(suspects::started);
         }
@@ -146,9 +150,23 @@
       }
       step.triedAtVersion(version);
     }
+    List<Reservation> kept = suspected ? List.of() : state.reservations.reserve(step, now);
     if (step.expensiveSearchDue(now)) {
       step.expensiveSearchNotBefore(now + EXPENSIVE_SEARCH_INTERVAL_MILLIS);
-      advice.plan(step, members.size(), LiveExecutor::free, slots, now);
+      requestGangAdvice(step, kept, slots, now);
+    }
+  }
+
+  /**
+   * Requests advice for a gang that waits. Where executors are kept for it, advice is there by the
+   * time that they are free; which of them may run it is asked before that.
+   */
+  private void requestGangAdvice(
+      LiveStep step, List<Reservation> kept, AdviceSlots slots, long now) {
+    if (!kept.isEmpty()) {
+      advice.renew(step, kept, slots, now);
+    } else if (!state.reservations.areMadeFor(step) || !advice.explore(step, slots, now)) {
+      advice.plan(step, step.tasks().size(), LiveExecutor::free, slots, now);
     }
   }
 
@@ -199,6 +217,7 @@
     return candidates.stream()
         .filter(e -> e.isUsable(now) || (e.isUsableAsLastResort(now) && !planned.contains(e)))
         .filter(e -> fits(e, step, queue, Collections.frequency(planned, e)))
+        .filter(e -> state.reservations.admits(e, step, Collections.frequency(planned, e), now))
         .min(preference);
   }
 
@@ -226,13 +245,15 @@
     Comparator<LiveExecutor> bySpeed =
         SpeedPreference.of(step, state.queue(step.job()), state.durations, now);
     Comparator<LiveExecutor> byInterference =
-        Comparator.comparingInt(e -> interferes(e, spec) ? 1 : 0);
+        Comparator.comparing(e -> state.uses(Mechanism.INTERFERENCE) && interferes(e, spec));
     Comparator<LiveExecutor> byLocality =
-        Comparator.comparingInt(e -> isRemote(e, step, spec) ? 1 : 0);
+        Comparator.comparing(e -> state.uses(Mechanism.LOCALITY) && isRemote(e, step, spec));
+    ResourceKind kind = state.scarceResource(state.queue(step.job()).service(), now);
     Comparator<LiveExecutor> byFreeCapacity =
         spec.fills()
             ? Comparator.comparingLong(e -> -idleProcessors(e))
-            : Comparator.comparingLong(e -> e.free().milliProcessors());
+            : Comparator.comparingDouble((LiveExecutor e) -> kind.of(e.free()))
+                .thenComparingLong(e -> e.free().milliProcessors());
     return bySoundness(now)
         .thenComparing(step::hasFailedOn)
         .thenComparing(byInterference)
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Preemption.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Preemption.java
@@ -29,11 +29,10 @@
   private final RunLifecycle runs;
   private final Map<LiveExecutor, Resources> reserved = new HashMap<>();
 
-  private record Plan(LiveExecutor executor, List<Run> victims) {
-    long processors() {
-      return victims.stream().mapToLong(r -> r.committed().milliProcessors()).sum();
-    }
-  }
+  /**
+   * @param amount what the runs to stop occupy of the scarce resource
+   */
+  private record Plan(LiveExecutor executor, List<Run> victims, double amount) {}
 
   Preemption(OwnerState state, RunLifecycle runs) {
     this.state = state;
@@ -68,7 +67,7 @@
     Optional<Plan> cheapest =
         suitable.stream()
             .flatMap(e -> plan(e, step, one, now).stream())
-            .min(Comparator.comparingLong(Plan::processors));
+            .min(Comparator.comparingDouble(Plan::amount));
     cheapest.ifPresent(
         plan -> {
           plan.victims.forEach(
@@ -92,16 +91,18 @@
     }
     Resources needed = one.plus(reserved.getOrDefault(executor, Resources.NONE));
     Resources ending = stopping(executor);
+    ResourceKind kind = state.scarceResource(executor.info().service(), now);
     List<Run> victims = new ArrayList<>();
-    for (Run run : candidates(executor, step, now)) {
+    for (Run run : candidates(executor, kind, now)) {
       if (needed.fitsIn(executor.freeWithout(ending))) {
         break;
       }
       victims.add(run);
       ending = ending.plus(run.committed());
     }
+    double amount = victims.stream().mapToDouble(r -> kind.of(r.committed())).sum();
     return needed.fitsIn(executor.freeWithout(ending))
-        ? Optional.of(new Plan(executor, victims))
+        ? Optional.of(new Plan(executor, victims, amount))
         : Optional.empty();
   }
 
@@ -112,10 +113,10 @@
         .reduce(Resources.NONE, Resources::plus);
   }
 
-  private List<Run> candidates(LiveExecutor executor, LiveStep step, long now) {
+  private List<Run> candidates(LiveExecutor executor, ResourceKind kind, long now) {
     return executor.runs().stream()
         .filter(r -> isPreemptible(r, now))
-        .sorted(Comparator.comparingLong((Run r) -> r.committed().milliProcessors()).reversed())
+        .sorted(Comparator.comparingDouble((Run r) -> kind.of(r.committed())).reversed())
         .toList();
   }
 
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/RemainingWork.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/RemainingWork.java
@@ -10,19 +10,22 @@
  * normal executor.
  *
  * @param criticalPathMillis duration of the longest chain of dependent steps
- * @param processorMillis sum over the unfinished tasks of duration times processors
+ * @param work sum over the unfinished tasks of their duration in milliseconds times the amount of
+ *     one kind of resource that they occupy
  */
-record RemainingWork(double criticalPathMillis, double processorMillis) {
+record RemainingWork(double criticalPathMillis, double work) {
   /** Adds up steps, in the order of their numbers. */
   private static final class Sum {
     private final Durations durations;
+    private final ResourceKind kind;
     private final String queue;
     private final List<Double> ends = new ArrayList<>();
     private double longest;
-    private double processors;
+    private double work;
 
-    Sum(JobSpec job, Durations durations) {
+    Sum(JobSpec job, Durations durations, ResourceKind kind) {
       this.durations = durations;
+      this.kind = kind;
       queue = job.queue().name();
     }
 
@@ -31,17 +34,17 @@
       double duration = unfinishedTasks == 0 ? 0 : durations.expectedMillis(queue, step);
       ends.add(start + duration);
       longest = Math.max(longest, start + duration);
-      processors += unfinishedTasks * duration * processorsOf(step);
+      work += unfinishedTasks * duration * kind.of(step.committed());
     }
 
     RemainingWork result() {
-      return new RemainingWork(longest, processors);
+      return new RemainingWork(longest, work);
     }
   }
 
   /** Returns the remaining work of the occurrences of a job that are due. */
-  static RemainingWork of(LiveJob job, Durations durations) {
-    Sum sum = new Sum(job.spec(), durations);
+  static RemainingWork of(LiveJob job, Durations durations, ResourceKind kind) {
+    Sum sum = new Sum(job.spec(), durations, kind);
     for (LiveStep step : job.steps()) {
       if (step.id().step() == 0) {
         // The steps of an occurrence follow each other; occurrences do not depend on each other.
@@ -53,14 +56,14 @@
   }
 
   /** Returns the work of one occurrence of a job that has not begun. */
-  static RemainingWork of(JobSpec job, Durations durations) {
-    Sum sum = new Sum(job, durations);
+  static RemainingWork of(JobSpec job, Durations durations, ResourceKind kind) {
+    Sum sum = new Sum(job, durations, kind);
     job.steps().forEach(step -> sum.add(step, step.tasks()));
     return sum.result();
   }
 
-  /** Returns the processors that one task of a step occupies. */
-  static double processorsOf(StepSpec step) {
-    return step.committed().milliProcessors() / 1_000.0;
+  /** Returns the duration of the longest chain of unfinished steps of a job. */
+  static double criticalPathMillis(LiveJob job, Durations durations) {
+    return of(job, durations, ResourceKind.PROCESSORS).criticalPathMillis;
   }
 }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Run.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Run.java
@@ -1,6 +1,7 @@
 package io.cactusspring.jobs.schedule;
 
 import io.cactusspring.core.model.Resources;
+import io.cactusspring.jobs.model.JobSpec;
 import io.cactusspring.jobs.model.StepSpec;
 import java.util.Optional;
 
@@ -11,6 +12,8 @@
 final class Run {
   // An unanswered start may be carried out up to 12 s late.
   private static final long MAX_START_DELAY_MILLIS = 13_000;
+  // The first reports of a run are too coarse to tell how fast it is.
+  private static final int MIN_TELLING_PERCENT = 20;
 
   /** Phase of the attempt. */
   enum Phase {
@@ -29,10 +32,12 @@
   private final RunKey key;
   private final StepSpec spec;
   private final String organisation;
+  private final String service;
   private final long decidedAt;
   private final boolean inherited;
   private long bootMillis;
   private boolean contained;
+  private boolean resumed;
   private boolean refused;
   private Optional<Crash> crash = Optional.empty();
   private boolean measured;
@@ -40,6 +45,7 @@
   private long phaseAt;
   private int startsSent;
   private long startSentAt;
+  private long firstStartSentAt;
   private long startUnansweredAt = Long.MIN_VALUE / 2;
   private boolean stopping;
   private long stopSentAt = Long.MIN_VALUE;
@@ -51,10 +57,16 @@
   private long paceAt;
   private long usage;
 
-  Run(RunKey key, StepSpec spec, String organisation, Phase phase, long now) {
+  /**
+   * Creates a run.
+   *
+   * @param job the submission of its job
+   */
+  Run(RunKey key, StepSpec spec, JobSpec job, Phase phase, long now) {
     this.key = key;
     this.spec = spec;
-    this.organisation = organisation;
+    organisation = job.organisation();
+    service = job.queue().service();
     this.phase = phase;
     decidedAt = now;
     inherited = phase == Phase.RUNNING;
@@ -63,6 +75,7 @@
     phaseAt = now;
     percentAt = now;
     reportedAt = now;
+    firstStartSentAt = now;
   }
 
   RunKey key() {
@@ -79,6 +92,11 @@
     return organisation;
   }
 
+  /** Returns the service to which the queue of the job sent it when it was accepted. */
+  String service() {
+    return service;
+  }
+
   /** Returns the share of its executor's capacity that the run occupies. */
   Resources committed() {
     return spec.committed();
@@ -154,6 +172,11 @@
     contained = true;
   }
 
+  /** Records that the run begins with a checkpoint, so that it does only a part of the work. */
+  void resumes() {
+    resumed = true;
+  }
+
   /** Records that the executor refused the start, so that the run never existed there. */
   void refused() {
     refused = true;
@@ -180,6 +203,7 @@
 
   void startSent(long now) {
     startsSent++;
+    firstStartSentAt = startsSent == 1 ? now : firstStartSentAt;
     startSentAt = now;
     enter(Phase.STARTING, now);
   }
@@ -194,6 +218,11 @@
     return startSentAt;
   }
 
+  /** Returns when the first start was sent, or when the run was created if none was. */
+  long firstStartSentAt() {
+    return firstStartSentAt;
+  }
+
   /** Records that a start was not answered: when the run began, if it did, is unknown. */
   void startUnanswered(long now) {
     doNotMeasure();
@@ -263,6 +292,23 @@
     return percent;
   }
 
+  /**
+   * Returns when the run will probably end: by the progress that was reported, or while that says
+   * little, by its expected duration. It is never in the past.
+   *
+   * @param expectedMillis expected duration on its executor
+   */
+  long expectedEnd(double expectedMillis, long now) {
+    if (phase != Phase.RUNNING || inherited) {
+      return now + Math.round(expectedMillis);
+    }
+    double millis =
+        percent >= MIN_TELLING_PERCENT && !resumed
+            ? (percentAt - phaseAt) * 100.0 / percent
+            : expectedMillis;
+    return Math.max(now, phaseAt + Math.round(millis));
+  }
+
   /** Returns for how many milliseconds reports have shown the same percentage. */
   long unchangedMillis() {
     return reportedAt - percentAt;
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/RunLifecycle.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/RunLifecycle.java
@@ -24,12 +24,11 @@
     LiveJob job = task.step().job();
     Run run =
         new Run(
-            new RunKey(task.id(), number),
-            task.step().spec(),
-            job.spec().organisation(),
-            Run.Phase.DECIDED,
-            now);
+            new RunKey(task.id(), number), task.step().spec(), job.spec(), Run.Phase.DECIDED, now);
     run.bootMillis(executor.bootMillis());
+    if (!task.checkpoint().isEmpty()) {
+      run.resumes();
+    }
     if (!isComparable(task, executor)) {
       run.doNotMeasure();
     }
@@ -123,6 +122,7 @@
     }
     state.changed.add(step.job());
     if (step.isDone()) {
+      step.done(StageClock.ofStep(task, run, now), now);
       finishStep(step, now);
     }
   }
@@ -145,14 +145,32 @@
   private void finishStep(LiveStep step, long now) {
     LiveJob job = step.job();
     state.learned.stepEnded(step, now);
+    // The steps of an occurrence are dropped once all of them are done.
+    List<LiveStep> steps = job.steps();
     job.stepDone(step);
     job.markReady(now);
     if (job.isFinal()) {
+      if (job.spec().repetitions() == 0) {
+        jobEnded(job, StageClock.ofJob(job, steps), now);
+      }
       state.removeJob(job);
       state.decisionListener.decisionMade(Kind.JOB_COMPLETED, job.id(), "", "all steps are done");
     }
   }
 
+  private void jobEnded(LiveJob job, StageTimes stages, long now) {
+    Queue queue = state.queue(job);
+    state.decisionListener.jobEnded(
+        new EndedJob(
+            job.id(),
+            queue.name(),
+            job.spec().organisation(),
+            job.state(),
+            now - job.submittedAt(),
+            Math.round(ExpectedCompletion.objectiveMillis(job, queue, state.durations)),
+            stages));
+  }
+
   private void failed(LiveTask task, LiveExecutor executor, Run run, long now) {
     LiveStep step = task.step();
     Queue queue = state.queue(step.job());
@@ -185,7 +203,8 @@
   void noticeFailure(LiveExecutor executor, Run run, long now) {
     int maxFailures = state.failureRates.maxFailures(executor, now);
     state.failureRates.runEnded(executor, true, now);
-    if (executor.quarantine().runFailed(run, maxFailures, now)) {
+    if (state.uses(Mechanism.QUARANTINE)
+        && executor.quarantine().runFailed(run, maxFailures, now)) {
       state.decisionListener.decisionMade(
           Kind.EXECUTOR_QUARANTINED,
           "",
@@ -274,6 +293,9 @@
   void finish(LiveJob job, JobState end, long now) {
     job.finish(end);
     state.learned.jobEnded(job);
+    if (!job.longRunning()) {
+      jobEnded(job, StageClock.ofJob(job, job.steps()), now);
+    }
     state.removeJob(job);
     state.changed.add(job);
     List<LiveTask> active =
@@ -300,9 +322,7 @@
           "no such job or step, on " + executor.id());
       return;
     }
-    Run run =
-        new Run(
-            key, spec.get().steps().get(step), spec.get().organisation(), Run.Phase.ORPHANED, now);
+    Run run = new Run(key, spec.get().steps().get(step), spec.get(), Run.Phase.ORPHANED, now);
     run.stop();
     state.addRun(executor, run, now);
     state.decisionListener.decisionMade(
--- /dev/null
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ScarceResources.java
@@ -0,0 +1,94 @@
+package io.cactusspring.jobs.schedule;
+
+import io.cactusspring.core.model.Resources;
+import java.util.Collection;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Which resource limits the work of each service: the one of which its runs and its waiting tasks
+ * need the largest share of the capacity.
+ *
+ * <p>Decisions that compare amounts of work or of room count in this resource. Where processors
+ * limit the work, or nothing is known yet, these are processors.
+ */
+final class ScarceResources {
+  /** The mix of work changes over seconds. */
+  private static final long UPDATE_INTERVAL_MILLIS = 250;
+
+  /** Weight of the newest shares; half of an old one is forgotten after about 1.6 s. */
+  private static final double NEWEST_WEIGHT = 0.1;
+
+  /** Another resource has to be this much scarcer, so that the choice does not alternate. */
+  private static final double MIN_RATIO = 1.1;
+
+  private static final class Service {
+    private final Map<ResourceKind, Double> shares = new EnumMap<>(ResourceKind.class);
+    private ResourceKind scarce = ResourceKind.PROCESSORS;
+
+    private double share(ResourceKind kind) {
+      return shares.getOrDefault(kind, 0.0);
+    }
+
+    private void add(Totals totals) {
+      for (ResourceKind kind : ResourceKind.values()) {
+        double capacity = kind.of(totals.capacity);
+        double share = capacity == 0 ? 0 : kind.of(totals.needed) / capacity;
+        shares.merge(kind, share, (old, s) -> old + NEWEST_WEIGHT * (s - old));
+      }
+      for (ResourceKind kind : ResourceKind.values()) {
+        if (share(kind) > MIN_RATIO * share(scarce)) {
+          scarce = kind;
+        }
+      }
+    }
+  }
+
+  /** What the work of a service needs, and what its executors offer. */
+  private record Totals(Resources needed, Resources capacity) {
+    private Totals plus(Totals other) {
+      return new Totals(needed.plus(other.needed), capacity.plus(other.capacity));
+    }
+  }
+
+  private final Collection<LiveExecutor> executors;
+  private final WaitingSteps waiting;
+  private final Map<String, Service> services = new HashMap<>();
+  private long updatedAt = Long.MIN_VALUE / 2;
+
+  /**
+   * @param executors all known executors
+   */
+  ScarceResources(Collection<LiveExecutor> executors, WaitingSteps waiting) {
+    this.executors = executors;
+    this.waiting = waiting;
+  }
+
+  /** Returns the resource that limits the work of a service. */
+  ResourceKind of(String service, long now) {
+    if (now - updatedAt >= UPDATE_INTERVAL_MILLIS) {
+      updatedAt = now;
+      update();
+    }
+    Service known = services.get(service);
+    return known == null ? ResourceKind.PROCESSORS : known.scarce;
+  }
+
+  private void update() {
+    Map<String, Totals> totals = new HashMap<>();
+    for (LiveExecutor executor : executors) {
+      if (executor.isCallable() && executor.listed()) {
+        Totals one = new Totals(executor.used(), executor.info().capacity());
+        totals.merge(executor.info().service(), one, Totals::plus);
+      }
+    }
+    for (LiveStep step : waiting.all()) {
+      Resources needed = step.spec().committed().times(step.waitingTasks());
+      totals.merge(
+          step.job().spec().queue().service(), new Totals(needed, Resources.NONE), Totals::plus);
+    }
+    totals.forEach(
+        (service, total) -> services.computeIfAbsent(service, s -> new Service()).add(total));
+  }
+}
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/SchedulerSettings.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/SchedulerSettings.java
@@ -1,5 +1,7 @@
 package io.cactusspring.jobs.schedule;
 
+import java.util.Set;
+
 /**
  * Timeouts of the owner, in milliseconds.
  *
@@ -13,6 +15,7 @@
  *     the zone; 0 if there is no such bound
  * @param maxZoneAgeMillis age of the last read of the operators' records above which no zone is
  *     known to be in use; 0 if there is no such bound
+ * @param disabled parts of the policy that are switched off
  * @since 0.2
  */
 public record SchedulerSettings(
@@ -22,10 +25,20 @@
     long drainMillis,
     long unreachableMillis,
     long evacuateMillis,
-    long maxZoneAgeMillis) {
+    long maxZoneAgeMillis,
+    Set<Mechanism> disabled) {
   /** Lowest assumed rate of an executor's clock, relative to the clock of this host. */
   public static final double MIN_CLOCK_RATE = 0.98;
 
+  public SchedulerSettings {
+    disabled = Set.copyOf(disabled);
+  }
+
+  /** Returns whether a part of the policy is in use. */
+  public boolean uses(Mechanism mechanism) {
+    return !disabled.contains(mechanism);
+  }
+
   /**
    * Returns for how many milliseconds after a claim an executor may still hold a lease of the
    * previous owner, which grants leases of the same length.
@@ -51,6 +64,7 @@
     private long unreachableMillis = 1_200;
     private long evacuateMillis;
     private long maxZoneAgeMillis;
+    private Set<Mechanism> disabled = Set.of();
 
     private Builder() {}
 
@@ -94,6 +108,12 @@
       return this;
     }
 
+    /** Switches parts of the policy off. */
+    public Builder disabled(Set<Mechanism> value) {
+      disabled = value;
+      return this;
+    }
+
     public SchedulerSettings build() {
       return new SchedulerSettings(
           leaseMillis,
@@ -102,7 +122,8 @@
           drainMillis,
           unreachableMillis,
           evacuateMillis,
-          maxZoneAgeMillis > 0 ? Math.min(maxZoneAgeMillis, evacuateMillis) : evacuateMillis / 2);
+          maxZoneAgeMillis > 0 ? Math.min(maxZoneAgeMillis, evacuateMillis) : evacuateMillis / 2,
+          disabled);
     }
   }
 }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ShortageMonitor.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ShortageMonitor.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.Predicate;
 import java.util.function.ToIntFunction;
 import java.util.stream.Collectors;
 
@@ -32,7 +31,7 @@
 
   private final OwnerState state;
   private Map<String, ShortagePlan> plans = Map.of();
-  private Map<String, Double> useOverEntitlement = Map.of();
+  private Map<String, Map<String, Double>> useOverEntitlement = Map.of();
 
   /** Computed once for each job and plan, because the order is needed in every round. */
   private final Map<LiveJob, Long> criticalPathMillis = new IdentityHashMap<>();
@@ -59,7 +58,8 @@
 
   /** Updates the plans, unless they are recent; returns whether it did. */
   boolean update(List<LiveStep> waiting, Objectives objectives, long now) {
-    if (now - checkedAt < PLAN_INTERVAL_MILLIS) {
+    boolean off = !state.uses(Mechanism.SHORTAGE_ORDER);
+    if (off || now - checkedAt < PLAN_INTERVAL_MILLIS) {
       return false;
     }
     checkedAt = now;
@@ -70,15 +70,19 @@
       return true;
     }
     useOverEntitlement =
-        state.accounts.useOverEntitlement(
-            1_000 * leftByLongRunning(state.totalCapacity().milliProcessors() / 1_000.0, j -> true),
-            now);
+        scarce.stream().collect(Collectors.toMap(s -> s, s -> useOverEntitlement(s, now)));
     Map<String, ShortagePlan> updated = new HashMap<>();
     scarce.forEach(s -> updated.put(s, plan(s, objectives, now)));
     plans = updated;
     return true;
   }
 
+  private Map<String, Double> useOverEntitlement(String service, long now) {
+    ResourceKind kind = state.scarceResource(service, now);
+    double shared = leftByLongRunning(service, kind, kind.of(state.capacity(service)));
+    return state.accounts.useOverEntitlement(service, kind, shared, now);
+  }
+
   /** Returns whether the waiting work of a service does not fit into its free capacity. */
   boolean isShort(String service) {
     return plans.containsKey(service);
@@ -94,18 +98,22 @@
    * Returns how far an organisation is above its entitlement, in whole doublings. Equal
    * organisations with few large jobs differ by less than that by chance.
    */
-  int overuse(String organisation) {
-    double ratio = useOverEntitlement.getOrDefault(organisation, 0.0);
-    if (ratio <= 1) {
+  int overuse(String service, String organisation) {
+    double ratio = ratio(service, organisation);
+    if (ratio <= 1 || !state.uses(Mechanism.FAIRNESS)) {
       return 0;
     }
     return (int) Math.min(MAX_OVERUSE, Math.floor(Math.log(ratio) / Math.log(2)));
   }
 
+  private double ratio(String service, String organisation) {
+    return useOverEntitlement.getOrDefault(service, Map.of()).getOrDefault(organisation, 0.0);
+  }
+
   /** Returns the duration of the longest chain of unfinished steps of a job. */
   long criticalPathMillis(LiveJob job) {
     return criticalPathMillis.computeIfAbsent(
-        job, j -> Math.round(RemainingWork.of(j, state.durations).criticalPathMillis()));
+        job, j -> Math.round(RemainingWork.criticalPathMillis(j, state.durations)));
   }
 
   private Set<String> scarceServices(List<LiveStep> waiting, long now) {
@@ -126,45 +134,68 @@
    * use.
    */
   private boolean fits(String service, List<LiveStep> waiting, long now) {
+    List<Resources> free =
+        state.executors.values().stream()
+            .filter(e -> e.isUsable(now) && e.info().service().equals(service))
+            .map(LiveExecutor::free)
+            .toList();
+    // Few tasks occupy whole executors where accelerators are scarce, so the mean hides the
+    // largest.
+    boolean largestFit =
+        state.scarceResource(service, now) != ResourceKind.ACCELERATORS
+            || waiting.stream()
+                .map(s -> s.spec().committed())
+                .allMatch(one -> free.stream().anyMatch(one::fitsIn));
+    return largestFit && fitsOnAverage(waiting, free, now);
+  }
+
+  private static boolean fitsOnAverage(List<LiveStep> waiting, List<Resources> free, long now) {
     long tasks = 0;
     double processors = 0;
     double memory = 0;
+    double accelerators = 0;
     for (LiveStep step : waiting) {
       long due = step.due(now).count();
       Resources one = step.spec().committed();
       tasks += due;
       processors += due * (double) one.milliProcessors();
       memory += due * (double) one.memoryMib();
+      accelerators += due * (double) one.accelerators();
     }
-    Resources mean = new Resources(Math.round(processors / tasks), Math.round(memory / tasks), 0);
+    Resources mean =
+        new Resources(
+            Math.round(processors / tasks),
+            Math.round(memory / tasks),
+            (int) Math.ceil(accelerators / tasks));
     long room = 0;
-    for (LiveExecutor executor : state.executors.values()) {
-      if (executor.isUsable(now) && executor.info().service().equals(service)) {
-        room += count(executor.free(), mean);
-        if (room >= tasks) {
-          return true;
-        }
+    for (Resources one : free) {
+      room += count(one, mean);
+      if (room >= tasks) {
+        return true;
       }
     }
     return false;
   }
 
   private static long count(Resources free, Resources one) {
-    return Math.min(
-        one.milliProcessors() == 0
-            ? Integer.MAX_VALUE
-            : free.milliProcessors() / one.milliProcessors(),
-        one.memoryMib() == 0 ? Integer.MAX_VALUE : free.memoryMib() / one.memoryMib());
+    long byProcessors = quotient(free.milliProcessors(), one.milliProcessors());
+    long byMemory = quotient(free.memoryMib(), one.memoryMib());
+    long byAccelerators = quotient(free.accelerators(), one.accelerators());
+    return Math.min(byProcessors, Math.min(byMemory, byAccelerators));
+  }
+
+  private static long quotient(long free, long one) {
+    return one == 0 ? Integer.MAX_VALUE : free / one;
   }
 
   private ShortagePlan plan(String service, Objectives objectives, long now) {
+    ResourceKind kind = state.scarceResource(service, now);
     double total =
         state.executors.values().stream()
             .filter(e -> e.isUsable(now) && e.info().service().equals(service))
-            .mapToLong(e -> e.info().capacity().milliProcessors())
+            .mapToDouble(e -> kind.of(e.info().capacity()))
             .sum();
-    double processors =
-        leftByLongRunning(total / 1_000.0, j -> state.queue(j).service().equals(service));
+    double left = leftByLongRunning(service, kind, total);
     List<ShortagePlan.Candidate> candidates = new ArrayList<>();
     Map<String, LiveJob> jobs = new HashMap<>();
     for (LiveJob job : state.jobs.values()) {
@@ -173,40 +204,44 @@
         Objective objective = objectives.of(job.steps().get(0), now);
         if (!objective.overdue) {
           jobs.put(job.id(), job);
-          candidates.add(candidate(job, queue, objective, now));
+          candidates.add(candidate(job, queue, kind, objective, now));
         }
       }
     }
     ShortagePlan plan =
-        ShortagePlan.of(
-            candidates,
-            new ShortagePlan.Capacity(processors, state.arrivingWork.processors(service, now)));
+        state.uses(Mechanism.DEFERRAL)
+            ? ShortagePlan.of(
+                candidates,
+                new ShortagePlan.Capacity(left, state.arrivingWork.amounts(service, kind, now)))
+            : ShortagePlan.NONE;
     candidates.stream()
         .filter(c -> plan.defers(c.id()) && jobs.get(c.id()).firstDeferral())
-        .forEach(c -> log(c, plan, jobs.get(c.id()).spec().organisation()));
+        .forEach(c -> log(c, plan, ratio(service, jobs.get(c.id()).spec().organisation())));
     return plan;
   }
 
-  /** Returns the processors that long-running tasks neither use nor wait for. */
-  private double leftByLongRunning(double total, Predicate<LiveJob> filter) {
+  /**
+   * Returns the amount of a service's resource that long-running tasks neither use nor wait for.
+   */
+  private double leftByLongRunning(String service, ResourceKind kind, double total) {
     double longRunning =
         state.jobs.values().stream()
             .filter(LiveJob::longRunning)
-            .filter(filter)
+            .filter(j -> state.queue(j).service().equals(service))
             .flatMap(j -> j.steps().stream())
             .filter(s -> s.spec().longRunning())
-            .mapToDouble(s -> s.unfinishedTasks() * RemainingWork.processorsOf(s.spec()))
+            .mapToDouble(s -> s.unfinishedTasks() * kind.of(s.spec().committed()))
             .sum();
     return Math.max(total - longRunning, MIN_LEFT_SHARE * total);
   }
 
   private ShortagePlan.Candidate candidate(
-      LiveJob job, Queue queue, Objective objective, long now) {
-    RemainingWork anew = RemainingWork.of(job, state.durations);
+      LiveJob job, Queue queue, ResourceKind kind, Objective objective, long now) {
+    RemainingWork anew = RemainingWork.of(job, state.durations, kind);
     criticalPathMillis.put(job, Math.round(anew.criticalPathMillis()));
-    double running = work(job, queue, LiveStep::runningTasks);
-    double all = work(job, queue, s -> s.tasks().size());
-    double left = Math.max(0, anew.processorMillis() - running);
+    double running = work(job, queue, kind, LiveStep::runningTasks);
+    double all = work(job, queue, kind, s -> s.tasks().size());
+    double left = Math.max(0, anew.work() - running);
     boolean waits = job.steps().stream().anyMatch(LiveStep::hasWaiting);
     // The occurrences of a scheduled job have no objective of their own.
     boolean once = job.spec().repetitions() == 0;
@@ -217,7 +252,7 @@
         new RemainingWork(Math.max(0, anew.criticalPathMillis() - elapsedMillis(job, now)), left),
         once ? objective.dueAt - now : Double.POSITIVE_INFINITY,
         once && waits && left >= (1 - MAX_DONE_FRACTION) * all,
-        overuse(job.spec().organisation()));
+        overuse(queue.service(), job.spec().organisation()));
   }
 
   /**
@@ -237,19 +272,18 @@
         .orElse(0);
   }
 
-  /** Returns the expected processor-milliseconds of some tasks of each step of a job. */
-  private double work(LiveJob job, Queue queue, ToIntFunction<LiveStep> tasks) {
+  /** Returns the expected work of some tasks of each step of a job. */
+  private double work(LiveJob job, Queue queue, ResourceKind kind, ToIntFunction<LiveStep> tasks) {
     return job.steps().stream()
         .mapToDouble(
             s ->
                 tasks.applyAsInt(s)
                     * state.durations.expectedMillis(queue.name(), s.spec())
-                    * s.spec().committed().milliProcessors()
-                    / 1_000)
+                    * kind.of(s.spec().committed()))
         .sum();
   }
 
-  private void log(ShortagePlan.Candidate job, ShortagePlan plan, String organisation) {
+  private void log(ShortagePlan.Candidate job, ShortagePlan plan, double useOverEntitlement) {
     state.decisionListener.decisionMade(
         Kind.JOB_DEFERRED,
         job.id(),
@@ -261,7 +295,7 @@
             + " ms, critical path "
             + Math.round(job.remaining().criticalPathMillis())
             + " ms, organisation at "
-            + Math.round(100 * useOverEntitlement.getOrDefault(organisation, 0.0))
+            + Math.round(100 * useOverEntitlement)
             + "% of its entitlement");
   }
 }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ShortagePlan.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ShortagePlan.java
@@ -40,8 +40,8 @@
   /**
    * A job with unfinished work.
    *
-   * @param remaining the critical path, and the work of the tasks that do not run yet: when all
-   *     processors are busy, a job can start once the tasks before it have started
+   * @param remaining the critical path, and the work of the tasks that do not run yet: when nothing
+   *     is free, a job can start once the tasks before it have started
    * @param objectiveInMillis milliseconds until the objective of the job; negative if it has passed
    * @param deferrable whether the job may run after the others; otherwise it only counts as load
    * @param overuse how far its organisation is above its entitlement, in whole doublings
@@ -62,10 +62,10 @@
   /**
    * The capacity of a service.
    *
-   * @param processors processors that are left beside long-running tasks
-   * @param arriving processors that newly arriving jobs need, by their priority
+   * @param amount what is left of its scarce resource beside long-running tasks
+   * @param arriving what newly arriving jobs need of it, by their priority
    */
-  record Capacity(double processors, Map<Integer, Double> arriving) {
+  record Capacity(double amount, Map<Integer, Double> arriving) {
     /** Returns the processors that jobs arriving before a class leave to it. */
     private double leftFor(PrecedenceClass precedence) {
       double before =
@@ -73,7 +73,7 @@
               .filter(e -> precedence.surplus || e.getKey() < precedence.priority)
               .mapToDouble(Map.Entry::getValue)
               .sum();
-      return Math.max(processors - before, MIN_CAPACITY_SHARE * processors);
+      return Math.max(amount - before, MIN_CAPACITY_SHARE * amount);
     }
   }
 
@@ -90,7 +90,7 @@
 
   /** Returns the plan for the unfinished jobs of a service. */
   static ShortagePlan of(List<Candidate> jobs, Capacity capacity) {
-    if (capacity.processors <= 0) {
+    if (capacity.amount <= 0) {
       return NONE;
     }
     Map<PrecedenceClass, List<Candidate>> classes = new TreeMap<>(PrecedenceClass.ORDER);
@@ -100,7 +100,7 @@
     for (Map.Entry<PrecedenceClass, List<Candidate>> e : classes.entrySet()) {
       ClassPlan plan = new ClassPlan(e.getValue(), capacity.leftFor(e.getKey()), before);
       deferred.putAll(plan.deferred());
-      before += e.getValue().stream().mapToDouble(j -> j.remaining.processorMillis()).sum();
+      before += e.getValue().stream().mapToDouble(j -> j.remaining.work()).sum();
     }
     return new ShortagePlan(deferred);
   }
@@ -114,13 +114,13 @@
   private static final class ClassPlan {
     private static final Comparator<Candidate> FIRST_TO_DEFER =
         Comparator.comparingInt(Candidate::overuse)
-            .thenComparingDouble((Candidate j) -> j.remaining.processorMillis())
+            .thenComparingDouble((Candidate j) -> j.remaining.work())
             .thenComparingDouble(Candidate::objectiveInMillis)
             .reversed()
             .thenComparing(Candidate::id);
 
     private final List<Candidate> jobs;
-    private final double processors;
+    private final double capacity;
     private final Set<String> large = new HashSet<>();
     private final PriorityQueue<Candidate> deferrable = new PriorityQueue<>(FIRST_TO_DEFER);
     private final Map<String, Double> deferred = new HashMap<>();
@@ -128,16 +128,16 @@
     private double deferrableWork;
     private int largeToDefer;
 
-    ClassPlan(List<Candidate> jobs, double processors, double before) {
+    ClassPlan(List<Candidate> jobs, double capacity, double before) {
       this.jobs = jobs;
-      this.processors = processors;
+      this.capacity = capacity;
       planned = before;
     }
 
     Map<String, Double> deferred() {
       jobs.stream()
           .sorted(
-              Comparator.comparingDouble((Candidate j) -> -j.remaining.processorMillis())
+              Comparator.comparingDouble((Candidate j) -> -j.remaining.work())
                   .thenComparing(Candidate::id))
           .limit((long) Math.ceil(jobs.size() * LARGE_FRACTION))
           .forEach(j -> large.add(j.id));
@@ -150,7 +150,7 @@
     }
 
     private void plan(Candidate job) {
-      planned += job.remaining.processorMillis();
+      planned += job.remaining.work();
       boolean canBeInTime = completesInTime(job, planned - deferrableWork);
       if (!canBeInTime) {
         // Deferring other jobs would not help.
@@ -161,11 +161,11 @@
       }
       if (job.deferrable) {
         deferrable.add(job);
-        deferrableWork += job.remaining.processorMillis();
+        deferrableWork += job.remaining.work();
       }
       while (!completesInTime(job, planned) && !deferrable.isEmpty()) {
         Candidate first = deferrable.remove();
-        deferrableWork -= first.remaining.processorMillis();
+        deferrableWork -= first.remaining.work();
         if (!large.contains(first.id) || largeToDefer > 0) {
           defer(first, job);
         }
@@ -180,19 +180,18 @@
         largeToDefer--;
       }
       deferred.put(job.id, waitMillis(late, planned));
-      planned -= job.remaining.processorMillis();
+      planned -= job.remaining.work();
     }
 
     private boolean completesInTime(Candidate job, double workUpToJob) {
       double wait = waitMillis(job, workUpToJob);
       double duration =
-          Math.max(
-              job.remaining.criticalPathMillis(), job.remaining.processorMillis() / processors);
+          Math.max(job.remaining.criticalPathMillis(), job.remaining.work() / capacity);
       return wait + duration <= job.objectiveInMillis;
     }
 
     private double waitMillis(Candidate job, double workUpToJob) {
-      return Math.max(0, workUpToJob - job.remaining.processorMillis()) / processors;
+      return Math.max(0, workUpToJob - job.remaining.work()) / capacity;
     }
   }
 }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/StepOrder.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/StepOrder.java
@@ -145,7 +145,9 @@
         queue.priority(),
         shortage.defers(queue.service(), job),
         objectiveStatus,
-        isShort ? shortage.overuse(job.spec().organisation()) : shareUsed(job, total),
+        isShort
+            ? shortage.overuse(queue.service(), job.spec().organisation())
+            : shareUsed(job, total),
         isShort && !job.hasBegun(),
         isShort ? objectiveAt - shortage.criticalPathMillis(job) : objectiveAt,
         step.readySince());
@@ -167,7 +169,8 @@
 
   /** Returns whether tasks of lower priority may be stopped to make room for a step. */
   boolean mayPreempt(LiveStep step, Queue queue, long now) {
-    return Preemption.mayPreempt(queue)
+    return state.uses(Mechanism.PREEMPTION)
+        && Preemption.mayPreempt(queue)
         && !isSurplus(step.job(), queue)
         && isInTime(step, queue, now);
   }
@@ -195,7 +198,7 @@
     if (state.durations.hasObservations(job.spec().queue().name())) {
       return new Expectation(
           Math.round(ExpectedCompletion.objectiveMillis(job, queue, state.durations)),
-          RemainingWork.of(job, state.durations).criticalPathMillis());
+          RemainingWork.criticalPathMillis(job, state.durations));
     }
     long estimate = job.spec().steps().stream().mapToLong(s -> s.estimateMillis()).sum();
     long left =
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Tickets.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Tickets.java
@@ -24,6 +24,8 @@
   private boolean callPending;
   private long validityMillis;
   private long nextCallAt;
+  private long callStartedAt;
+  private long answeredCallsMillis;
 
   /** Returns the ticket for an executor if it is valid for a start that is sent now. */
   Optional<String> valid(LiveExecutor executor, long now) {
@@ -60,13 +62,14 @@
    * Records that a call was sent. The validity of its tickets is kept, because a configuration that
    * arrives before the answer may remove the queue's advice.
    */
-  void callStarted(AdviceSettings settings) {
+  void callStarted(AdviceSettings settings, long now) {
     callPending = true;
+    callStartedAt = now;
     validityMillis = settings.validityMillis();
   }
 
   void callAnswered(Collection<LiveExecutor> asked, Map<String, String> tickets, long now) {
-    callPending = false;
+    callEnded(now);
     long validUntil = now + validityMillis;
     for (LiveExecutor e : asked) {
       String text = tickets.get(e.id());
@@ -80,11 +83,21 @@
     }
   }
 
-  void callFailed(long retryAt) {
-    callPending = false;
+  void callFailed(long retryAt, long now) {
+    callEnded(now);
     nextCallAt = retryAt;
   }
 
+  private void callEnded(long now) {
+    callPending = false;
+    answeredCallsMillis += now - callStartedAt;
+  }
+
+  /** Returns for how many milliseconds calls have been in progress. */
+  long callMillis(long now) {
+    return answeredCallsMillis + (callPending ? now - callStartedAt : 0);
+  }
+
   /** Removes the ticket for an executor that refused it. */
   void drop(LiveExecutor executor) {
     ticketsByExecutor.remove(executor.id());
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/AdmissionCluster.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/AdmissionCluster.java
@@ -108,7 +108,13 @@
         .findFirst()
         .ifPresent(
             e -> {
-              Run run = new Run(new RunKey(task.id(), 1), spec, "team", Run.Phase.RUNNING, now);
+              Run run =
+                  new Run(
+                      new RunKey(task.id(), 1),
+                      spec,
+                      task.step().job().spec(),
+                      Run.Phase.RUNNING,
+                      now);
               state.addRun(e, run, now);
               task.assign(run, e);
               long end = spec.longRunning() ? Long.MAX_VALUE : now + spec.estimateMillis();
@@ -124,7 +130,7 @@
   double remainingWorkMillis() {
     double running =
         active.stream()
-            .mapToDouble(a -> (a.endsAt - now) * RemainingWork.processorsOf(a.run.spec()))
+            .mapToDouble(a -> (a.endsAt - now) * ResourceKind.PROCESSORS.of(a.run.committed()))
             .sum();
     double waiting =
         state.jobs.values().stream()
@@ -134,7 +140,7 @@
             .mapToDouble(
                 t ->
                     (double) t.step().spec().estimateMillis()
-                        * RemainingWork.processorsOf(t.step().spec()))
+                        * ResourceKind.PROCESSORS.of(t.step().spec().committed()))
             .sum();
     return running + waiting;
   }
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/ExclusionCheck.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/ExclusionCheck.java
@@ -60,6 +60,7 @@
       executors(step, queue)
           .filter(e -> mayTake(e, chosen))
           .filter(e -> Placement.fits(e, step, queue, Collections.frequency(chosen, e)))
+          .filter(e -> state.reservations.admits(e, step, Collections.frequency(chosen, e), now))
           .findFirst()
           .ifPresent(chosen::add);
     }
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/IncrementalSearchTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/IncrementalSearchTest.java
@@ -52,11 +52,11 @@
     private final JobScheduler scheduler;
     private long now = 100_000;
 
-    Driver(long seed) {
+    Driver(long seed, Set<Mechanism> disabled) {
       random = new Random(seed);
       scheduler =
           new JobScheduler(
-              SchedulerSettings.builder().evacuateMillis(5_000).build(),
+              SchedulerSettings.builder().evacuateMillis(5_000).disabled(disabled).build(),
               1,
               List.of(),
               id -> Optional.ofNullable(specs.get(id)),
@@ -259,8 +259,17 @@
 
   @Test
   void searchFindsWhatASearchAmongAllExecutorsFinds() {
+    check(Set.of(Mechanism.RESERVATIONS));
+  }
+
+  @Test
+  void searchFindsAllButWhatIsKeptForGangs() {
+    check(Set.of());
+  }
+
+  private static void check(Set<Mechanism> disabled) {
     for (long seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
-      Driver driver = new Driver(seed);
+      Driver driver = new Driver(seed, disabled);
       for (int i = 0; i < ROUNDS; i++) {
         assertWithMessage("seed %s, round %s", seed, i).that(driver.round()).isEmpty();
       }
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/MeasuredRunTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/MeasuredRunTest.java
@@ -110,8 +110,15 @@
 
   @Test
   void runOfAPreviousOwnerIsNotMeasured() {
-    RunKey key = new RunKey(task(step()).id(), 1);
-    assertThat(new Run(key, step().build(), "team", Run.Phase.RUNNING, 0).isMeasured()).isFalse();
+    LiveTask task = task(step());
+    Run run =
+        new Run(
+            new RunKey(task.id(), 1),
+            step().build(),
+            task.step().job().spec(),
+            Run.Phase.RUNNING,
+            0);
+    assertThat(run.isMeasured()).isFalse();
   }
 
   /** Its ends may be seconds old when it answers again. */
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/OrganisationAccountsTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/OrganisationAccountsTest.java
@@ -13,7 +13,7 @@
 
 /** Tests the agreed rates and the use of organisations. */
 final class OrganisationAccountsTest {
-  private static final double CAPACITY = 10_000;
+  private static final double CAPACITY = 10;
 
   private final OrganisationAccounts accounts = new OrganisationAccounts();
   private final List<Long> surplus = new ArrayList<>();
@@ -37,7 +37,12 @@
   }
 
   private Map<String, Double> useAfter(long millis) {
-    return accounts.useOverEntitlement(CAPACITY, millis);
+    return accounts.useOverEntitlement("svc", ResourceKind.PROCESSORS, CAPACITY, millis);
+  }
+
+  private void processorsChanged(String organisation, long milliProcessors, int runs, long now) {
+    Resources one = new Resources(milliProcessors, 0, 0);
+    accounts.runsChanged(organisation, "svc", one, runs, now);
   }
 
   /** One organisation sends seven times its usual rate for 6 s. */
@@ -79,8 +84,8 @@
       submit("", i);
       submit("gone", i);
     }
-    accounts.unfinishedJobsChanged("gone", 50);
-    accounts.milliProcessorsChanged("gone", 9_000, 0);
+    accounts.unfinishedJobsChanged("gone", "svc", 50);
+    processorsChanged("gone", 9_000, 1, 0);
     assertThat(surplus).isEmpty();
     assertThat(useAfter(60_000)).doesNotContainKey("gone");
   }
@@ -112,10 +117,10 @@
   @Test
   void useIsComparedWithTheShareOfTheOrganisationsThatHaveWork() {
     configure(Map.of("a", 1.0, "b", 1.0, "idle", 8.0));
-    accounts.unfinishedJobsChanged("a", 1);
-    accounts.unfinishedJobsChanged("b", 1);
-    accounts.milliProcessorsChanged("a", 7_500, 0);
-    accounts.milliProcessorsChanged("b", 2_500, 0);
+    accounts.unfinishedJobsChanged("a", "svc", 1);
+    accounts.unfinishedJobsChanged("b", "svc", 1);
+    processorsChanged("a", 7_500, 1, 0);
+    processorsChanged("b", 2_500, 1, 0);
     Map<String, Double> use = useAfter(20_000);
     assertThat(use.get("a")).isWithin(0.1).of(1.5);
     assertThat(use.get("b")).isWithin(0.1).of(0.5);
@@ -126,10 +131,10 @@
   @Test
   void useIsForgottenWithinSeconds() {
     configure(Map.of("a", 1.0, "b", 1.0));
-    accounts.unfinishedJobsChanged("a", 1);
-    accounts.unfinishedJobsChanged("b", 1);
-    accounts.milliProcessorsChanged("a", 10_000, 0);
-    accounts.milliProcessorsChanged("a", -10_000, 20_000);
+    accounts.unfinishedJobsChanged("a", "svc", 1);
+    accounts.unfinishedJobsChanged("b", "svc", 1);
+    processorsChanged("a", 10_000, 1, 0);
+    processorsChanged("a", 10_000, -1, 20_000);
     assertThat(useAfter(20_000).get("a")).isGreaterThan(1.9);
     assertThat(useAfter(30_000).get("a")).isLessThan(0.3);
   }
@@ -138,9 +143,9 @@
   @Test
   void newAccountStartsWithoutUse() {
     configure(Map.of("a", 1.0, "b", 1.0));
-    accounts.unfinishedJobsChanged("a", 1);
-    accounts.unfinishedJobsChanged("b", 1);
-    accounts.milliProcessorsChanged("a", 10_000, 1_000);
+    accounts.unfinishedJobsChanged("a", "svc", 1);
+    accounts.unfinishedJobsChanged("b", "svc", 1);
+    processorsChanged("a", 10_000, 1, 1_000);
     assertThat(useAfter(1_000).get("a")).isEqualTo(0.0);
   }
 
@@ -148,9 +153,10 @@
   @Test
   void useWithoutAnyEntitlementIsAboveIt() {
     configure(Map.of("a", 0.0));
-    accounts.unfinishedJobsChanged("a", 1);
-    accounts.milliProcessorsChanged("a", 1_000, 0);
+    accounts.unfinishedJobsChanged("a", "svc", 1);
+    processorsChanged("a", 1_000, 1, 0);
     assertThat(useAfter(5_000).get("a")).isPositiveInfinity();
-    assertThat(accounts.useOverEntitlement(-5, 5_000).get("a")).isPositiveInfinity();
+    assertThat(accounts.useOverEntitlement("svc", ResourceKind.PROCESSORS, -5, 5_000).get("a"))
+        .isPositiveInfinity();
   }
 }
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/SlotModel.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/SlotModel.java
@@ -4,6 +4,7 @@
 import io.cactusspring.jobs.ledger.JobEntry;
 import io.cactusspring.jobs.model.ExecutorInfo;
 import io.cactusspring.jobs.model.JobSpec;
+import io.cactusspring.jobs.model.JobState;
 import io.cactusspring.jobs.model.Organisation;
 import io.cactusspring.jobs.model.Queue;
 import io.cactusspring.jobs.model.SiteConfiguration;
@@ -73,40 +74,39 @@
   private record End(long at, LiveExecutor executor, RunKey run) {}
 
   final List<Decision> decisions = new ArrayList<>();
-  final OwnerState state =
-      new OwnerState(
-          SchedulerSettings.builder().build(),
-          1,
-          id -> Optional.empty(),
-          (kind, job, subject, reason) -> decisions.add(new Decision(kind, job, reason)));
+  final OwnerState state;
   final Map<String, Submission> submissions = new LinkedHashMap<>();
   final Map<String, Long> firstStartAt = new HashMap<>();
-  private final RunLifecycle runs = new RunLifecycle(state);
+  private final RunLifecycle runs;
   private final PriorityQueue<End> ends = new PriorityQueue<>(Comparator.comparingLong(End::at));
   private final Placement placement;
   private long now = 100_000;
 
-  private SlotModel(boolean observesShortage) {
-    ShortageMonitor monitor =
-        observesShortage
-            ? new ShortageMonitor(state)
-            : new ShortageMonitor(state) {
-              @Override
-              boolean update(List<LiveStep> waiting, Objectives objectives, long time) {
-                return false;
-              }
-            };
-    placement = new Placement(state, runs, new AdvicePlanner(state), new StepOrder(state, monitor));
+  private SlotModel(Set<Mechanism> disabled) {
+    state =
+        new OwnerState(
+            SchedulerSettings.builder().disabled(disabled).build(),
+            1,
+            id -> Optional.empty(),
+            (kind, job, subject, reason) -> decisions.add(new Decision(kind, job, reason)));
+    runs = new RunLifecycle(state);
+    StepOrder order = new StepOrder(state, new ShortageMonitor(state));
+    placement = new Placement(state, runs, new AdvicePlanner(state), order);
   }
 
   /** Returns a model with the order under shortage. */
   static SlotModel newOrder() {
-    return new SlotModel(true);
+    return without();
   }
 
   /** Returns a model with the order that does not consider shortages. */
   static SlotModel oldOrder() {
-    return new SlotModel(false);
+    return without(Mechanism.SHORTAGE_ORDER);
+  }
+
+  /** Returns a model without some parts of the policy. */
+  static SlotModel without(Mechanism... disabled) {
+    return new SlotModel(Set.of(disabled));
   }
 
   /** Configures organisations with their agreed jobs a second. */
@@ -123,7 +123,10 @@
   }
 
   SlotModel executors(int count) {
-    Resources capacity = new Resources(EXECUTOR_PROCESSORS * 1_000, 32_000, 0);
+    return executors(count, new Resources(EXECUTOR_PROCESSORS * 1_000, 32_000, 0));
+  }
+
+  SlotModel executors(int count, Resources capacity) {
     for (int i = 0; i < count; i++) {
       String id = "x" + i;
       LiveExecutor executor = state.executor(id);
@@ -195,6 +198,11 @@
     }
   }
 
+  /** Cancels a job. */
+  void cancel(String id) {
+    runs.finish(state.jobs.get(id), JobState.CANCELLED, now);
+  }
+
   /** Runs ticks for a time. */
   void run(long millis) {
     for (long end = now + millis; now < end; ) {
