--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ScarceResources.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ScarceResources.java
@@ -87,14 +87,14 @@
     Map<String, Totals> totals = new HashMap<>();
     for (LiveExecutor executor : executors) {
       if (executor.isCallable() && executor.listed()) {
-        Totals of = totals.computeIfAbsent(executor.info().service(), s -> new Totals());
-        Totals.add(of.needed, executor.used(), 1);
-        Totals.add(of.capacity, executor.info().capacity(), 1);
+        Totals sums = totals.computeIfAbsent(executor.info().service(), s -> new Totals());
+        Totals.add(sums.needed, executor.used(), 1);
+        Totals.add(sums.capacity, executor.info().capacity(), 1);
       }
     }
     for (LiveStep step : waiting.all()) {
-      Totals of = totals.computeIfAbsent(step.job().spec().queue().service(), s -> new Totals());
-      Totals.add(of.needed, step.spec().committed(), step.waitingTasks());
+      Totals sums = totals.computeIfAbsent(step.job().spec().queue().service(), s -> new Totals());
+      Totals.add(sums.needed, step.spec().committed(), step.waitingTasks());
     }
     totals.forEach(
         (service, total) -> services.computeIfAbsent(service, s -> new Service()).add(total));
