--- a/review/standins/review/Executor.java
+++ b/review/standins/review/Executor.java
@@ -15,6 +15,7 @@
 /** Stand-in of an executor that is told what to run by calls, as PROTOCOL.md describes it. */
 final class Executor {
   private static final long MAX_HOLD_MILLIS = 10_000;
+  private static final long STARTUP_MILLIS = 400;
   private static final long CHECKPOINT_MILLIS = 500;
   private static final int ENDS_AT_A_TIME = 500;
 
@@ -126,7 +127,7 @@
       ended.forEach(e -> e.run.lapsedBeforeNoted |= e.run.noted == 0);
     }
     for (Runs.Run run : List.copyOf(running.values())) {
-      boolean done = now - run.begun >= work.millis(run.task);
+      boolean done = now - run.begun >= work.millis(run.task, run.number);
       if (done || lapsed) {
         running.remove(run.task);
         end(run, done ? "done" : "lapsed", now);
@@ -254,7 +255,8 @@
     ArrayNode rows = report.putArray("running");
     long now = record.millis();
     for (Runs.Run run : running.values()) {
-      long percent = Math.min(100, 100 * (now - run.begun) / Math.max(1, work.millis(run.task)));
+      long whole = work.lasts(run.task) ? STARTUP_MILLIS : work.millis(run.task, run.number);
+      long percent = Math.min(100, 100 * (now - run.begun) / Math.max(1, whole));
       rows.addArray()
           .add(run.task)
           .add(run.number)
