Let the scripts of the review say when they could not run

Cause: a missing build or an error of the script itself gave the status of a broken rule.

Change: the scripts check for the build, end after 115 s, and exit with 2.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -2,5 +2,12 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 . bin/jdk.sh || exit 2
-exec "$JAVA_HOME/bin/java" -Xmx512m -Djdk.httpclient.allowRestrictedHeaders=host \
+if [ ! -f target/review/classes/review/LastingTasks.class ] || [ ! -f target/platform/cactusspring.jar ]; then
+  echo "build first: the build of deploy/system.toml, then review/build.sh" >&2
+  exit 2
+fi
+timeout 115 "$JAVA_HOME/bin/java" -Xmx512m -Djdk.httpclient.allowRestrictedHeaders=host \
   -cp "target/review/classes:target/platform/lib/*" review.LastingTasks review/4/record.txt ${KEEP_LOGS:+"$KEEP_LOGS"}
+status=$?
+[ "$status" -le 1 ] || exit 2
+exit "$status"
--- a/review/standins/review/Cell.java
+++ b/review/standins/review/Cell.java
@@ -11,11 +11,13 @@
 import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.concurrent.Callable;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
@@ -44,10 +46,10 @@
   private long sequence;
 
   /** Runs a script; returns 2 if it could not run. */
-  static int statusOf(java.util.concurrent.Callable<Integer> script) {
+  static int statusOf(Callable<Integer> script) {
     try {
       return script.call();
-    } catch (Exception e) {
+    } catch (Exception | Error e) {
       e.printStackTrace();
       return 2;
     }
@@ -292,7 +294,7 @@
         Files.copy(
             file,
             target.resolve(file.getFileName()),
-            java.nio.file.StandardCopyOption.REPLACE_EXISTING);
+            StandardCopyOption.REPLACE_EXISTING);
       }
     }
   }
