Do not take runs for lost that a truncated report leaves out

Cause: an executor lists the oldest 500 ends that are not acknowledged. During the outage nothing can be acknowledged, so further ends are in no list, and ReportReconciler took runs that are in no list for lost. The second starts were sent before the ends were listed at last, and those were then ignored.

A report now says whether it is truncated. Runs that are missing from such a report stay assigned until a later one lists their ends, which follows once the ends before are stored and acknowledged; a complete report is judged as before. The decision REPORT_TRUNCATED shows such reports, which the log could not tell from complete ones.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/port/ExecutorClient.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/port/ExecutorClient.java
@@ -116,9 +116,23 @@
      * @param clockMillis the executor's clock
      * @param bootMillis Unix milliseconds of the executor's start, which identify the boot; 0 if
      *     not reported
+     * @param running all active runs
+     * @param ended runs that have ended and are not acknowledged, the oldest ones first
+     * @param truncated whether more runs may have ended than {@code ended} lists
      */
-    record Report(long clockMillis, long bootMillis, List<ActiveRun> running, List<EndedRun> ended)
-        implements LeaseRenewalResult {}
+    record Report(
+        long clockMillis,
+        long bootMillis,
+        List<ActiveRun> running,
+        List<EndedRun> ended,
+        boolean truncated)
+        implements LeaseRenewalResult {
+      /** Creates a report that lists all ended runs. */
+      public Report(
+          long clockMillis, long bootMillis, List<ActiveRun> running, List<EndedRun> ended) {
+        this(clockMillis, bootMillis, running, ended, false);
+      }
+    }
 
     /** The request was refused and had no effect. */
     record Refused(Refusal reason) implements LeaseRenewalResult {}
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveExecutor.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveExecutor.java
@@ -40,6 +40,7 @@
   private long silentSince = NEVER;
   private final Set<String> silenceReasons = new HashSet<>();
   private boolean hasReported;
+  private boolean reportTruncated;
   private boolean suspect;
   private Openness openness = Openness.CLOSED;
   private long gainedAtVersion;
@@ -125,6 +126,7 @@
     lastStoredEnd = 0;
     acknowledgedEnd = 0;
     hasReported = false;
+    reportTruncated = false;
     suspect = false;
     silentSince = NEVER;
     quarantine.reset();
@@ -309,8 +311,19 @@
     silentSince = NEVER;
   }
 
-  void markReported() {
+  /**
+   * Records a report.
+   *
+   * @param truncated whether it left out ends
+   */
+  void reported(boolean truncated) {
     hasReported = true;
+    reportTruncated = truncated;
+  }
+
+  /** Returns whether the last report left out ends. */
+  boolean isReportTruncated() {
+    return reportTruncated;
   }
 
   void markSilent(long now) {
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ReportReconciler.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ReportReconciler.java
@@ -44,13 +44,32 @@
         .forEach(end -> readEnd(executor, end, now));
     Set<RunKey> listed = new HashSet<>();
     report.running().forEach(r -> listed.add(readRunning(executor, r, now)));
-    List<Run> gone =
+    List<Run> missing =
         executor.runs().stream()
             .filter(r -> !listed.contains(r.key()))
             .filter(r -> r.isOverIfMissing(askedAt))
             .toList();
-    gone.forEach(r -> runs.lost(executor, r, "not listed any more", now));
-    executor.markReported();
+    if (report.truncated()) {
+      // The ends of these runs may follow once the listed ones are acknowledged.
+      noticeTruncation(executor, report, missing);
+    } else {
+      missing.forEach(r -> runs.lost(executor, r, "not listed any more", now));
+    }
+    executor.reported(report.truncated());
+  }
+
+  private void noticeTruncation(
+      LiveExecutor executor, LeaseRenewalResult.Report report, List<Run> missing) {
+    if (!executor.isReportTruncated()) {
+      state.decisionListener.decisionMade(
+          Kind.REPORT_TRUNCATED,
+          "",
+          executor.id(),
+          report.ended().size()
+              + " ends are listed and further ones left out; "
+              + missing.size()
+              + " runs may be among these");
+    }
   }
 
   /**
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/JobLifecycleTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/JobLifecycleTest.java
@@ -364,6 +364,50 @@
     assertThat(simulation.oracle().startCount()).isEqualTo(3);
   }
 
+  /** Guards against done tasks that run again because a report lists only the oldest ends. */
+  @Test
+  void tasksWhoseEndsAReportLeavesOutRunOnce() {
+    JobSpec spec = endTasksWhileTheStoreIsAway(() -> {});
+    assertThat(simulation.oracle().startCount()).isEqualTo(spec.steps().get(0).tasks());
+    assertThat(state(spec)).isEqualTo(JobState.COMPLETED);
+    assertThat(simulation.oracle().violations()).isEmpty();
+    assertThat(simulation.logLines().stream().filter(l -> l.contains("REPORT_TRUNCATED")).count())
+        .isEqualTo(1);
+  }
+
+  /** Guards against done tasks that a new owner starts again, for the same reason. */
+  @Test
+  void tasksWhoseEndsAReportToANewOwnerLeavesOutRunOnce() {
+    JobSpec spec =
+        endTasksWhileTheStoreIsAway(
+            () -> {
+              owner().kill();
+              // The next report follows before the ends of the first one are acknowledged.
+              simulation.hosts().forEach(h -> h.storeLink().extraLatencyMillis(700));
+            });
+    simulation.time().run(10_000);
+    assertThat(simulation.oracle().startCount()).isEqualTo(spec.steps().get(0).tasks());
+    assertThat(state(spec)).isEqualTo(JobState.COMPLETED);
+    assertThat(simulation.oracle().violations()).isEmpty();
+  }
+
+  /** Lets more tasks end on one executor during an outage of the store than it lists at once. */
+  private JobSpec endTasksWhileTheStoreIsAway(Runnable duringOutage) {
+    simulation.addExecutor("wide", new Resources(1_000_000, 1_000_000, 0));
+    simulation.time().run(1_000);
+    simulation.taskWorkMillis(id -> 2_000L);
+    JobSpec spec = job("j1", quick(), tasks(700).build());
+    submit(spec);
+    simulation.time().run(1_000);
+    simulation.hosts().forEach(h -> h.storeLink().disconnected(true));
+    simulation.time().run(3_000);
+    duringOutage.run();
+    simulation.time().run(1_000);
+    simulation.hosts().forEach(h -> h.storeLink().disconnected(false));
+    simulation.time().run(10_000);
+    return spec;
+  }
+
   @Test
   void ownerThatCannotReachTheStoreIsReplacedAndStartsNothingMore() {
     simulation.taskWorkMillis(id -> 2_000L);
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/FakeExecutor.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/FakeExecutor.java
@@ -32,6 +32,7 @@
 public final class FakeExecutor {
   private static final long MAX_LEASE_MILLIS = 6_000;
   private static final long STOP_MILLIS = 100;
+  private static final int MAX_LISTED_ENDS = 500;
 
   private static final class Task {
     private final TaskId id;
@@ -393,7 +394,9 @@
         running.values().stream()
             .map(t -> new ActiveRun(t.id, t.run, checkpoint(t), percent(t), 0))
             .toList();
-    return new LeaseRenewalResult.Report(uptimeMillis(), bootedAt, runs, List.copyOf(ended));
+    List<EndedRun> oldest = ended.stream().limit(MAX_LISTED_ENDS).toList();
+    return new LeaseRenewalResult.Report(
+        uptimeMillis(), bootedAt, runs, oldest, oldest.size() == MAX_LISTED_ENDS);
   }
 
   private int percent(Task task) {
