Cap sums of resources instead of failing on them

Cause: Resources applied the bound of one amount to sums and products as well, and OwnerState.withinLimit multiplies the resources of a gang's task. The exception ended the term; the next owner met the same job.

Sums and products are now capped at the largest amount. All other callers of plus and times are served as well: admission, reservations, the capacity of services, usage of organisations, and the scheduler of cactusspringd.

--- a/cactusspring-core/src/main/java/io/cactusspring/core/model/Resources.java
+++ b/cactusspring-core/src/main/java/io/cactusspring/core/model/Resources.java
@@ -18,6 +18,7 @@
 public record Resources(long milliProcessors, long memoryMib, int accelerators) {
   public static final Resources NONE = new Resources(0, 0, 0);
   private static final long MAX_AMOUNT = 1L << 40;
+  private static final int MAX_ACCELERATORS = 1 << 20;
 
   /**
    * @throws IllegalArgumentException if an amount is negative or above the supported maximum
@@ -25,14 +26,15 @@
   public Resources {
     checkRange("milliProcessors", milliProcessors, 0, MAX_AMOUNT);
     checkRange("memoryMib", memoryMib, 0, MAX_AMOUNT);
-    checkRange("accelerators", accelerators, 0, 1 << 20);
+    checkRange("accelerators", accelerators, 0, MAX_ACCELERATORS);
   }
 
+  /** Adds an amount; each sum is capped at the supported maximum. */
   public Resources plus(Resources other) {
     return new Resources(
-        milliProcessors + other.milliProcessors,
-        memoryMib + other.memoryMib,
-        accelerators + other.accelerators);
+        Math.min(MAX_AMOUNT, milliProcessors + other.milliProcessors),
+        Math.min(MAX_AMOUNT, memoryMib + other.memoryMib),
+        Math.min(MAX_ACCELERATORS, accelerators + other.accelerators));
   }
 
   /**
@@ -47,8 +49,21 @@
         accelerators - other.accelerators);
   }
 
+  /**
+   * Multiplies by a factor; each product is capped at the supported maximum.
+   *
+   * @throws IllegalArgumentException if the factor is negative
+   */
   public Resources times(int factor) {
-    return new Resources(milliProcessors * factor, memoryMib * factor, accelerators * factor);
+    checkRange("factor", factor, 0, Integer.MAX_VALUE);
+    return new Resources(
+        cappedProduct(milliProcessors, factor, MAX_AMOUNT),
+        cappedProduct(memoryMib, factor, MAX_AMOUNT),
+        (int) cappedProduct(accelerators, factor, MAX_ACCELERATORS));
+  }
+
+  private static long cappedProduct(long amount, int factor, long max) {
+    return factor != 0 && amount > max / factor ? max : amount * factor;
   }
 
   public boolean fitsIn(Resources free) {
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/JobLifecycleTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/JobLifecycleTest.java
@@ -338,6 +338,43 @@
     assertThat(simulation.oracle().startCount()).isEqualTo(20);
   }
 
+  /** Guards against one job ending every owner's term because its amounts can't be added up. */
+  @Test
+  void gangBeyondTheLargestAmountDoesNotStopOtherWork() {
+    submit(job("huge", quick(), hugeGang()));
+    assertOtherWorkIsDone();
+  }
+
+  /** Guards against the same by way of the inbox, where no admission looks at the job. */
+  @Test
+  void gangBeyondTheLargestAmountInTheInboxDoesNotStopOtherWork() {
+    ClusterSimulation.Host cutOff =
+        simulation.hosts().stream().filter(h -> !h.isOwner()).findFirst().orElseThrow();
+    cutOff.cutFromPeers(true);
+    var answer = simulation.submit(cutOff, job("huge", quick(), hugeGang()));
+    simulation.time().run(3_000);
+    assertThat(answer.result()).isInstanceOf(Outcome.Accepted.class);
+    cutOff.cutFromPeers(false);
+    assertOtherWorkIsDone();
+    owner().kill();
+    simulation.time().run(2_000);
+    assertOtherWorkIsDone();
+  }
+
+  private static StepSpec hugeGang() {
+    Resources task = new Resources(1L << 40, 1L << 36, 1 << 20);
+    return StepSpec.builder().tasks(24).gang(true).resources(task).estimateMillis(500).build();
+  }
+
+  private void assertOtherWorkIsDone() {
+    JobSpec other = job("other" + simulation.time().now(), quick(), tasks(2).build());
+    simulation.submit(owner(), other);
+    simulation.time().run(3_000);
+    assertThat(simulation.oracle().isDone(other)).isTrue();
+    assertThat(simulation.logLines().stream().filter(l -> l.contains("INTERNAL_ERROR")).toList())
+        .isEmpty();
+  }
+
   @Test
   void submissionIsRefusedAtOnceWhileTheStoreIsKnownToBeUnreachable() {
     simulation.hosts().forEach(h -> h.storeLink().disconnected(true));
