Release the executor that a suspect had reserved when it starts elsewhere

A task that may crash its executor reserves one while it waits. When it started on another executor, the reserved one stayed closed to other work until the next round, although nothing asked for that any more.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Placement.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Placement.java
@@ -97,7 +97,7 @@
       Optional<LiveExecutor> executor = suspects.choose(task, queue, usable, now);
       if (executor.isPresent()) {
         runs.decide(task, task.lastRun() + 1, executor.get(), now);
-        suspects.started(task);
+        suspects.started(task, now);
         placed++;
       }
     }
@@ -144,7 +144,7 @@
         startGang(members, chosen, now);
         state.reservations.end(step);
         if (suspected) {
-          members.forEach(suspects::started);
+          members.forEach(m -> suspects.started(m, now));
         }
         return;
       }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/SuspectPlacement.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/SuspectPlacement.java
@@ -64,14 +64,15 @@
     }
     if (!state.held.isEmpty()) {
       List<LiveExecutor> released = state.held.stream().filter(e -> !mustBeHeld(e, now)).toList();
-      released.forEach(
-          e -> {
-            state.held.remove(e);
-            state.gainedCapacity(e);
-          });
+      released.forEach(this::release);
     }
   }
 
+  private void release(LiveExecutor executor) {
+    state.held.remove(executor);
+    state.gainedCapacity(executor);
+  }
+
   private boolean mustBeHeld(LiveExecutor executor, long now) {
     return isReserved(executor)
         || executor.runs().stream()
@@ -172,10 +173,15 @@
     return late ? candidates : candidates.stream().filter(e -> hasOnlyProvenRuns(e, now)).toList();
   }
 
-  /** Records that a suspect was placed; its executor is held until the run is proven. */
-  void started(LiveTask task) {
-    waits.remove(task);
+  /**
+   * Records that a suspect was placed; its executor is held until the run is proven. Another one
+   * that was reserved for it is released.
+   */
+  void started(LiveTask task, long now) {
+    Optional<LiveExecutor> reserved =
+        Optional.ofNullable(waits.remove(task)).flatMap(w -> w.reserved);
     task.run().contain();
     state.held.add(task.executor());
+    reserved.filter(e -> !mustBeHeld(e, now)).ifPresent(this::release);
   }
 }
