Start long-running tasks again when a run ends as done

The protocol says that such tasks "must be restarted however they end".

Cause: RunLifecycle completed the task of every run that ended as done; only failed runs looked at longRunning. Such a task now waits again, with the pause that a failed one has. A new owner does the same with a task that an earlier version recorded as done.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveTask.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveTask.java
@@ -148,7 +148,8 @@
     failures = stored.failures();
     checkpoint = stored.checkpoint();
     crashes.restore(stored.crashes(), stored.earlyCrashes(), stored.otherCrashes());
-    if (stored.done()) {
+    // Earlier versions recorded a long-running task as done when a run of it had ended so.
+    if (stored.done() && !step.spec().longRunning()) {
       complete();
     } else {
       step.taskChanged(this, Optional.empty(), Optional.empty(), false);
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/RunLifecycle.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/RunLifecycle.java
@@ -71,7 +71,13 @@
     switch (reason) {
       case DONE -> {
         state.learned.observe(task, executor, run, now);
-        done(task, executor, run, now);
+        executor.quarantine().runSucceeded(run);
+        state.failureRates.runEnded(executor, false, now);
+        if (task.step().spec().longRunning()) {
+          restart(executor, run, task, now);
+        } else {
+          done(task, run, now);
+        }
       }
       case FAILED -> failed(task, executor, run, now);
       case STOPPED, LAPSED, BROKEN, ALONE -> requeueOrGiveUp(executor, run, task, now);
@@ -112,10 +118,8 @@
         .forEach(r -> lost(executor, r, reason, now));
   }
 
-  private void done(LiveTask task, LiveExecutor executor, Run run, long now) {
+  private void done(LiveTask task, Run run, long now) {
     LiveStep step = task.step();
-    executor.quarantine().runSucceeded(run);
-    state.failureRates.runEnded(executor, false, now);
     task.complete();
     if (step.spec().gang()) {
       step.tasks().forEach(m -> completeMember(m, now));
@@ -193,12 +197,19 @@
       finish(step.job(), JobState.FAILED, now);
       return;
     }
-    requeueOrGiveUp(executor, run, task, now);
     if (step.spec().longRunning()) {
-      task.retryAt(now + RESTART_PAUSE_MILLIS);
+      restart(executor, run, task, now);
+    } else {
+      requeueOrGiveUp(executor, run, task, now);
     }
   }
 
+  /** Returns a long-running task, which runs until its job is cancelled, to the waiting state. */
+  private void restart(LiveExecutor executor, Run run, LiveTask task, long now) {
+    requeueOrGiveUp(executor, run, task, now);
+    task.retryAt(now + RESTART_PAUSE_MILLIS);
+  }
+
   /** Takes a failed run as evidence that its executor may be at fault. */
   void noticeFailure(LiveExecutor executor, Run run, long now) {
     int maxFailures = state.failureRates.maxFailures(executor, now);
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/JobSchedulerTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/JobSchedulerTest.java
@@ -4,9 +4,15 @@
 
 import io.cactusspring.core.model.Resources;
 import io.cactusspring.jobs.ledger.JobEntry;
+import io.cactusspring.jobs.ledger.JobProgress;
+import io.cactusspring.jobs.ledger.LedgerCodec;
+import io.cactusspring.jobs.ledger.LedgerSnapshot;
+import io.cactusspring.jobs.ledger.StepProgress;
+import io.cactusspring.jobs.ledger.TaskProgress;
 import io.cactusspring.jobs.model.AdviceSettings;
 import io.cactusspring.jobs.model.ExecutorInfo;
 import io.cactusspring.jobs.model.JobSpec;
+import io.cactusspring.jobs.model.JobState;
 import io.cactusspring.jobs.model.Organisation;
 import io.cactusspring.jobs.model.Queue;
 import io.cactusspring.jobs.model.SiteConfiguration;
@@ -28,6 +34,8 @@
 import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** Tests the rules of the scheduler one by one: each test fails if its rule is removed. */
 final class JobSchedulerTest {
@@ -309,6 +317,41 @@
     assertThat(scheduler.leaseRenewalRequest("x1", true, now + 20).acknowledgedEnd()).isEqualTo(1);
   }
 
+  /** Guards against a long-running task that is taken for completed when a run ends as done. */
+  @ParameterizedTest
+  @EnumSource(EndReason.class)
+  void longRunningTaskStartsAgainHoweverItsRunEnds(EndReason reason) {
+    addExecutor("x1");
+    submit("j1", queue(null), tasks(1).longRunning(true).build());
+    Action.Start first = starts().get(0);
+    confirm(first);
+    changes();
+    end(first, 1, reason);
+    assertThat(changes().jobs().get("j1").state()).isEqualTo(JobState.RUNNING);
+    now += 200;
+    assertThat(starts().stream().map(Action.Start::run).toList())
+        .containsExactly(new RunKey(first.run().task(), 2));
+  }
+
+  /** Guards against a new owner that trusts what an earlier version recorded of such a run. */
+  @Test
+  void longRunningTaskThatIsRecordedAsDoneStartsAgainAfterATakeover() {
+    StepSpec lasting = tasks(2).longRunning(true).build();
+    JobSpec spec = new JobSpec("j1", queue(null), "team", "p", List.of(lasting), 0, 0, 0, now);
+    TaskProgress recorded = new TaskProgress(true, 3, 0, "", 0, "", 0, 0, 0);
+    StepProgress step = new StepProgress(0, 0, false, List.of(recorded, recorded));
+    LedgerSnapshot stored = new LedgerSnapshot();
+    stored.applyLane(0, LedgerCodec.job(spec));
+    stored.applyLane(
+        0,
+        LedgerCodec.progress(
+            "j1", new JobProgress(8, 1, JobState.RUNNING, true, List.of(step), "", "")));
+    ledger.put("j1", stored.job("j1").orElseThrow());
+    takeOver();
+    addExecutor("x1");
+    assertThat(starts().stream().map(s -> s.run().number()).toList()).containsExactly(4, 4);
+  }
+
   @Test
   void executorWithoutATicketGetsNoTasks() {
     addExecutor("x1");
