Limit an unexpected error to the job or executor that it concerns

An error during the adoption of the ledger was worse: the term neither began nor ended, and its heartbeats kept other hosts from claiming. An error while a record of a topic was applied skipped the records after it.

Cause: the owner answered every error by a step-down, which helps against a state that is wrong, not against a record that the next owner reads too.

ErrorContainment runs the work on one job or executor. What causes an error is set aside for the rest of the term, and logged with its id and the trace (JOB_SET_ASIDE, EXECUTOR_SET_ASIDE): decided starts are withdrawn, runs go on, ends count, and the leases of an executor lapse, so that its tasks run elsewhere. Reports are applied row by row, so that a job whose end fails does not take its executors along. An error that concerns neither still ends the term. Followers skip and log a record that cannot be applied. A term that cannot begin ends.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerController.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerController.java
@@ -25,8 +25,6 @@
 import io.cactusspring.jobs.schedule.JobScheduler.ReceivedEnds;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
-import java.io.PrintWriter;
-import java.io.StringWriter;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -296,9 +294,14 @@
     timers.after(TICK_MILLIS, this::tick);
   }
 
+  /** Runs a part of the owner's work on one executor, which an unexpected error excludes. */
+  private void guarded(String executor, Runnable part) {
+    scheduler.guardExecutor(executor, timers.nowMillis(), part);
+  }
+
   /**
-   * Runs a part of the owner's work. Steps down after an unexpected error, so that another host
-   * claims ownership.
+   * Runs a part of the owner's work that concerns more than one job or executor. Steps down after
+   * an unexpected error, so that another host claims ownership.
    */
   private void guarded(Runnable part) {
     if (!active) {
@@ -307,9 +310,7 @@
     try {
       part.run();
     } catch (RuntimeException e) {
-      StringWriter trace = new StringWriter();
-      e.printStackTrace(new PrintWriter(trace));
-      log.event(JobEvent.INTERNAL_ERROR, "term", term(), "trace", trace);
+      log.event(JobEvent.INTERNAL_ERROR, "term", term(), "trace", JobLog.trace(e));
       stepDown("internal error");
     }
   }
@@ -348,13 +349,24 @@
     switch (action) {
       case Action.Start start -> pendingStarts.add(start);
       case Action.Stop stop ->
-          executors
-              .stop(stop.target(), stop.run().task(), stop.run().number(), term())
-              .onSuccess(a -> guarded(() -> stopAnswered(stop, a)));
+          guarded(
+              stop.executor(),
+              () ->
+                  executors
+                      .stop(stop.target(), stop.run().task(), stop.run().number(), term())
+                      .onSuccess(a -> guarded(() -> stopAnswered(stop, a))));
       case Action.Pace pace ->
-          executors
-              .pace(pace.target(), pace.run().task(), pace.run().number(), pace.percent(), term())
-              .onSuccess(this::checkFence);
+          guarded(
+              pace.executor(),
+              () ->
+                  executors
+                      .pace(
+                          pace.target(),
+                          pace.run().task(),
+                          pace.run().number(),
+                          pace.percent(),
+                          term())
+                      .onSuccess(this::checkFence));
       case Action.RequestAdvice request -> requestAdvice(request);
     }
   }
@@ -523,13 +535,16 @@
       refreshAnnouncements.run();
       return;
     }
-    scheduler
-        .startRequest(start.executor(), start.run(), now)
-        .ifPresent(
-            request ->
-                executors
-                    .start(scheduler.target(start.executor()), request)
-                    .onSuccess(result -> guarded(() -> startAnswered(start, result))));
+    guarded(
+        start.executor(),
+        () ->
+            scheduler
+                .startRequest(start.executor(), start.run(), now)
+                .ifPresent(
+                    request ->
+                        executors
+                            .start(scheduler.target(start.executor()), request)
+                            .onSuccess(result -> guarded(() -> startAnswered(start, result)))));
   }
 
   private void confirmRecords(long now) {
@@ -555,7 +570,7 @@
   }
 
   private void renewLeases(long now) {
-    scheduler.executorsToRenew(now).forEach(id -> sendLeaseRenewal(id, now));
+    scheduler.executorsToRenew(now).forEach(id -> guarded(id, () -> sendLeaseRenewal(id, now)));
   }
 
   private void sendLeaseRenewal(String id, long now) {
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerTerm.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerTerm.java
@@ -1,5 +1,6 @@
 package io.cactusspring.jobs.control;
 
+import io.cactusspring.jobs.ledger.JobEntry;
 import io.cactusspring.jobs.ledger.LedgerSnapshot;
 import io.cactusspring.jobs.ledger.OwnerRecord;
 import io.cactusspring.jobs.link.PeerMessage.OwnerPhase;
@@ -223,14 +224,46 @@
     if (!loaded || ended || controller.isPresent()) {
       return;
     }
+    try {
+      begin();
+    } catch (RuntimeException e) {
+      log.event(JobEvent.INTERNAL_ERROR, "term", claim.term(), "trace", JobLog.trace(e));
+      superseded("internal error");
+    }
+  }
+
+  /** Restores the jobs that can be read; a record that cannot is logged and left out. */
+  private List<JobEntry> restore(OwnedJobs jobs, long now) {
+    List<JobEntry> restored = new ArrayList<>();
+    for (JobEntry entry : snapshot.jobs()) {
+      try {
+        jobs.restore(entry, now);
+        restored.add(entry);
+      } catch (RuntimeException e) {
+        log.event(
+            JobEvent.RECORD_UNREADABLE,
+            "topic",
+            "ledger",
+            "key",
+            entry.id(),
+            "offset",
+            -1,
+            "reason",
+            JobLog.trace(e));
+      }
+    }
+    return restored;
+  }
+
+  private void begin() {
     long now = timers.nowMillis();
     OwnedJobs jobs = new OwnedJobs(lanes, inbox);
-    snapshot.jobs().forEach(e -> jobs.restore(e, now));
+    List<JobEntry> restored = restore(jobs, now);
     JobScheduler scheduler =
         new JobScheduler(
             settings.scheduler(),
             claim.term(),
-            snapshot.jobs(),
+            restored,
             jobs::spec,
             new DecisionLog(),
             earlierLeasesLapseAt,
@@ -422,6 +455,11 @@
           timers.nowMillis() - lastStoredSentAt());
     }
 
+    @Override
+    public void errorContained(Kind kind, String job, String executor, RuntimeException problem) {
+      decisionMade(kind, job, executor, JobLog.trace(problem));
+    }
+
     @Override
     public void jobEnded(EndedJob job) {
       log.jobEnded(job, claim.term());
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/TopicFollower.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/TopicFollower.java
@@ -257,10 +257,28 @@
         .filter(e -> e.offset() >= applied)
         // The pages of a load are no snapshot: an older record of the key may follow.
         .filter(e -> e.offset() > appendedDuringLoad.getOrDefault(e.key(), -1L))
-        .forEach(sink::apply);
+        .forEach(this::deliver);
     return !batch.entries().isEmpty();
   }
 
+  /** Passes a record on; one that cannot be applied does not keep the others from being read. */
+  private void deliver(Entry entry) {
+    try {
+      sink.apply(entry);
+    } catch (RuntimeException e) {
+      log.event(
+          JobEvent.RECORD_UNREADABLE,
+          "topic",
+          name,
+          "key",
+          entry.key(),
+          "offset",
+          entry.offset(),
+          "reason",
+          JobLog.trace(e));
+    }
+  }
+
   private boolean finishLoad(PageLoader.Loaded page) {
     next = page.end();
     reachedEnd = true;
@@ -269,7 +287,7 @@
         page.entries().stream()
             .filter(e -> e.offset() >= page.end())
             .collect(Collectors.toMap(Entry::key, Entry::offset, Math::max));
-    page.entries().stream().sorted(Comparator.comparingLong(Entry::offset)).forEach(sink::apply);
+    page.entries().stream().sorted(Comparator.comparingLong(Entry::offset)).forEach(this::deliver);
     sink.loaded(page.entries().stream().map(Entry::key).collect(Collectors.toSet()));
     return true;
   }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/ledger/LedgerCodec.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/ledger/LedgerCodec.java
@@ -142,7 +142,8 @@
       Entry entry, R empty, RecordDecoder<R, T> decoder) {
     try {
       return Optional.of(decoder.decode(ThriftCodec.read(entry.value(), empty)));
-    } catch (TException | IllegalArgumentException e) {
+    } catch (TException | RuntimeException e) {
+      // A record that lacks a field, or holds an unknown value, fails in its mapper.
       System.getLogger(LedgerCodec.class.getName())
           .log(
               System.Logger.Level.WARNING,
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/ledger/StoredProgress.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/ledger/StoredProgress.java
@@ -35,7 +35,7 @@
     }
     try {
       return ProgressRecordMapper.decodeSteps(steps);
-    } catch (TException e) {
+    } catch (TException | RuntimeException e) {
       System.getLogger(StoredProgress.class.getName())
           .log(
               System.Logger.Level.WARNING,
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/log/JobLog.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/log/JobLog.java
@@ -6,6 +6,7 @@
 import io.cactusspring.jobs.schedule.StageTimes.Stage;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.io.PrintWriter;
 import java.io.StringWriter;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -110,6 +111,13 @@
     };
   }
 
+  /** Returns an unexpected error with its stack trace, for a field. */
+  public static String trace(Throwable problem) {
+    StringWriter trace = new StringWriter();
+    problem.printStackTrace(new PrintWriter(trace));
+    return trace.toString();
+  }
+
   /** Returns the number of lines that were dropped so far. */
   public long dropped() {
     return dropped.get();
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/port/ExecutorClient.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/port/ExecutorClient.java
@@ -5,7 +5,8 @@
 import java.util.List;
 
 /**
- * Sends requests to executors. The futures never fail: an error is reported as a result.
+ * Sends requests to executors. The futures never fail: an error is reported as a result, as is a
+ * request that cannot be sent because the id or the address of the executor is invalid.
  *
  * @since 0.2
  */
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/DecisionListener.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/DecisionListener.java
@@ -25,12 +25,14 @@
     JOB_CANCELLED,
     JOB_REJECTED,
     JOB_DEFERRED,
+    JOB_SET_ASIDE,
     ADVICE,
     EXECUTOR_REBOOTED,
     EXECUTOR_SILENT,
     EXECUTOR_ANSWERS,
     EXECUTOR_QUARANTINED,
     EXECUTOR_CRASHED,
+    EXECUTOR_SET_ASIDE,
     REPORT_TRUNCATED,
     TASK_SUSPECTED,
     CRASH_TAKEN_BACK,
@@ -47,6 +49,11 @@
    */
   void decisionMade(Kind kind, String job, String subject, String reason);
 
+  /** Called when a job or an executor is set aside because of an unexpected error. */
+  default void errorContained(Kind kind, String job, String executor, RuntimeException problem) {
+    decisionMade(kind, job, executor, problem.toString());
+  }
+
   /** Called when a job that is neither scheduled nor long-running has ended. */
   default void jobEnded(EndedJob job) {}
 }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
@@ -54,6 +54,7 @@
 
   private final OwnerState state;
   private final RunLifecycle runs;
+  private final ErrorContainment containment;
   private final ReportReconciler reports;
   private final StartAnswerHandler startAnswers;
   private final AdvicePlanner advice;
@@ -141,6 +142,7 @@
     this.earlierLeasesLapseAt = earlierLeasesLapseAt;
     state = new OwnerState(settings, term, specs, decisionListener);
     runs = new RunLifecycle(state);
+    containment = new ErrorContainment(state, runs);
     reports = new ReportReconciler(state, runs);
     startAnswers = new StartAnswerHandler(state, runs);
     advice = new AdvicePlanner(state);
@@ -150,7 +152,9 @@
     moves = new RunMoves(state, runs, now);
     throttle = new Throttle(state);
     admission = new AdmissionPolicy(state);
-    entries.stream().filter(e -> e.spec().isPresent()).forEach(e -> adopt(e, wallMillis, now));
+    entries.stream()
+        .filter(e -> e.spec().isPresent())
+        .forEach(e -> containment.guardJob(e.id(), now, () -> adopt(e, wallMillis, now)));
   }
 
   public long term() {
@@ -220,6 +224,10 @@
 
   /** Records an executor's announcement. */
   public void executorListed(ExecutorInfo info, long now) {
+    containment.guardExecutor(info.id(), now, () -> applyAnnouncement(info, now));
+  }
+
+  private void applyAnnouncement(ExecutorInfo info, long now) {
     LiveExecutor executor = state.executor(info.id());
     boolean changed = !executor.listed() || !info.equals(executor.info());
     // Whether the earlier boot was draining is known until the announcement is applied.
@@ -331,9 +339,12 @@
 
   /** Adds an accepted job; does nothing if it is known or final already. */
   public void submitted(JobEntry entry, long wallMillis, long now) {
-    if (state.jobs.containsKey(entry.id()) || entry.state().isFinal()) {
-      return;
+    if (!state.jobs.containsKey(entry.id()) && !entry.state().isFinal()) {
+      containment.guardJob(entry.id(), now, () -> add(entry, wallMillis, now));
     }
+  }
+
+  private void add(JobEntry entry, long wallMillis, long now) {
     LiveJob job = new LiveJob(entry, state.waitingSteps, wallMillis, now);
     state.addJob(job);
     schedule(job, wallMillis, now);
@@ -365,7 +376,7 @@
     while (!dueOccurrences.isEmpty() && dueOccurrences.peek().wallMillis <= wallMillis) {
       LiveJob job = dueOccurrences.remove().job;
       if (!job.isFinal()) {
-        schedule(job, wallMillis, now);
+        containment.guardJob(job.id(), now, () -> schedule(job, wallMillis, now));
       }
     }
     monitor.check(now);
@@ -458,10 +469,11 @@
   }
 
   private static boolean needsLeaseRenewal(LiveExecutor executor) {
-    return !executor.hasReported()
-        || !executor.runs().isEmpty()
-        || executor.hasEndsToAcknowledge()
-        || executor.isSilent();
+    return !executor.isSetAside()
+        && (!executor.hasReported()
+            || !executor.runs().isEmpty()
+            || executor.hasEndsToAcknowledge()
+            || executor.isSilent());
   }
 
   /**
@@ -518,9 +530,18 @@
   public void leaseRenewalAnswered(
       String id, LeaseRenewalRequest request, long sentAt, LeaseRenewalResult result, long now) {
     LiveExecutor executor = state.executors.get(id);
-    if (executor == null) {
-      return;
+    if (executor != null) {
+      containment.guardExecutor(
+          id, now, () -> applyRenewalResult(executor, request, sentAt, result, now));
     }
+  }
+
+  private void applyRenewalResult(
+      LiveExecutor executor,
+      LeaseRenewalRequest request,
+      long sentAt,
+      LeaseRenewalResult result,
+      long now) {
     boolean reported = result instanceof LeaseRenewalResult.Report;
     executor.renewalAnswered(reported ? now : now + FAILED_RENEWAL_PAUSE_MILLIS);
     state.touch(executor);
@@ -597,13 +618,22 @@
     return needed ? task.step().tickets().valid(executor, now) : Optional.of("");
   }
 
+  /**
+   * Runs work that concerns one executor. If it fails unexpectedly, the executor gets no more
+   * starts in this term.
+   */
+  public void guardExecutor(String id, long now, Runnable work) {
+    containment.guardExecutor(id, now, work);
+  }
+
   /** Processes the answer to a start. */
   public void startAnswered(String executorId, RunKey key, CommandResult result, long now) {
     LiveExecutor executor = state.executors.get(executorId);
     Run run = executor == null ? null : executor.run(key);
     if (run != null) {
       state.touch(executor);
-      startAnswers.handle(executor, run, result, now);
+      containment.guardJob(
+          key.task().job(), now, () -> startAnswers.handle(executor, run, result, now));
     }
   }
 
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveExecutor.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveExecutor.java
@@ -42,6 +42,7 @@
   private boolean hasReported;
   private boolean reportTruncated;
   private boolean suspect;
+  private boolean setAside;
   private Openness openness = Openness.CLOSED;
   private long gainedAtVersion;
   private boolean renewalInFlight;
@@ -128,6 +129,7 @@
     hasReported = false;
     reportTruncated = false;
     suspect = false;
+    setAside = false;
     silentSince = NEVER;
     quarantine.reset();
   }
@@ -235,6 +237,7 @@
         && isBootAnnounced()
         && silentSince == NEVER
         && !suspect
+        && !setAside
         && zones.admits(id, info.zone(), now);
   }
 
@@ -273,6 +276,16 @@
     gainedAtVersion = version;
   }
 
+  /** Excludes this boot from starts and lease renewals, as if it did not answer any more. */
+  void setAside(long now) {
+    setAside = true;
+    markSilent(now);
+  }
+
+  boolean isSetAside() {
+    return setAside;
+  }
+
   /** Returns whether no lease renewal is in flight and the pause after a failed one is over. */
   boolean mayRenew(long now) {
     return !renewalInFlight && now >= renewNotBefore;
@@ -308,7 +321,7 @@
   void answered(long clock, long now) {
     clockMillis = clock;
     clockAt = now;
-    silentSince = NEVER;
+    silentSince = setAside ? silentSince : NEVER;
   }
 
   /**
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveJob.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveJob.java
@@ -31,6 +31,7 @@
   private boolean started;
   private boolean surplus;
   private boolean deferralLogged;
+  private boolean setAside;
   private int nextOccurrence;
 
   LiveJob(JobEntry entry, WaitingSteps waitingSteps, long wallMillis, long now) {
@@ -123,6 +124,17 @@
     return first;
   }
 
+  /** Excludes the waiting tasks from placement for the rest of the term. */
+  void setAside() {
+    setAside = true;
+    steps().forEach(waitingSteps::update);
+  }
+
+  /** Returns whether the waiting tasks are excluded from placement. */
+  boolean isSetAside() {
+    return setAside;
+  }
+
   void finish(JobState end) {
     state = end;
     steps().forEach(waitingSteps::update);
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Placement.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Placement.java
@@ -20,6 +20,7 @@
   private final AdvicePlanner advice;
   private final StepOrder order;
   private final SuspectPlacement suspects;
+  private final ErrorContainment containment;
 
   Placement(OwnerState state, RunLifecycle runs, AdvicePlanner advice, StepOrder order) {
     this.state = state;
@@ -27,6 +28,7 @@
     this.advice = advice;
     this.order = order;
     suspects = new SuspectPlacement(state);
+    containment = new ErrorContainment(state, runs);
   }
 
   /** Places the waiting tasks for which an executor is free. */
@@ -40,7 +42,12 @@
     advice.startRound();
     state.reservations.beginRound();
     Preemption preemption = new Preemption(state, runs);
-    order.sorted(waiting, now).forEach(s -> placeStep(s, slots, preemption, now));
+    order
+        .sorted(waiting, now)
+        .forEach(
+            s ->
+                containment.guardJob(
+                    s.job().id(), now, () -> placeStep(s, slots, preemption, now)));
     state.reservations.endRound();
   }
 
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ReportReconciler.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ReportReconciler.java
@@ -14,10 +14,12 @@
 final class ReportReconciler {
   private final OwnerState state;
   private final RunLifecycle runs;
+  private final ErrorContainment containment;
 
   ReportReconciler(OwnerState state, RunLifecycle runs) {
     this.state = state;
     this.runs = runs;
+    containment = new ErrorContainment(state, runs);
   }
 
   /**
@@ -41,9 +43,13 @@
     report.ended().stream()
         .sorted(Comparator.comparingLong(EndedRun::number))
         .filter(end -> end.number() > executor.lastReceivedEnd())
-        .forEach(end -> readEnd(executor, end, now));
+        .forEach(
+            end -> containment.guardJob(end.task().job(), now, () -> readEnd(executor, end, now)));
     Set<RunKey> listed = new HashSet<>();
-    report.running().forEach(r -> listed.add(readRunning(executor, r, now)));
+    for (ActiveRun run : report.running()) {
+      listed.add(new RunKey(run.task(), run.run()));
+      containment.guardJob(run.task().job(), now, () -> readRunning(executor, run, now));
+    }
     List<Run> missing =
         executor.runs().stream()
             .filter(r -> !listed.contains(r.key()))
@@ -53,7 +59,12 @@
       // The ends of these runs may follow once the listed ones are acknowledged.
       noticeTruncation(executor, report, missing);
     } else {
-      missing.forEach(r -> runs.lost(executor, r, "not listed any more", now));
+      missing.forEach(
+          r ->
+              containment.guardJob(
+                  r.key().task().job(),
+                  now,
+                  () -> runs.lost(executor, r, "not listed any more", now)));
     }
     executor.reported(report.truncated());
   }
@@ -118,12 +129,12 @@
     }
   }
 
-  private RunKey readRunning(LiveExecutor executor, ActiveRun listed, long now) {
+  private void readRunning(LiveExecutor executor, ActiveRun listed, long now) {
     RunKey key = new RunKey(listed.task(), listed.run());
     Run run = executor.run(key);
     if (run == null) {
       runs.stopOrphan(executor, key, now);
-      return key;
+      return;
     }
     if (run.phase() == Run.Phase.IN_DOUBT || run.phase() == Run.Phase.STARTING) {
       run.enter(Run.Phase.RUNNING, now);
@@ -136,6 +147,5 @@
     if (task != null && task.run() == run) {
       task.checkpoint(listed.checkpoint());
     }
-    return key;
   }
 }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/RunMonitor.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/RunMonitor.java
@@ -17,16 +17,18 @@
 
   private final OwnerState state;
   private final RunLifecycle runs;
+  private final ErrorContainment containment;
 
   RunMonitor(OwnerState state, RunLifecycle runs) {
     this.state = state;
     this.runs = runs;
+    containment = new ErrorContainment(state, runs);
   }
 
   /** Checks the executors that have changed or have runs that wait for something. */
   void check(long now) {
     for (LiveExecutor executor : List.copyOf(state.attention)) {
-      check(executor, now);
+      containment.guardExecutor(executor.id(), now, () -> check(executor, now));
       if (executor.takesTasksAgain(now)) {
         state.gainedCapacity(executor);
       }
@@ -61,7 +63,7 @@
       runs.loseAll(executor, "its lease has lapsed", now);
     }
     for (Run run : List.copyOf(executor.runs())) {
-      check(executor, run, now);
+      containment.guardJob(run.key().task().job(), now, () -> check(executor, run, now));
     }
   }
 
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/WaitingSteps.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/WaitingSteps.java
@@ -10,7 +10,8 @@
 
   /** Adds or removes a step after it has changed. */
   void update(LiveStep step) {
-    if (step.isReady() && step.hasWaiting() && !step.job().isFinal()) {
+    LiveJob job = step.job();
+    if (step.isReady() && step.hasWaiting() && !job.isFinal() && !job.isSetAside()) {
       steps.add(step);
     } else {
       steps.remove(step);
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/JobLifecycleTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/JobLifecycleTest.java
@@ -3,6 +3,9 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import io.cactusspring.core.model.Resources;
+import io.cactusspring.jobs.ledger.JobProgress;
+import io.cactusspring.jobs.ledger.LedgerCodec;
+import io.cactusspring.jobs.ledger.StepProgress;
 import io.cactusspring.jobs.model.JobSpec;
 import io.cactusspring.jobs.model.JobState;
 import io.cactusspring.jobs.model.Queue;
@@ -10,10 +13,12 @@
 import io.cactusspring.jobs.model.TaskId;
 import io.cactusspring.jobs.port.ExecutorClient.EndReason;
 import io.cactusspring.jobs.port.KeyedTopic;
+import io.cactusspring.jobs.port.StoreException;
 import io.cactusspring.jobs.simulation.ClusterSimulation;
 import io.cactusspring.jobs.simulation.FakeExecutor;
 import io.cactusspring.jobs.simulation.FakeLog;
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -361,6 +366,68 @@
     assertOtherWorkIsDone();
   }
 
+  /** Guards against an executor that cannot be called ending every owner's term. */
+  @Test
+  void executorWhoseCallsCannotBeSentDoesNotStopOtherWork() {
+    FakeExecutor odd = simulation.addExecutor("odd", EXECUTOR_CAPACITY);
+    odd.uncallable(true);
+    simulation.time().run(1_000);
+    assertOtherWorkIsDone();
+    assertThat(simulation.logLines().stream().filter(l -> l.contains("EXECUTOR_SET_ASIDE")).count())
+        .isEqualTo(1);
+  }
+
+  /** Guards against tasks that wait for ever on an executor that cannot be called any more. */
+  @Test
+  void tasksOfAnExecutorThatIsSetAsideRunElsewhereOnceTheLeaseHasLapsed() {
+    JobSpec spec = job("j1", quick(), tasks(1).longRunning(true).build());
+    submit(spec);
+    FakeExecutor odd = executorRunning(spec);
+    odd.uncallable(true);
+    simulation.time().run(9_000);
+    assertThat(executorRunning(spec)).isNotEqualTo(odd);
+    assertThat(simulation.oracle().violations()).isEmpty();
+  }
+
+  /** Guards against a record of the ledger that no owner can restore, so that none begins. */
+  @Test
+  void ledgerRecordThatContradictsItsJobDoesNotStopOtherWork() throws StoreException {
+    JobSpec spec = job("odd", quick(), tasks(1).build());
+    StepProgress unknownStep = new StepProgress(0, 9, true, List.of());
+    simulation
+        .lanes()
+        .get(0)
+        .append(
+            List.of(
+                LedgerCodec.job(spec),
+                LedgerCodec.progress(
+                    "odd",
+                    new JobProgress(1, 1, JobState.RUNNING, true, List.of(unknownStep), "", ""))),
+            Optional.empty());
+    owner().kill();
+    simulation.time().run(3_000);
+    assertOtherWorkIsDone();
+    assertThat(simulation.logLines().stream().filter(l -> l.contains("JOB_SET_ASIDE")).count())
+        .isEqualTo(1);
+  }
+
+  /** Guards against records of the inbox that stop the owner, or a new one that loads them. */
+  @Test
+  void inboxRecordsThatCannotBeReadDoNotStopOtherWork() throws StoreException {
+    for (FakeLog partition : simulation.inbox()) {
+      partition.append(
+          List.of(
+              new KeyedTopic.Entry("job/empty", new byte[] {0}, 0),
+              new KeyedTopic.Entry("job/garbage", new byte[] {25, 127, 3, -1}, 0)),
+          Optional.empty());
+    }
+    simulation.time().run(500);
+    assertOtherWorkIsDone();
+    owner().kill();
+    simulation.time().run(3_000);
+    assertOtherWorkIsDone();
+  }
+
   private static StepSpec hugeGang() {
     Resources task = new Resources(1L << 40, 1L << 36, 1 << 20);
     return StepSpec.builder().tasks(24).gang(true).resources(task).estimateMillis(500).build();
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/TopicFollowerTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/TopicFollowerTest.java
@@ -61,11 +61,42 @@
           @Override
           public void loaded(Set<String> keys) {}
         };
+    follow(sink);
+    assertThat(applied).containsExactly("a8", "b11", "a12").inOrder();
+  }
+
+  /**
+   * Guards against a record that cannot be applied keeping the records after it from being read.
+   */
+  @Test
+  void recordThatCannotBeAppliedIsLoggedAndThoseAfterItAreRead() {
+    List<String> applied = new ArrayList<>();
+    TopicSink sink =
+        new TopicSink() {
+          @Override
+          public void apply(Entry entry) {
+            if (entry.key().equals("a")) {
+              throw new IllegalStateException("odd record");
+            }
+            applied.add(entry.key() + entry.offset());
+          }
+
+          @Override
+          public void loaded(Set<String> keys) {}
+        };
+    List<String> logged = follow(sink);
+    assertThat(applied).containsExactly("b11");
+    assertThat(logged.stream().filter(l -> l.contains("RECORD_UNREADABLE")).count()).isEqualTo(2);
+    assertThat(logged.get(0)).contains("odd record");
+  }
+
+  /** Follows the growing topic for a second and returns the lines that were logged. */
+  private static List<String> follow(TopicSink sink) {
     VirtualTime time = new VirtualTime();
-    new TopicFollower(
-            "topic", new GrowingTopic(), sink, time.timers(), new TestLog().log(), 10, () -> 500)
+    TestLog log = new TestLog();
+    new TopicFollower("topic", new GrowingTopic(), sink, time.timers(), log.log(), 10, () -> 500)
         .start();
     time.run(1_000);
-    assertThat(applied).containsExactly("a8", "b11", "a12").inOrder();
+    return log.lines();
   }
 }
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/JobSchedulerTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/JobSchedulerTest.java
@@ -26,6 +26,8 @@
 import io.cactusspring.jobs.port.ExecutorClient.LeaseRenewalResult;
 import io.cactusspring.jobs.port.ExecutorClient.Refusal;
 import io.cactusspring.jobs.port.ExecutorClient.StartRequest;
+import io.cactusspring.jobs.schedule.DecisionListener.Kind;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -45,6 +47,7 @@
   private static final int MAX_CHANGES = 100;
 
   private final Map<String, JobEntry> ledger = new LinkedHashMap<>();
+  private DecisionListener listener = (kind, job, subject, reason) -> {};
   private JobScheduler scheduler;
   private long now = 10_000;
 
@@ -56,7 +59,7 @@
             9,
             ledger.values(),
             id -> Optional.ofNullable(ledger.get(id)).flatMap(JobEntry::spec),
-            (kind, job, subject, reason) -> {},
+            (kind, job, subject, reason) -> listener.decisionMade(kind, job, subject, reason),
             now,
             now);
     scheduler.configure(configuration(new Resources(0, 0, 0)));
@@ -317,6 +320,55 @@
     assertThat(scheduler.leaseRenewalRequest("x1", true, now + 20).acknowledgedEnd()).isEqualTo(1);
   }
 
+  /** Guards against a job whose placement fails ending every owner's term. */
+  @Test
+  void jobThatCannotBePlacedIsSetAsideAndOthersStart() {
+    addExecutor("x1");
+    List<String> setAside = failOn(Kind.RUN_DECIDED, "odd");
+    submit("odd", queue(null), tasks(2).build());
+    submit("j1", queue(null), tasks(4).build());
+    List<StartRequest> sent =
+        starts().stream()
+            .flatMap(s -> scheduler.startRequest(s.executor(), s.run(), now).stream())
+            .toList();
+    assertThat(sent.stream().map(s -> s.task().job()).toList())
+        .containsExactly("j1", "j1", "j1", "j1");
+    assertThat(starts()).isEmpty();
+    assertThat(setAside).containsExactly("JOB_SET_ASIDE odd");
+  }
+
+  /** Guards against a job whose end fails taking its executor out of use. */
+  @Test
+  void jobWhoseEndCannotBeAppliedIsSetAsideAndItsExecutorGoesOn() {
+    addExecutor("x1");
+    List<String> setAside = failOn(Kind.RUN_ENDED, "odd");
+    submit("odd", queue(null), tasks(1).build());
+    Action.Start odd = starts().get(0);
+    confirm(odd);
+    submit("j1", queue(null), tasks(3).build());
+    List<Action.Start> others = starts();
+    others.forEach(this::confirm);
+    end(odd, 1, EndReason.DONE, others.toArray(Action.Start[]::new));
+    submit("j2", queue(null), tasks(1).build());
+    assertThat(starts()).hasSize(1);
+    assertThat(setAside).containsExactly("JOB_SET_ASIDE odd");
+  }
+
+  /** Lets the scheduler fail at a decision on a job; returns what it sets aside. */
+  private List<String> failOn(Kind failing, String failingJob) {
+    List<String> setAside = new ArrayList<>();
+    listener =
+        (kind, job, subject, reason) -> {
+          if (kind == failing && job.equals(failingJob)) {
+            throw new IllegalStateException("unexpected");
+          }
+          if (kind == Kind.JOB_SET_ASIDE || kind == Kind.EXECUTOR_SET_ASIDE) {
+            setAside.add(kind + " " + job + subject);
+          }
+        };
+    return setAside;
+  }
+
   /** Guards against a long-running task that is taken for completed when a run ends as done. */
   @ParameterizedTest
   @EnumSource(EndReason.class)
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/ClusterSimulation.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/ClusterSimulation.java
@@ -590,6 +590,7 @@
     private Future<CommandResult> sendCommand(
         Function<FakeExecutor, Future<CommandResult>> command, Target target) {
       FakeExecutor executor = executors.get(target.id());
+      executor.checkCallable();
       BooleanSupplier lost = lostInCrash(executor);
       return host.executorLink.call(
           () -> {
@@ -639,6 +640,7 @@
     @Override
     public Future<LeaseRenewalResult> renewLeases(Target executor, LeaseRenewalRequest request) {
       FakeExecutor target = executors.get(executor.id());
+      target.checkCallable();
       BooleanSupplier lost = lostInCrash(target);
       Future<LeaseRenewalResult> noAnswer =
           Future.succeededFuture(new LeaseRenewalResult.Unknown("no answer"));
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/FakeExecutor.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/FakeExecutor.java
@@ -83,6 +83,7 @@
   private boolean stallNewTasks;
   private boolean failsTasks;
   private boolean silent;
+  private boolean uncallable;
   private int slowdownFactor = 1;
   private Set<String> labels = Set.of("a");
 
@@ -165,6 +166,17 @@
     return silent;
   }
 
+  /** Sets whether a call of the executor fails with an exception before it is sent. */
+  public void uncallable(boolean value) {
+    uncallable = value;
+  }
+
+  void checkCallable() {
+    if (uncallable) {
+      throw new IllegalStateException("the call of " + id + " cannot be sent");
+    }
+  }
+
   /** Sets the factor by which tasks that start from now on run longer. */
   public void slowdownFactor(int factor) {
     slowdownFactor = factor;
