Keep jobs and appends within what the store takes

Cause: the owner did not know the store's limits, and takes a refusal for a busy store. It now reads them from the settings. Tasks that have begun may always run again, so that the bound cannot block a job.

jobOfThousandsOfTasksRunsWithoutStoppingOtherWork, submissionThatTheStoreCannotHoldIsRejectedAtOnce, largeSubmissionsAtOnceAreAllStored and batchThatOneAppendCannotHoldIsAppendedInParts.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/JobService.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/JobService.java
@@ -130,6 +130,13 @@
    * @param budgetMillis how long the caller waits for the response
    */
   public Future<Outcome> submit(JobSpec spec, long budgetMillis) {
+    int bytes = LedgerCodec.job(spec).bytes();
+    if (bytes > settings.store().recordBytes()) {
+      // An owner that took the job would repeat the append for ever.
+      String reason =
+          "the job takes " + bytes + " bytes; expected at most " + settings.store().recordBytes();
+      return logAndReturn(JobEvent.SUBMISSION, spec.id(), new Outcome.TooLarge(reason));
+    }
     long deadline = deadline(budgetMillis);
     openSubmissions.begin(spec.id());
     // An exception of the first step fails the future as well, so that the submission ends.
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/LaneWriter.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/LaneWriter.java
@@ -39,6 +39,7 @@
 
   private final List<Lane> lanes = new ArrayList<>();
   private final long term;
+  private final int requestBytes;
   private final Timers timers;
   private final JobLog log;
   private final BooleanSupplier active;
@@ -48,16 +49,19 @@
 
   /**
    * @param firstSequence sequence number of the first append to each lane
+   * @param requestBytes most that the records of one append hold together
    * @param active whether appends are to be retried
    */
   LaneWriter(
       List<KeyedTopic> topics,
       long term,
       long firstSequence,
+      int requestBytes,
       Timers timers,
       JobLog log,
       BooleanSupplier active) {
     this.term = term;
+    this.requestBytes = requestBytes;
     this.timers = timers;
     this.log = log;
     this.active = active;
@@ -121,7 +125,8 @@
   }
 
   /**
-   * Appends records to an idle lane, together with deletions that wait for it.
+   * Appends records to an idle lane, together with deletions that wait for it. Records that exceed
+   * what one append may hold are appended one part after the other.
    *
    * @return fails if the term is over
    */
@@ -136,16 +141,38 @@
 
   private Future<Long> append(Lane lane, List<Entry> entries) {
     lane.busy = true;
+    int size = entriesOfOneAppend(entries);
+    List<Entry> rest = entries.subList(size, entries.size());
+    return appendAtOnce(lane, entries.subList(0, size))
+        .compose(
+            sentAt -> {
+              lane.busy = !rest.isEmpty();
+              return rest.isEmpty() ? Future.succeededFuture(sentAt) : append(lane, rest);
+            });
+  }
+
+  /** Returns how many of some records the next append holds, at least one if there is any. */
+  private int entriesOfOneAppend(List<Entry> entries) {
+    int size = 0;
+    long bytes = 0;
+    for (Entry entry : entries) {
+      bytes += entry.bytes();
+      if (bytes > requestBytes && size > 0) {
+        return size;
+      }
+      size++;
+    }
+    return size;
+  }
+
+  private Future<Long> appendAtOnce(Lane lane, List<Entry> entries) {
     lastSentAt = timers.nowMillis();
     long sequence = ++lane.sequence;
     FencedWriter writer = new FencedWriter(term, sequence);
     return new RetryingAppend(lane.topic, timers, responseTimes, entries, writer)
         .run(active)
         .onComplete(
-            sentAt -> {
-              lane.busy = false;
-              lastStoredSentAt = Math.max(lastStoredSentAt, sentAt);
-            },
+            sentAt -> lastStoredSentAt = Math.max(lastStoredSentAt, sentAt),
             problem ->
                 log.event(
                     JobEvent.APPEND_FAILED, "term", term, "sequence", sequence, "reason", problem));
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/Outcome.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/Outcome.java
@@ -19,6 +19,9 @@
   /** The request contradicts an earlier one; it is not stored and never will be. */
   record Conflict(String reason) implements Outcome {}
 
+  /** The store cannot hold the request, which is not stored and never will be. */
+  record TooLarge(String reason) implements Outcome {}
+
   /** The job does not exist. */
   record NoSuchJob() implements Outcome {}
 
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerTerm.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerTerm.java
@@ -106,7 +106,15 @@
     this.earlierLeasesLapseAt = earlierLeasesLapseAt;
     timers = ports.timers();
     claimedAt = timers.nowMillis();
-    lanes = new LaneWriter(ports.lanes(), claim.term(), firstSequence, timers, log, () -> !ended);
+    lanes =
+        new LaneWriter(
+            ports.lanes(),
+            claim.term(),
+            firstSequence,
+            settings.store().requestBytes(),
+            timers,
+            log,
+            () -> !ended);
     inbox = new InboxWriter(ports.inbox(), log);
     heartbeats =
         new HeartbeatWriter(ports.ownership(), claim, end, claimSentAt, timers, this::superseded);
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/port/KeyedTopic.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/port/KeyedTopic.java
@@ -1,6 +1,7 @@
 package io.cactusspring.jobs.port;
 
 import io.vertx.core.Future;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
 
@@ -19,7 +20,15 @@
    * @param offset position of the record in the log
    * @param value null if the record is a tombstone, which deletes the key
    */
-  record Entry(String key, byte[] value, long offset) {}
+  record Entry(String key, byte[] value, long offset) {
+    private static final int LENGTH_BYTES = Integer.BYTES + 1;
+
+    /** Returns how many bytes the record takes in an append, with its lengths. */
+    public int bytes() {
+      int valueBytes = value == null ? 0 : value.length;
+      return LENGTH_BYTES + key.getBytes(StandardCharsets.UTF_8).length + valueBytes;
+    }
+  }
 
   /**
    * Records from an offset on.
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/AdmissionPolicy.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/AdmissionPolicy.java
@@ -106,6 +106,9 @@
     if (!step.gang()) {
       return executors.findAny().isPresent();
     }
+    if (step.tasks() > state.settings.maxBegunTasks()) {
+      return false;
+    }
     int missing = step.tasks();
     for (LiveExecutor executor : (Iterable<LiveExecutor>) executors::iterator) {
       missing -= members(executor, step, missing);
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveJob.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveJob.java
@@ -177,6 +177,11 @@
     return OptionalLong.empty();
   }
 
+  /** Returns how many more tasks may begin beside those that have begun and are not done. */
+  int mayBegin(int maxTasks) {
+    return maxTasks - steps().stream().mapToInt(LiveStep::begunTasks).sum();
+  }
+
   /** Marks the steps as ready of which all preceding steps are done. */
   void markReady(long now) {
     for (List<LiveStep> steps : occurrences.values()) {
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveStep.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveStep.java
@@ -28,6 +28,7 @@
   private final Set<LiveExecutor> failedOn = Collections.newSetFromMap(new IdentityHashMap<>());
   private final Tickets tickets = new Tickets();
   private int doneTasks;
+  private int begunTasks;
   private int crashedRun;
   private boolean begun;
   private boolean ready;
@@ -163,6 +164,19 @@
     return begun;
   }
 
+  /** Returns the number of tasks that have begun and are not done. */
+  int begunTasks() {
+    return begunTasks;
+  }
+
+  void taskBegun() {
+    begunTasks++;
+  }
+
+  void begunTaskDone() {
+    begunTasks--;
+  }
+
   /** Records that a task got a run, is done, or waits again; called by the task. */
   void taskChanged(
       LiveTask task, Optional<LiveExecutor> before, Optional<LiveExecutor> after, boolean done) {
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveTask.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveTask.java
@@ -55,8 +55,9 @@
     return lastRun;
   }
 
-  void raiseRunAbove(int number) {
-    lastRun = Math.max(lastRun, number);
+  /** Returns whether the task was ever given a run. */
+  boolean hasBegun() {
+    return lastRun > 0;
   }
 
   int failures() {
@@ -101,6 +102,9 @@
 
   void assign(Run started, LiveExecutor on) {
     Optional<LiveExecutor> before = Optional.ofNullable(executor);
+    if (!hasBegun()) {
+      step.taskBegun();
+    }
     run = started;
     executor = on;
     lastRun = Math.max(lastRun, started.key().number());
@@ -123,6 +127,9 @@
     }
     Optional<LiveExecutor> before = Optional.ofNullable(executor);
     done = true;
+    if (hasBegun()) {
+      step.begunTaskDone();
+    }
     run = null;
     executor = null;
     step.taskChanged(this, before, Optional.empty(), true);
@@ -145,6 +152,9 @@
 
   void restore(TaskProgress stored) {
     lastRun = stored.run();
+    if (hasBegun()) {
+      step.taskBegun();
+    }
     failures = stored.failures();
     checkpoint = stored.checkpoint();
     crashes.restore(stored.crashes(), stored.earlyCrashes(), stored.otherCrashes());
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Placement.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Placement.java
@@ -60,7 +60,7 @@
       placeGang(step, slots, now);
       return;
     }
-    List<LiveTask> waiting = step.due(now).toList();
+    List<LiveTask> waiting = startable(step, now);
     List<LiveTask> suspected = waiting.stream().filter(SuspectPlacement::isSuspect).toList();
     int placed = suspected.isEmpty() ? 0 : placeSuspects(step, suspected, now);
     if (version > step.triedAtVersion()) {
@@ -86,6 +86,21 @@
     }
   }
 
+  /**
+   * Returns the tasks of a step that are due, without new ones for which the progress record of the
+   * job has no room.
+   */
+  private List<LiveTask> startable(LiveStep step, long now) {
+    int room = step.job().mayBegin(state.settings.maxBegunTasks());
+    List<LiveTask> due = step.due(now).toList();
+    if (due.size() <= room) {
+      return due;
+    }
+    Stream<LiveTask> begun = due.stream().filter(LiveTask::hasBegun);
+    Stream<LiveTask> fresh = due.stream().filter(t -> !t.hasBegun()).limit(Math.max(0, room));
+    return Stream.concat(begun, fresh).toList();
+  }
+
   private static List<LiveTask> unsuspected(List<LiveTask> waiting, List<LiveTask> suspected) {
     return suspected.isEmpty()
         ? waiting
@@ -130,7 +145,9 @@
   /** Places all members of a gang, or none. */
   private void placeGang(LiveStep step, AdviceSlots slots, long now) {
     List<LiveTask> members = step.tasks();
-    if (!members.stream().allMatch(m -> m.isDue(now))) {
+    long fresh = members.stream().filter(m -> !m.hasBegun()).count();
+    if (!members.stream().allMatch(m -> m.isDue(now))
+        || fresh > step.job().mayBegin(state.settings.maxBegunTasks())) {
       return;
     }
     long version = state.version();
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/SchedulerSettings.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/SchedulerSettings.java
@@ -1,5 +1,6 @@
 package io.cactusspring.jobs.schedule;
 
+import io.cactusspring.jobs.port.StoreLimits;
 import java.util.Set;
 
 /**
@@ -15,6 +16,8 @@
  *     the zone; 0 if there is no such bound
  * @param maxZoneAgeMillis age of the last read of the operators' records above which no zone is
  *     known to be in use; 0 if there is no such bound
+ * @param maxBegunTasks number of tasks of one job that may have begun without being done, so that
+ *     the store can hold the record of its progress
  * @param disabled parts of the policy that are switched off
  * @since 0.2
  */
@@ -26,10 +29,17 @@
     long unreachableMillis,
     long evacuateMillis,
     long maxZoneAgeMillis,
+    int maxBegunTasks,
     Set<Mechanism> disabled) {
   /** Lowest assumed rate of an executor's clock, relative to the clock of this host. */
   public static final double MIN_CLOCK_RATE = 0.98;
 
+  /**
+   * What a task that has begun takes in the progress record at most, with the id of its executor
+   * and its checkpoint, and a share for the tasks that are done.
+   */
+  private static final int MAX_TASK_BYTES = 128;
+
   public SchedulerSettings {
     disabled = Set.copyOf(disabled);
   }
@@ -64,6 +74,7 @@
     private long unreachableMillis = 1_200;
     private long evacuateMillis;
     private long maxZoneAgeMillis;
+    private int maxBegunTasks = StoreLimits.DEFAULT.recordBytes() / MAX_TASK_BYTES;
     private Set<Mechanism> disabled = Set.of();
 
     private Builder() {}
@@ -108,6 +119,12 @@
       return this;
     }
 
+    /** Limits the progress record of a job to a number of bytes. */
+    public Builder maxRecordBytes(int value) {
+      maxBegunTasks = Math.max(1, value / MAX_TASK_BYTES);
+      return this;
+    }
+
     /** Switches parts of the policy off. */
     public Builder disabled(Set<Mechanism> value) {
       disabled = value;
@@ -123,6 +140,7 @@
           unreachableMillis,
           evacuateMillis,
           maxZoneAgeMillis > 0 ? Math.min(maxZoneAgeMillis, evacuateMillis) : evacuateMillis / 2,
+          maxBegunTasks,
           disabled);
     }
   }
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/JobLifecycleTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/JobLifecycleTest.java
@@ -14,11 +14,14 @@
 import io.cactusspring.jobs.port.ExecutorClient.EndReason;
 import io.cactusspring.jobs.port.KeyedTopic;
 import io.cactusspring.jobs.port.StoreException;
+import io.cactusspring.jobs.port.StoreLimits;
 import io.cactusspring.jobs.simulation.ClusterSimulation;
 import io.cactusspring.jobs.simulation.FakeExecutor;
 import io.cactusspring.jobs.simulation.FakeLog;
+import io.vertx.core.Future;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -366,6 +369,48 @@
     assertOtherWorkIsDone();
   }
 
+  /** Guards against a job whose progress record outgrows the store's limit, which stops all. */
+  @Test
+  void jobOfThousandsOfTasksRunsWithoutStoppingOtherWork() {
+    simulation.addExecutor("wide", new Resources(1L << 30, 1L << 30, 0));
+    simulation.time().run(1_000);
+    JobSpec spec = job("wide", quick(), tasks(7_500).build());
+    submit(spec);
+    assertOtherWorkIsDone();
+    owner().kill();
+    simulation.time().run(20_000);
+    assertThat(simulation.oracle().isDone(spec)).isTrue();
+    assertThat(simulation.oracle().startCount()).isEqualTo(7_502);
+    assertThat(simulation.oracle().violations()).isEmpty();
+    assertOtherWorkIsDone();
+  }
+
+  /** Guards against a submission that the store refuses, so that nothing is stored after it. */
+  @Test
+  void submissionThatTheStoreCannotHoldIsRejectedAtOnce() {
+    JobSpec large = withPayload("large", StoreLimits.DEFAULT.recordBytes() - 10);
+    var answer = simulation.submit(simulation.hosts().get(0), large);
+    assertThat(answer.result()).isInstanceOf(Outcome.TooLarge.class);
+    assertOtherWorkIsDone();
+  }
+
+  /** Guards against submissions that are small enough each, but not as one append. */
+  @Test
+  void largeSubmissionsAtOnceAreAllStored() {
+    List<Future<Outcome>> answers =
+        IntStream.range(0, 30)
+            .mapToObj(i -> simulation.submit(owner(), withPayload("large" + i, 200_000)))
+            .toList();
+    simulation.time().run(3_000);
+    answers.forEach(a -> assertThat(a.result()).isInstanceOf(Outcome.Accepted.class));
+    assertOtherWorkIsDone();
+  }
+
+  private static JobSpec withPayload(String id, int bytes) {
+    List<StepSpec> steps = List.of(tasks(1).build());
+    return new JobSpec(id, quick(), "team", "x".repeat(bytes), steps, 0, 0, 0, 0);
+  }
+
   /** Guards against an executor that cannot be called ending every owner's term. */
   @Test
   void executorWhoseCallsCannotBeSentDoesNotStopOtherWork() {
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/StoreWritesTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/StoreWritesTest.java
@@ -13,11 +13,13 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 /** Tests writes to a store that is slow or whose responses are lost. */
 final class StoreWritesTest {
   private static final long TIMEOUT_MILLIS = 1_000;
+  private static final int REQUEST_BYTES = 10_000;
 
   private final VirtualTime time = new VirtualTime();
   private final Timers timers = time.timers();
@@ -65,7 +67,28 @@
 
   private LaneWriter lanes(int count) {
     return new LaneWriter(
-        Collections.nCopies(count, topic), 1, 1, timers, new TestLog().log(), () -> true);
+        Collections.nCopies(count, topic),
+        1,
+        1,
+        REQUEST_BYTES,
+        timers,
+        new TestLog().log(),
+        () -> true);
+  }
+
+  /** Guards against a batch that the store refuses for ever because of its size. */
+  @Test
+  void batchThatOneAppendCannotHoldIsAppendedInParts() {
+    LaneWriter lanes = lanes(3);
+    List<KeyedTopic.Entry> batch =
+        IntStream.range(0, 5)
+            .mapToObj(i -> new KeyedTopic.Entry("job/" + i, new byte[REQUEST_BYTES / 2 - 20], 0))
+            .toList();
+    Future<Void> stored = lanes.write(0, batch);
+    time.run(1_000);
+    assertThat(stored.succeeded()).isTrue();
+    assertThat(lanes.isIdle()).isTrue();
+    assertThat(topic.appends).hasSize(3);
   }
 
   /** The store takes 180 ms for each append (Tema trouble-2). */
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/ClusterSimulation.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/ClusterSimulation.java
@@ -26,6 +26,7 @@
 import io.cactusspring.jobs.port.KeyedTopic;
 import io.cactusspring.jobs.port.KeyedTopic.Entry;
 import io.cactusspring.jobs.port.StoreException;
+import io.cactusspring.jobs.port.StoreLimits;
 import io.cactusspring.jobs.port.Timers;
 import io.cactusspring.jobs.schedule.SchedulerSettings;
 import io.vertx.core.Future;
@@ -524,7 +525,13 @@
             FakeNetwork.address(host.name),
             MILLI_PROCESSORS);
     HostSettings settings =
-        new HostSettings(self, schedulerSettings(), new ClaimPolicy(500, 1_500, 40), 4_200, 1_800);
+        new HostSettings(
+            self,
+            schedulerSettings(),
+            new ClaimPolicy(500, 1_500, 40),
+            4_200,
+            1_800,
+            StoreLimits.DEFAULT);
     return new EntryHost(ports, settings, log, new Random(random.nextLong()));
   }
 
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/FakeLog.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/FakeLog.java
@@ -4,6 +4,7 @@
 import io.cactusspring.jobs.port.KeyedTopic.FencedWriter;
 import io.cactusspring.jobs.port.StoreException;
 import io.cactusspring.jobs.port.StoreException.Kind;
+import io.cactusspring.jobs.port.StoreLimits;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -35,6 +36,7 @@
    * @throws StoreException if the writer is fenced or its sequence number is not the next one
    */
   public long append(List<Entry> entries, Optional<FencedWriter> writer) throws StoreException {
+    checkSizes(entries);
     if (writer.isPresent()) {
       Optional<Long> repeated = checkWriter(writer.get());
       if (repeated.isPresent()) {
@@ -58,6 +60,14 @@
     return offset;
   }
 
+  private static void checkSizes(List<Entry> entries) throws StoreException {
+    int largest = entries.stream().mapToInt(Entry::bytes).max().orElse(0);
+    int all = entries.stream().mapToInt(Entry::bytes).sum();
+    if (largest > StoreLimits.DEFAULT.recordBytes() || all > StoreLimits.DEFAULT.requestBytes()) {
+      throw new StoreException(Kind.REFUSED, "append of " + all + " bytes is too large");
+    }
+  }
+
   /**
    * Appends records if the log ends at an offset.
    *
