Add the occurrences of a schedule as earlier ones end

Occurrences are now added while those in progress have no more tasks than the progress record of a job has room for; the others stay due and follow as earlier ones end.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
@@ -353,7 +353,8 @@
 
   /** Adds the occurrences of a job that are due, and schedules the next one. */
   private void schedule(LiveJob job, long wallMillis, long now) {
-    job.addDue(wallMillis, now).ifPresent(due -> dueOccurrences.add(new DueOccurrence(due, job)));
+    job.addDue(wallMillis, state.settings.maxBegunTasks(), now)
+        .ifPresent(due -> dueOccurrences.add(new DueOccurrence(due, job)));
     job.markReady(now);
   }
 
@@ -373,12 +374,7 @@
    * @param wallMillis the time of day, in Unix milliseconds, for scheduled jobs
    */
   public List<Action> decide(AdviceSlots slots, long wallMillis, long now) {
-    while (!dueOccurrences.isEmpty() && dueOccurrences.peek().wallMillis <= wallMillis) {
-      LiveJob job = dueOccurrences.remove().job;
-      if (!job.isFinal()) {
-        containment.guardJob(job.id(), now, () -> schedule(job, wallMillis, now));
-      }
-    }
+    addDueOccurrences(wallMillis, now);
     monitor.check(now);
     state.zones.admitReturning(state.executors.values(), now).forEach(state::gainedCapacity);
     retryAfterUnconfirmedZones(now);
@@ -390,6 +386,22 @@
     return decided;
   }
 
+  private void addDueOccurrences(long wallMillis, long now) {
+    List<DueOccurrence> postponed = new ArrayList<>();
+    while (!dueOccurrences.isEmpty() && dueOccurrences.peek().wallMillis <= wallMillis) {
+      DueOccurrence next = dueOccurrences.remove();
+      if (next.job.isFinal()) {
+        continue;
+      }
+      if (next.job.hasRoomForOccurrence(state.settings.maxBegunTasks())) {
+        containment.guardJob(next.job.id(), now, () -> schedule(next.job, wallMillis, now));
+      } else {
+        postponed.add(next);
+      }
+    }
+    dueOccurrences.addAll(postponed);
+  }
+
   /**
    * Returns changes that have to be stored. Each change is returned once; jobs that are left out
    * are returned by a later call.
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveJob.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveJob.java
@@ -160,14 +160,16 @@
   }
 
   /**
-   * Adds the occurrences of a scheduled job that are due.
+   * Adds the occurrences of a scheduled job that are due, as long as those in progress have few
+   * tasks. The others are added by later calls.
    *
+   * @param maxTasks highest number of tasks of all occurrences in progress, if there are several
    * @return Unix milliseconds at which the next occurrence is due; empty if there is none
    */
-  OptionalLong addDue(long wallMillis, long now) {
+  OptionalLong addDue(long wallMillis, int maxTasks, long now) {
     for (; nextOccurrence < spec.repetitions(); nextOccurrence++) {
       long due = spec.dueMillis(nextOccurrence);
-      if (due > wallMillis) {
+      if (due > wallMillis || !hasRoomForOccurrence(maxTasks)) {
         return OptionalLong.of(due);
       }
       if (!doneOccurrences.contains(nextOccurrence)) {
@@ -177,6 +179,12 @@
     return OptionalLong.empty();
   }
 
+  /** Returns whether one more occurrence may be in progress beside those that are. */
+  boolean hasRoomForOccurrence(int maxTasks) {
+    long tasks = spec.steps().stream().mapToLong(StepSpec::tasks).sum();
+    return occurrences.isEmpty() || (occurrences.size() + 1) * tasks <= maxTasks;
+  }
+
   /** Returns how many more tasks may begin beside those that have begun and are not done. */
   int mayBegin(int maxTasks) {
     return maxTasks - steps().stream().mapToInt(LiveStep::begunTasks).sum();
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/JobLifecycleTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/JobLifecycleTest.java
@@ -15,6 +15,7 @@
 import io.cactusspring.jobs.port.KeyedTopic;
 import io.cactusspring.jobs.port.StoreException;
 import io.cactusspring.jobs.port.StoreLimits;
+import io.cactusspring.jobs.schedule.SchedulerSettings;
 import io.cactusspring.jobs.simulation.ClusterSimulation;
 import io.cactusspring.jobs.simulation.FakeExecutor;
 import io.cactusspring.jobs.simulation.FakeLog;
@@ -411,6 +412,27 @@
     return new JobSpec(id, quick(), "team", "x".repeat(bytes), steps, 0, 0, 0, 0);
   }
 
+  /** Guards against a schedule of which all occurrences are due at once exhausting the memory. */
+  @Test
+  void occurrencesThatAreDueAtOnceRunAsEarlierOnesEnd() {
+    simulation.addExecutor("wide", new Resources(1L << 30, 1L << 30, 0));
+    simulation.time().run(1_000);
+    simulation.taskWorkMillis(id -> 100L);
+    List<StepSpec> steps = List.of(tasks(96).build());
+    JobSpec spec = new JobSpec("flood", quick(), "team", "p", steps, 1, 1, 200, 0);
+    submit(spec);
+    for (int i = 0; i < 20; i++) {
+      simulation.time().run(25);
+      int tasks = simulation.executors().stream().mapToInt(e -> e.tasks().size()).sum();
+      assertThat(tasks).isAtMost(SchedulerSettings.builder().build().maxBegunTasks());
+    }
+    assertOtherWorkIsDone();
+    simulation.time().run(20_000);
+    assertThat(state(spec)).isEqualTo(JobState.COMPLETED);
+    assertThat(simulation.oracle().startCount()).isEqualTo(96 * 200 + 2);
+    assertThat(simulation.oracle().violations()).isEmpty();
+  }
+
   /** Guards against an executor that cannot be called ending every owner's term. */
   @Test
   void executorWhoseCallsCannotBeSentDoesNotStopOtherWork() {
