Limit an error while a start is prepared to its job

The start of a run is prepared within the guard of its executor. An error of the job there would have set aside one executor after the other that the job is placed on. It now concerns the job, like all else that is done for one task, and the further steps of a job that was just set aside are not tried in the same round.

jobWhoseStartCannotBePreparedIsSetAsideAndItsExecutorGoesOn.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ErrorContainment.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ErrorContainment.java
@@ -2,6 +2,8 @@
 
 import io.cactusspring.jobs.schedule.DecisionListener.Kind;
 import java.util.List;
+import java.util.Optional;
+import java.util.function.Supplier;
 
 /**
  * Limits an unexpected error to the job or the executor that it concerns, so that a single record
@@ -27,10 +29,27 @@
    * @param id id of the job, which need not be known
    */
   void guardJob(String id, long now, Runnable work) {
+    computeForJob(
+        id,
+        now,
+        () -> {
+          work.run();
+          return Optional.empty();
+        });
+  }
+
+  /**
+   * Computes something for a job.
+   *
+   * @param id id of the job, which need not be known
+   * @return what was computed; empty after an error
+   */
+  <T> Optional<T> computeForJob(String id, long now, Supplier<Optional<T>> work) {
     try {
-      work.run();
+      return work.get();
     } catch (RuntimeException e) {
       setJobAside(id, e, now);
+      return Optional.empty();
     }
   }
 
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
@@ -585,6 +585,11 @@
    * @return empty if the run must not be started any more
    */
   public Optional<StartRequest> startRequest(String executorId, RunKey key, long now) {
+    return containment.computeForJob(
+        key.task().job(), now, () -> prepareStart(executorId, key, now));
+  }
+
+  private Optional<StartRequest> prepareStart(String executorId, RunKey key, long now) {
     LiveExecutor executor = state.executors.get(executorId);
     Run run = executor == null ? null : executor.run(key);
     LiveTask task = state.task(key.task());
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Placement.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Placement.java
@@ -52,7 +52,8 @@
   }
 
   private void placeStep(LiveStep step, AdviceSlots slots, Preemption preemption, long now) {
-    if (!state.withinLimit(step, step.spec().gang() ? step.tasks().size() : 1)) {
+    int together = step.spec().gang() ? step.tasks().size() : 1;
+    if (step.job().isSetAside() || !state.withinLimit(step, together)) {
       return;
     }
     long version = state.version();
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/JobSchedulerTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/JobSchedulerTest.java
@@ -337,6 +337,21 @@
     assertThat(setAside).containsExactly("JOB_SET_ASIDE odd");
   }
 
+  /** Guards against a job whose start fails taking its executor out of use. */
+  @Test
+  void jobWhoseStartCannotBePreparedIsSetAsideAndItsExecutorGoesOn() {
+    addExecutor("x1");
+    submit("odd", queue(null), tasks(1).build());
+    Action.Start odd = starts().get(0);
+    List<String> setAside = failOn(Kind.RUN_LOST, "odd");
+    scheduler.executorListed(info("x1", "svc", true), now);
+    assertThat(scheduler.startRequest("x1", odd.run(), now)).isEqualTo(Optional.empty());
+    scheduler.executorListed(info("x1", "svc", false), now);
+    submit("j1", queue(null), tasks(1).build());
+    assertThat(starts()).hasSize(1);
+    assertThat(setAside).containsExactly("JOB_SET_ASIDE odd");
+  }
+
   /** Guards against a job whose end fails taking its executor out of use. */
   @Test
   void jobWhoseEndCannotBeAppliedIsSetAsideAndItsExecutorGoesOn() {
