Sum up the begun tasks of large jobs only

Each placement of a step summed up the begun tasks of its job, in every round for all waiting steps. Jobs whose tasks are fewer than the limit need no sum.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveJob.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveJob.java
@@ -27,6 +27,7 @@
   private final Set<Integer> doneOccurrences = new HashSet<>();
   private final long submittedAt;
   private final long knownSince;
+  private final long tasksPerOccurrence;
   private JobState state = JobState.PENDING;
   private boolean started;
   private boolean surplus;
@@ -39,6 +40,7 @@
     spec = entry.spec().orElseThrow();
     submittedAt = acceptedAt(spec, wallMillis, now);
     knownSince = now;
+    tasksPerOccurrence = spec.steps().stream().mapToLong(StepSpec::tasks).sum();
     entry.progress().ifPresent(p -> restore(p, now));
     if (spec.repetitions() == 0 && !doneOccurrences.contains(0)) {
       occurrence(0, now);
@@ -181,13 +183,14 @@
 
   /** Returns whether one more occurrence may be in progress beside those that are. */
   boolean hasRoomForOccurrence(int maxTasks) {
-    long tasks = spec.steps().stream().mapToLong(StepSpec::tasks).sum();
-    return occurrences.isEmpty() || (occurrences.size() + 1) * tasks <= maxTasks;
+    return occurrences.isEmpty() || (occurrences.size() + 1) * tasksPerOccurrence <= maxTasks;
   }
 
   /** Returns how many more tasks may begin beside those that have begun and are not done. */
   int mayBegin(int maxTasks) {
-    return maxTasks - steps().stream().mapToInt(LiveStep::begunTasks).sum();
+    // Most jobs are small, and each round asks this for all waiting steps.
+    boolean small = occurrences.size() * tasksPerOccurrence <= maxTasks;
+    return small ? maxTasks : maxTasks - steps().stream().mapToInt(LiveStep::begunTasks).sum();
   }
 
   /** Marks the steps as ready of which all preceding steps are done. */
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Placement.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Placement.java
@@ -92,8 +92,8 @@
    * job has no room.
    */
   private List<LiveTask> startable(LiveStep step, long now) {
-    int room = step.job().mayBegin(state.settings.maxBegunTasks());
     List<LiveTask> due = step.due(now).toList();
+    int room = step.job().mayBegin(state.settings.maxBegunTasks());
     if (due.size() <= room) {
       return due;
     }
