--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/OddRecordTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/OddRecordTest.java
@@ -53,7 +53,7 @@
   /** Guards against a job whose progress record outgrows the store's limit, which stops all. */
   @Test
   void jobOfThousandsOfTasksRunsWithoutStoppingOtherWork() {
-    simulation.addExecutor("wide", new Resources(1L << 30, 1L << 30, 0));
+    simulation.addExecutor("wide-" + "x".repeat(40), new Resources(1L << 30, 1L << 30, 0));
     simulation.time().run(1_000);
     JobSpec spec = job("wide", quick(), tasks(7_500).build());
     submit(spec);
@@ -97,7 +97,7 @@
   void occurrencesThatAreDueAtOnceRunAsEarlierOnesEnd() {
     simulation.addExecutor("wide", new Resources(1L << 30, 1L << 30, 0));
     simulation.time().run(1_000);
-    simulation.taskWorkMillis(id -> 100L);
+    simulation.taskWorkMillis(id -> 1_000L);
     List<StepSpec> steps = List.of(tasks(96).build());
     JobSpec spec = new JobSpec("flood", quick(), "team", "p", steps, 1, 1, 200, 0);
     submit(spec);
