--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerTerm.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerTerm.java
@@ -254,8 +254,6 @@
             "ledger",
             "key",
             entry.id(),
-            "offset",
-            -1,
             "reason",
             JobLog.trace(e));
       }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/TopicFollower.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/TopicFollower.java
@@ -266,16 +266,7 @@
     try {
       sink.apply(entry);
     } catch (RuntimeException e) {
-      log.event(
-          JobEvent.RECORD_UNREADABLE,
-          "topic",
-          name,
-          "key",
-          entry.key(),
-          "offset",
-          entry.offset(),
-          "reason",
-          JobLog.trace(e));
+      log.recordUnreadable(name, entry.key(), entry.offset(), JobLog.trace(e));
     }
   }
 
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/log/JobLog.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/log/JobLog.java
@@ -87,6 +87,16 @@
     }
   }
 
+  /**
+   * Logs that a record of the store is skipped.
+   *
+   * @param offset position of the record, as far as it can be told
+   */
+  public void recordUnreadable(String topic, String key, Object offset, String reason) {
+    event(
+        JobEvent.RECORD_UNREADABLE, "topic", topic, "key", key, "offset", offset, "reason", reason);
+  }
+
   /** Logs the end of a job with its stages, and records these in the metrics. */
   public void jobEnded(EndedJob job, long term) {
     List<Object> fields = new ArrayList<>();
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveJob.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveJob.java
@@ -187,7 +187,7 @@
   }
 
   /** Returns how many more tasks may begin beside those that have begun and are not done. */
-  int mayBegin(int maxTasks) {
+  int roomForNewTasks(int maxTasks) {
     // Most jobs are small, and each round asks this for all waiting steps.
     boolean small = occurrences.size() * tasksPerOccurrence <= maxTasks;
     return small ? maxTasks : maxTasks - steps().stream().mapToInt(LiveStep::begunTasks).sum();
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Placement.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Placement.java
@@ -93,7 +93,7 @@
    */
   private List<LiveTask> startable(LiveStep step, long now) {
     List<LiveTask> due = step.due(now).toList();
-    int room = step.job().mayBegin(state.settings.maxBegunTasks());
+    int room = step.job().roomForNewTasks(state.settings.maxBegunTasks());
     if (due.size() <= room) {
       return due;
     }
@@ -148,7 +148,7 @@
     List<LiveTask> members = step.tasks();
     long fresh = members.stream().filter(m -> !m.hasBegun()).count();
     if (!members.stream().allMatch(m -> m.isDue(now))
-        || fresh > step.job().mayBegin(state.settings.maxBegunTasks())) {
+        || fresh > step.job().roomForNewTasks(state.settings.maxBegunTasks())) {
       return;
     }
     long version = state.version();
