Add two failing tests of long calls for advice beside short ones

Jobs that need a long call for advice wait for as long as short calls keep every caller busy: 0 long calls in 10 s, with one caller and with three.

--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/AdviceDispatcherTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/AdviceDispatcherTest.java
@@ -11,8 +11,10 @@
 import io.vertx.core.Promise;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.condition.EnabledIfSystemProperty;
 
 /** Tests the distribution of advice calls over the entry hosts. */
 final class AdviceDispatcherTest {
@@ -81,6 +83,71 @@
     assertThat(reserveCalls(LONG_MILLIS, 10)).isEqualTo(6);
   }
 
+  /** Answers one call after the other, as the service does for each host. */
+  private final class OneAtATime implements AdviceService {
+    private long freeAt;
+
+    @Override
+    public Future<Map<String, String>> requestAdvice(
+        StepId step, List<String> executors, long timeoutMillis) {
+      freeAt = Math.max(freeAt, time.now()) + Math.round(millis(executors));
+      Promise<Map<String, String>> answer = Promise.promise();
+      time.after(freeAt - time.now(), () -> answer.complete(Map.of()));
+      return answer.future();
+    }
+
+    private static double millis(List<String> executors) {
+      return executors.size() == 1 ? SHORT_MILLIS : LONG_MILLIS;
+    }
+  }
+
+  private static Action.RequestAdvice call(String... executors) {
+    return new Action.RequestAdvice(
+        new StepId("job", 0, 0), List.of(executors), new AdviceSettings(600, 6, 2_000));
+  }
+
+  /** Makes all the short calls that find a caller, and then a long one if it finds a caller. */
+  private void askInTurn(AdviceDispatcher asked, int shortCalls, AtomicInteger[] made) {
+    for (int i = 0; i < shortCalls && asked.reserve(SHORT_MILLIS); i++) {
+      made[0].incrementAndGet();
+      asked.requestAdvice(call("x1"));
+    }
+    if (asked.reserve(LONG_MILLIS)) {
+      made[1].incrementAndGet();
+      asked.requestAdvice(call("x1", "x2"));
+    }
+  }
+
+  private int[] callsMadeInTenSeconds(AdviceDispatcher asked) {
+    AtomicInteger[] made = {new AtomicInteger(), new AtomicInteger()};
+    for (int i = 0; i < 500; i++) {
+      askInTurn(asked, 4, made);
+      time.run(20);
+    }
+    return new int[] {made[0].get(), made[1].get()};
+  }
+
+  /**
+   * Guards against accepted jobs that need long calls and wait for as long as quick jobs arrive,
+   * because no caller is ever idle.
+   */
+  @Test
+  @EnabledIfSystemProperty(named = "cactusspring.known-red", matches = "true")
+  void longCallsAreMadeWhileShortCallsKeepTheOnlyCallerBusy() {
+    int[] made = callsMadeInTenSeconds(new AdviceDispatcher(new OneAtATime(), time.timers()));
+    assertThat(made[1]).isAtLeast(5);
+    assertThat(made[0]).isAtLeast(100);
+  }
+
+  /** As above, with other hosts that are all busy. */
+  @Test
+  @EnabledIfSystemProperty(named = "cactusspring.known-red", matches = "true")
+  void longCallsAreMadeWhileShortCallsKeepAllCallersBusy() {
+    AdviceDispatcher busy = new AdviceDispatcher(new OneAtATime(), time.timers());
+    IntStream.range(0, 2).forEach(i -> busy.addHost("host" + i, new OneAtATime()));
+    assertThat(callsMadeInTenSeconds(busy)[1]).isAtLeast(5);
+  }
+
   @Test
   void singleOtherHostMakesLongCalls() {
     setPeers(1);
