Bind the answers of the advice service to the boots that were asked about

Callers: a step was kept from an executor for as long as an owner's term lasted if an earlier boot of that executor had been denied to it. A ticket that was answered after a restart was used for the new boot and refused there.

Cause: denials and permissions were kept by the id of the executor, and tickets got the boot that was known when the answer came. A new boot may be of another kind, and a ticket holds for one life of the executor.

Change: Tickets keeps the boots that a call names, and each answer counts for that boot only.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/AdvicePlanner.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/AdvicePlanner.java
@@ -126,7 +126,7 @@
       refusedMillis = Math.min(refusedMillis, callMillis);
       return;
     }
-    step.tickets().callStarted(settings, now);
+    step.tickets().callStarted(named, settings, now);
     state.actions.add(
         new Action.RequestAdvice(
             step.id(), named.stream().map(LiveExecutor::id).toList(), settings));
@@ -200,9 +200,7 @@
   void answered(
       LiveStep step, List<String> asked, Map<String, String> tickets, long sentAt, long now) {
     Queue queue = state.queue(step.job());
-    List<LiveExecutor> executors =
-        asked.stream().map(state.executors::get).filter(e -> e != null).toList();
-    step.tickets().callAnswered(executors, tickets, now);
+    step.tickets().callAnswered(tickets, now);
     step.retry();
     double share = tickets.size() / (double) Math.max(1, asked.size());
     allowedShares.merge(queue.name(), share, (old, s) -> old + SMOOTHING_FACTOR * (s - old));
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Tickets.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Tickets.java
@@ -3,10 +3,10 @@
 import io.cactusspring.jobs.model.AdviceSettings;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * The answers of the advice service for one step: which executors may run it, which may not, and
@@ -18,9 +18,12 @@
 
   private record Ticket(String text, long bootMillis, long validUntil) {}
 
+  /** Whether one boot of an executor may run the step. */
+  private record Verdict(boolean allowed, long bootMillis) {}
+
   private final Map<String, Ticket> ticketsByExecutor = new HashMap<>();
-  private final Set<String> allowed = new HashSet<>();
-  private final Set<String> denied = new HashSet<>();
+  private final Map<String, Verdict> verdicts = new HashMap<>();
+  private Map<String, Long> askedBoots = Map.of();
   private boolean callPending;
   private long validityMillis;
   private long nextCallAt;
@@ -43,11 +46,17 @@
   }
 
   boolean isDenied(LiveExecutor executor) {
-    return denied.contains(executor.id());
+    return verdict(executor).filter(v -> !v.allowed).isPresent();
   }
 
   boolean isAllowed(LiveExecutor executor) {
-    return allowed.contains(executor.id());
+    return verdict(executor).filter(v -> v.allowed).isPresent();
+  }
+
+  /** Returns what is known of the present boot, since a new one may be of another kind. */
+  private Optional<Verdict> verdict(LiveExecutor executor) {
+    return Optional.ofNullable(verdicts.get(executor.id()))
+        .filter(v -> v.bootMillis == executor.bootMillis());
   }
 
   boolean callPending() {
@@ -60,27 +69,28 @@
 
   /**
    * Records that a call was sent. The validity of its tickets is kept, because a configuration that
-   * arrives before the answer may remove the queue's advice.
+   * arrives before the answer may remove the queue's advice. The answer concerns the boots that
+   * were asked about.
    */
-  void callStarted(AdviceSettings settings, long now) {
+  void callStarted(Collection<LiveExecutor> asked, AdviceSettings settings, long now) {
     callPending = true;
+    askedBoots =
+        asked.stream().collect(Collectors.toMap(LiveExecutor::id, LiveExecutor::bootMillis));
     callStartedAt = now;
     validityMillis = settings.validityMillis();
   }
 
-  void callAnswered(Collection<LiveExecutor> asked, Map<String, String> tickets, long now) {
+  void callAnswered(Map<String, String> tickets, long now) {
     callEnded(now);
     long validUntil = now + validityMillis;
-    for (LiveExecutor e : asked) {
-      String text = tickets.get(e.id());
-      if (text == null) {
-        denied.add(e.id());
-        allowed.remove(e.id());
-      } else {
-        allowed.add(e.id());
-        ticketsByExecutor.put(e.id(), new Ticket(text, e.bootMillis(), validUntil));
-      }
-    }
+    askedBoots.forEach(
+        (id, boot) -> {
+          String text = tickets.get(id);
+          verdicts.put(id, new Verdict(text != null, boot));
+          if (text != null) {
+            ticketsByExecutor.put(id, new Ticket(text, boot, validUntil));
+          }
+        });
   }
 
   void callFailed(long retryAt, long now) {
