Ask again about a denied executor if no other has room for a step

Callers: an accepted step waited for ever beside free executors once the advice service had denied all of them to it, even if one of the denials was wrong or out of date.

Cause: what was denied was never asked about again in the term of an owner.

Change: a call also names denied executors if all others together have too little room for the waiting tasks: 5 s after the denial at the earliest, and once in 10, then 20 s for each step, so that few calls are spent on it.

Shown by DeniedAdviceTest: deniedExecutorIsAskedAboutAgainAtALowRateWhileNoOtherHasRoom fails without the change (one call in 90 s instead of six); deniedExecutorIsNotAskedAboutBesideOneThatIsUnknown holds the limit, and passes without it too.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/AdvicePlanner.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/AdvicePlanner.java
@@ -18,7 +18,8 @@
  * <p>A call takes longer with each executor that it names, and only a share of them is allowed. The
  * planner therefore names only as many as will probably have room for the waiting tasks: first
  * those that are known to be allowed, then those where the tasks do not interfere with others, then
- * those of the preferred speed, then those with room for the most tasks.
+ * those of the preferred speed, then those with room for the most tasks. Executors that were denied
+ * are named again, at a low rate, only if all others together have too little room.
  */
 final class AdvicePlanner {
   private static final int MAX_EXECUTORS_PER_CALL = 100;
@@ -135,13 +136,14 @@
   private List<LiveExecutor> candidates(
       LiveStep step, Queue queue, int waiting, Function<LiveExecutor, Resources> room, long now) {
     double share = Math.max(MIN_ALLOWED_SHARE, allowedShare(queue));
+    Comparator<LiveExecutor> byDenial = Comparator.comparing(step.tickets()::isDenied);
     List<LiveExecutor> fitting =
         state.executors.values().stream()
             .filter(e -> e.isUsableAsLastResort(now) && Placement.mayRun(e, step, queue, 0))
             .filter(e -> step.spec().committed().fitsIn(room.apply(e)))
-            .filter(e -> !step.tickets().isDenied(e))
             .filter(e -> step.tickets().valid(e, now).isEmpty())
-            .sorted(preference(step, queue, now))
+            .filter(e -> !step.tickets().isDenied(e) || step.tickets().mayRepeat(e, now))
+            .sorted(byDenial.thenComparing(preference(step, queue, now)))
             .toList();
     int minNamed =
         (int) Math.ceil(Math.log(MAX_MISS_PROBABILITY) / Math.log(1 - Math.min(0.95, share)));
@@ -149,8 +151,11 @@
     double expected = 0;
     List<LiveExecutor> named = new ArrayList<>();
     for (LiveExecutor e : fitting) {
-      if (named.size() >= MAX_EXECUTORS_PER_CALL
-          || (expected >= wanted && named.size() >= minNamed)) {
+      boolean enough =
+          step.tickets().isDenied(e)
+              ? expected >= waiting
+              : expected >= wanted && named.size() >= minNamed;
+      if (enough || named.size() >= MAX_EXECUTORS_PER_CALL) {
         break;
       }
       boolean known = step.tickets().isAllowed(e);
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Tickets.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Tickets.java
@@ -16,14 +16,23 @@
   /** Least remaining validity with which a ticket is used, so that the start arrives in time. */
   private static final long USE_MARGIN_MILLIS = 150;
 
+  /** Time after which a denial is doubted that keeps a step from room. */
+  private static final long MIN_REPEAT_MILLIS = 5_000;
+
+  /** Executors that are denied again and again are still asked about so often. */
+  private static final long MAX_REPEAT_MILLIS = 20_000;
+
   private record Ticket(String text, long bootMillis, long validUntil) {}
 
-  /** Whether one boot of an executor may run the step. */
-  private record Verdict(boolean allowed, long bootMillis) {}
+  /** Whether one boot of an executor may run the step, and when that was answered. */
+  private record Verdict(boolean allowed, long bootMillis, long answeredAt) {}
 
   private final Map<String, Ticket> ticketsByExecutor = new HashMap<>();
   private final Map<String, Verdict> verdicts = new HashMap<>();
   private Map<String, Long> askedBoots = Map.of();
+  private long repeatMillis = MIN_REPEAT_MILLIS;
+  private long repeatNotBefore = Long.MIN_VALUE;
+  private boolean repeats;
   private boolean callPending;
   private long validityMillis;
   private long nextCallAt;
@@ -53,6 +62,14 @@
     return verdict(executor).filter(v -> v.allowed).isPresent();
   }
 
+  /** Returns whether an executor that was denied may be asked about again. */
+  boolean mayRepeat(LiveExecutor executor, long now) {
+    return now >= repeatNotBefore
+        && verdict(executor)
+            .filter(v -> !v.allowed && now - v.answeredAt >= MIN_REPEAT_MILLIS)
+            .isPresent();
+  }
+
   /** Returns what is known of the present boot, since a new one may be of another kind. */
   private Optional<Verdict> verdict(LiveExecutor executor) {
     return Optional.ofNullable(verdicts.get(executor.id()))
@@ -74,6 +91,7 @@
    */
   void callStarted(Collection<LiveExecutor> asked, AdviceSettings settings, long now) {
     callPending = true;
+    repeats = asked.stream().anyMatch(this::isDenied);
     askedBoots =
         asked.stream().collect(Collectors.toMap(LiveExecutor::id, LiveExecutor::bootMillis));
     callStartedAt = now;
@@ -82,11 +100,15 @@
 
   void callAnswered(Map<String, String> tickets, long now) {
     callEnded(now);
+    if (repeats) {
+      repeatMillis = Math.min(MAX_REPEAT_MILLIS, repeatMillis * 2);
+      repeatNotBefore = now + repeatMillis;
+    }
     long validUntil = now + validityMillis;
     askedBoots.forEach(
         (id, boot) -> {
           String text = tickets.get(id);
-          verdicts.put(id, new Verdict(text != null, boot));
+          verdicts.put(id, new Verdict(text != null, boot, now));
           if (text != null) {
             ticketsByExecutor.put(id, new Ticket(text, boot, validUntil));
           }
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/DeniedAdviceTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/DeniedAdviceTest.java
@@ -12,6 +12,7 @@
 import io.cactusspring.jobs.model.StepSpec;
 import io.cactusspring.jobs.port.ExecutorClient.LeaseRenewalRequest;
 import io.cactusspring.jobs.port.ExecutorClient.LeaseRenewalResult;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -103,4 +104,57 @@
     answer(call, "x1");
     assertThat(callDue().orElseThrow().executors()).containsExactly("x1");
   }
+
+  /** Returns when calls naming an executor were made that was always denied until a time. */
+  private List<Long> callTimes(String denied, long until, String... allowedButBusy) {
+    List<Long> times = new ArrayList<>();
+    for (; now < until; now += 50) {
+      callDue()
+          .ifPresent(
+              call -> {
+                if (call.executors().contains(denied)) {
+                  times.add(now);
+                }
+                answer(call, allowedButBusy);
+              });
+    }
+    return times;
+  }
+
+  /** Guards against a denial that keeps a step from the only executor with room for ever. */
+  @Test
+  void deniedExecutorIsAskedAboutAgainAtALowRateWhileNoOtherHasRoom() {
+    boot("x1", FIRST_BOOT);
+    assertThat(callTimes("x1", 100_000))
+        .containsExactly(10_000L, 15_000L, 25_000L, 45_000L, 65_000L, 85_000L)
+        .inOrder();
+    answerNextCallWith("x1");
+    assertThat(startedOn()).containsExactly("x1");
+  }
+
+  private void answerNextCallWith(String allowed) {
+    for (Optional<Action.RequestAdvice> call = callDue(); ; call = callDue()) {
+      if (call.isPresent()) {
+        answer(call.get(), allowed);
+        return;
+      }
+      now += 50;
+    }
+  }
+
+  private List<String> startedOn() {
+    return scheduler.decide(millis -> true, now, now).stream()
+        .map(a -> ((Action.Start) a).executor())
+        .toList();
+  }
+
+  /** A second executor joins: what was denied is not asked about while others are left. */
+  @Test
+  void deniedExecutorIsNotAskedAboutBesideOneThatIsUnknown() {
+    boot("x1", FIRST_BOOT);
+    answer(callDue().orElseThrow());
+    now += 30_000;
+    boot("x2", FIRST_BOOT);
+    assertThat(callDue().orElseThrow().executors()).containsExactly("x2");
+  }
 }
