Forget which executors a step may use when the advice of its queue changes

Callers: a step was kept from executors by answers under an earlier configuration of its queue's advice.

Cause: nothing cleared the answers at a change of the configuration.

Change: the answers of the unfinished steps of a queue are forgotten when the settings of its advice change. Tickets that were granted remain, since executors accept them.

Shown by DeniedAdviceTest: deniedExecutorIsAskedAboutOnceTheAdviceOfTheQueueChanges fails without the change.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/OwnerState.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/OwnerState.java
@@ -12,6 +12,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
@@ -77,8 +78,13 @@
 
   /** Applies a configuration. */
   void configure(SiteConfiguration current) {
+    SiteConfiguration previous = configuration;
     configuration = current;
     accounts.configure(current);
+    jobs.values().stream()
+        .filter(j -> !Objects.equals(queue(j, previous).advice(), queue(j).advice()))
+        .flatMap(j -> j.steps().stream())
+        .forEach(s -> s.tickets().forgetVerdicts());
     waitingSteps.all().forEach(LiveStep::retry);
   }
 
@@ -139,6 +145,10 @@
    * accepted.
    */
   Queue queue(LiveJob job) {
+    return queue(job, configuration);
+  }
+
+  private static Queue queue(LiveJob job, SiteConfiguration configuration) {
     Queue accepted = job.spec().queue();
     return configuration.queue(accepted.name()).orElse(accepted);
   }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Tickets.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Tickets.java
@@ -70,6 +70,13 @@
             .isPresent();
   }
 
+  /** Forgets which executors may run the step; granted tickets remain. */
+  void forgetVerdicts() {
+    verdicts.clear();
+    repeatMillis = MIN_REPEAT_MILLIS;
+    repeatNotBefore = Long.MIN_VALUE;
+  }
+
   /** Returns what is known of the present boot, since a new one may be of another kind. */
   private Optional<Verdict> verdict(LiveExecutor executor) {
     return Optional.ofNullable(verdicts.get(executor.id()))
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/DeniedAdviceTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/DeniedAdviceTest.java
@@ -157,4 +157,16 @@
     boot("x2", FIRST_BOOT);
     assertThat(callDue().orElseThrow().executors()).containsExactly("x2");
   }
+
+  /** Guards against denials under settings of the advice that do not hold any more. */
+  @Test
+  void deniedExecutorIsAskedAboutOnceTheAdviceOfTheQueueChanges() {
+    boot("x1", FIRST_BOOT);
+    answer(callDue().orElseThrow());
+    now += 100;
+    configure(ADVICE);
+    assertThat(callDue()).isEmpty();
+    configure(new AdviceSettings(400, 6, 3_000));
+    assertThat(callDue().orElseThrow().executors()).containsExactly("x1");
+  }
 }
