--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Tickets.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Tickets.java
@@ -3,10 +3,10 @@
 import io.cactusspring.jobs.model.AdviceSettings;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * The answers of the advice service for one step: which executors may run it, which may not, and
@@ -16,11 +16,23 @@
   /** Least remaining validity with which a ticket is used, so that the start arrives in time. */
   private static final long USE_MARGIN_MILLIS = 150;
 
+  /** Time after which a denial is doubted that keeps a step from room. */
+  private static final long MIN_REPEAT_MILLIS = 5_000;
+
+  /** Executors that are denied again and again are still asked about so often. */
+  private static final long MAX_REPEAT_MILLIS = 20_000;
+
   private record Ticket(String text, long bootMillis, long validUntil) {}
 
+  /** Whether one boot of an executor may run the step, and when that was answered. */
+  private record Verdict(boolean allowed, long bootMillis, long answeredAt) {}
+
   private final Map<String, Ticket> ticketsByExecutor = new HashMap<>();
-  private final Set<String> allowed = new HashSet<>();
-  private final Set<String> denied = new HashSet<>();
+  private final Map<String, Verdict> verdicts = new HashMap<>();
+  private Map<String, Long> askedBoots = Map.of();
+  private long repeatMillis = MIN_REPEAT_MILLIS;
+  private long repeatNotBefore = Long.MIN_VALUE;
+  private boolean repeats;
   private boolean callPending;
   private long validityMillis;
   private long nextCallAt;
@@ -43,11 +55,32 @@
   }
 
   boolean isDenied(LiveExecutor executor) {
-    return denied.contains(executor.id());
+    return verdict(executor).filter(v -> !v.allowed).isPresent();
   }
 
   boolean isAllowed(LiveExecutor executor) {
-    return allowed.contains(executor.id());
+    return verdict(executor).filter(v -> v.allowed).isPresent();
+  }
+
+  /** Returns whether an executor that was denied may be asked about again. */
+  boolean mayRepeat(LiveExecutor executor, long now) {
+    return now >= repeatNotBefore
+        && verdict(executor)
+            .filter(v -> !v.allowed && now - v.answeredAt >= MIN_REPEAT_MILLIS)
+            .isPresent();
+  }
+
+  /** Forgets which executors may run the step; granted tickets remain. */
+  void forgetVerdicts() {
+    verdicts.clear();
+    repeatMillis = MIN_REPEAT_MILLIS;
+    repeatNotBefore = Long.MIN_VALUE;
+  }
+
+  /** Returns what is known of the present boot, since a new one may be of another kind. */
+  private Optional<Verdict> verdict(LiveExecutor executor) {
+    return Optional.ofNullable(verdicts.get(executor.id()))
+        .filter(v -> v.bootMillis == executor.bootMillis());
   }
 
   boolean callPending() {
@@ -60,27 +93,33 @@
 
   /**
    * Records that a call was sent. The validity of its tickets is kept, because a configuration that
-   * arrives before the answer may remove the queue's advice.
+   * arrives before the answer may remove the queue's advice. The answer concerns the boots that
+   * were asked about.
    */
-  void callStarted(AdviceSettings settings, long now) {
+  void callStarted(Collection<LiveExecutor> asked, AdviceSettings settings, long now) {
     callPending = true;
+    repeats = asked.stream().anyMatch(this::isDenied);
+    askedBoots =
+        asked.stream().collect(Collectors.toMap(LiveExecutor::id, LiveExecutor::bootMillis));
     callStartedAt = now;
     validityMillis = settings.validityMillis();
   }
 
-  void callAnswered(Collection<LiveExecutor> asked, Map<String, String> tickets, long now) {
+  void callAnswered(Map<String, String> tickets, long now) {
     callEnded(now);
-    long validUntil = now + validityMillis;
-    for (LiveExecutor e : asked) {
-      String text = tickets.get(e.id());
-      if (text == null) {
-        denied.add(e.id());
-        allowed.remove(e.id());
-      } else {
-        allowed.add(e.id());
-        ticketsByExecutor.put(e.id(), new Ticket(text, e.bootMillis(), validUntil));
-      }
+    if (repeats) {
+      repeatMillis = Math.min(MAX_REPEAT_MILLIS, repeatMillis * 2);
+      repeatNotBefore = now + repeatMillis;
     }
+    long validUntil = now + validityMillis;
+    askedBoots.forEach(
+        (id, boot) -> {
+          String text = tickets.get(id);
+          verdicts.put(id, new Verdict(text != null, boot, now));
+          if (text != null) {
+            ticketsByExecutor.put(id, new Ticket(text, boot, validUntil));
+          }
+        });
   }
 
   void callFailed(long retryAt, long now) {
