Name more executors in a call for advice after one that granted nothing

Cause: the share of allowed executors was learned from renewed tickets as well, which are always granted, so that calls named too few; and a call that granted nothing was followed by one as narrow. A takeover between two calls forgets what was denied.

Change: the share is learned from executors of which the answer was not known, and the least number of executors named doubles with each call in a row without a ticket. An executor that was denied is named again only if no other is left, as DeniedAdviceTest already asked for; that test failed before this change.

Both tests of AdviceWidthTest fail before it (calls of 2 and 10 executors where at least 20 and 18 are expected) and pass after it.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/AdvicePlanner.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/AdvicePlanner.java
@@ -16,10 +16,11 @@
  * Selects the executors that an advice call names.
  *
  * <p>A call takes longer with each executor that it names, and only a share of them is allowed. The
- * planner therefore names only as many as will probably have room for the waiting tasks: first
- * those that are known to be allowed, then those where the tasks do not interfere with others, then
- * those of the preferred speed, then those with room for the most tasks. Executors that were denied
- * are named again, at a low rate, only if all others together have too little room.
+ * planner therefore names only as many as will probably have room for the waiting tasks, and twice
+ * as many after each call that granted nothing: first those that are known to be allowed, then
+ * those where the tasks do not interfere with others, then those of the preferred speed, then those
+ * with room for the most tasks. Executors that were denied are named again, at a low rate, only if
+ * all others together have too little room.
  */
 final class AdvicePlanner {
   private static final int MAX_EXECUTORS_PER_CALL = 100;
@@ -30,6 +31,8 @@
   private static final double SPARE_FACTOR = 1.3;
   // Bound on the probability that none of the named executors is allowed.
   private static final double MAX_MISS_PROBABILITY = 0.03;
+  // After so many calls in a row without a ticket, all executors with room are named.
+  private static final int MAX_DOUBLINGS = 4;
   private static final long RETRY_MILLIS = 300;
   // Some of the executors that are allowed are taken for long, or lost.
   private static final double EXPLORED_PER_MEMBER = 3;
@@ -163,14 +166,16 @@
             .toList();
     int minNamed =
         (int) Math.ceil(Math.log(MAX_MISS_PROBABILITY) / Math.log(1 - Math.min(0.95, share)));
+    // Naming more executors costs little beside another call.
+    int atLeast = minNamed << Math.min(MAX_DOUBLINGS, step.tickets().misses());
     double wanted = waiting * SPARE_FACTOR;
     double expected = 0;
     List<LiveExecutor> named = new ArrayList<>();
     for (LiveExecutor e : fitting) {
       boolean enough =
           step.tickets().isDenied(e)
-              ? expected >= waiting
-              : expected >= wanted && named.size() >= minNamed;
+              ? !named.isEmpty() && !step.tickets().isDenied(named.getFirst())
+              : expected >= wanted && named.size() >= atLeast;
       if (enough || named.size() >= MAX_EXECUTORS_PER_CALL) {
         break;
       }
@@ -220,11 +225,9 @@
   /** Processes the answer to a call. */
   void answered(
       LiveStep step, List<String> asked, Map<String, String> tickets, long sentAt, long now) {
-    Queue queue = state.queue(step.job());
+    learnAllowedShare(step, asked, tickets);
     step.tickets().callAnswered(tickets, now);
     step.retry();
-    double share = tickets.size() / (double) Math.max(1, asked.size());
-    allowedShares.merge(queue.name(), share, (old, s) -> old + SMOOTHING_FACTOR * (s - old));
     state.decisionListener.decisionMade(
         Kind.ADVICE,
         step.id().job(),
@@ -237,6 +240,21 @@
             + " ms");
   }
 
+  /** Learns how many executors are allowed from those of which that was not known. */
+  private void learnAllowedShare(LiveStep step, List<String> asked, Map<String, String> tickets) {
+    List<String> unknown =
+        asked.stream()
+            .filter(id -> state.executors.containsKey(id))
+            .filter(id -> !step.tickets().isKnown(state.executors.get(id)))
+            .toList();
+    if (!unknown.isEmpty()) {
+      double share =
+          unknown.stream().filter(tickets::containsKey).count() / (double) unknown.size();
+      allowedShares.merge(
+          state.queue(step.job()).name(), share, (old, s) -> old + SMOOTHING_FACTOR * (s - old));
+    }
+  }
+
   /** Records that a call was not answered. */
   void failed(LiveStep step, String problem, long now) {
     step.tickets().callFailed(now + RETRY_MILLIS, now);
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Tickets.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Tickets.java
@@ -33,6 +33,7 @@
   private long repeatMillis = MIN_REPEAT_MILLIS;
   private long repeatNotBefore = Long.MIN_VALUE;
   private boolean repeats;
+  private int misses;
   private boolean callPending;
   private long validityMillis;
   private long nextCallAt;
@@ -62,6 +63,16 @@
     return verdict(executor).filter(v -> v.allowed).isPresent();
   }
 
+  /** Returns whether it is known if the present boot of an executor may run the step. */
+  boolean isKnown(LiveExecutor executor) {
+    return verdict(executor).isPresent();
+  }
+
+  /** Returns how many calls in a row were answered without a ticket. */
+  int misses() {
+    return misses;
+  }
+
   /** Returns whether an executor that was denied may be asked about again. */
   boolean mayRepeat(LiveExecutor executor, long now) {
     return now >= repeatNotBefore
@@ -107,6 +118,7 @@
 
   void callAnswered(Map<String, String> tickets, long now) {
     callEnded(now);
+    misses = tickets.isEmpty() ? misses + 1 : 0;
     if (repeats) {
       repeatMillis = Math.min(MAX_REPEAT_MILLIS, repeatMillis * 2);
       repeatNotBefore = now + repeatMillis;
