Simulate hosts that restart in turn while all work needs advice

The simulated hosts were killed or restarted at once, there were three of them, and a call for advice took 30 ms beside any number of others.

The emulator now has an advice service that handles one call at a time for each host and refuses calls above 32 waiting, executors that check tickets, hosts of unequal processing power, planned stops, and closes of links that arrive after the hello of the next link. Other tests use none of these. WaitingWorkCheck tells the longest wait in a calm time; it leaves out only jobs whose tasks' ends were all acknowledged.

--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/ClusterSimulation.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/ClusterSimulation.java
@@ -41,6 +41,7 @@
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -69,6 +70,7 @@
    */
   public final class Host {
     private final String name;
+    private final int milliProcessors;
     private final Link storeLink = new Link(time, random, this::currentIncarnation);
     private final Link executorLink = new Link(time, random, this::currentIncarnation);
     private final Link adviceLink = new Link(time, random, this::currentIncarnation);
@@ -77,8 +79,9 @@
     private final List<Runnable> deferredTasks = new ArrayList<>();
     private EntryHost entry;
 
-    Host(String name) {
+    Host(String name, int milliProcessors) {
       this.name = name;
+      this.milliProcessors = milliProcessors;
     }
 
     public String name() {
@@ -118,6 +121,22 @@
       network.kill(name);
     }
 
+    /**
+     * Stops the process as planned: it releases the ownership of the executors, goes on serving for
+     * a number of milliseconds, and ends.
+     */
+    public void stop(long millis) {
+      int stopped = incarnation;
+      entry.drain();
+      time.after(
+          millis,
+          () -> {
+            if (incarnation == stopped) {
+              kill();
+            }
+          });
+    }
+
     /** Sets whether the host is cut off from all other entry hosts. */
     public void cutFromPeers(boolean value) {
       network.cut(name, value);
@@ -171,6 +190,8 @@
   /** The announcements of executors; the value of a record is the index of its announcement. */
   private final List<ExecutorInfo> announced = new ArrayList<>();
 
+  private final FakeAdviceService adviceService = new FakeAdviceService(time);
+
   private final Map<String, FakeExecutor> executors = new LinkedHashMap<>();
   private final Set<String> listed = new HashSet<>();
   private final List<Host> hosts = new ArrayList<>();
@@ -187,6 +208,7 @@
   private Function<TaskId, OptionalLong> crashDelay = id -> OptionalLong.empty();
   private Predicate<FakeExecutor> keepsId = e -> true;
   private double allowedExecutorShare = 1;
+  private Map<String, AdviceTerms> adviceTerms = Map.of();
   private long evacuateMillis;
 
   public ClusterSimulation(long seed) {
@@ -341,6 +363,34 @@
     allowedExecutorShare = share;
   }
 
+  /**
+   * How the advice service handles the steps of a queue.
+   *
+   * @param settings duration of a call, and how long its tickets are valid
+   * @param allowedShare fraction of executors, from 0 to 1, that it allows for a step
+   */
+  public record AdviceTerms(AdviceSettings settings, double allowedShare) {}
+
+  /**
+   * Sets the terms by the name of the queue. For these queues, calls take their time, and executors
+   * check the tickets.
+   */
+  public void adviceTerms(Map<String, AdviceTerms> termsByQueue) {
+    adviceTerms = Map.copyOf(termsByQueue);
+  }
+
+  private Optional<AdviceTerms> adviceTerms(String job) {
+    return Optional.ofNullable(adviceTerms.get(oracle.spec(job).queue().name()));
+  }
+
+  /**
+   * Sets the highest number of milliseconds by which the close of a link between hosts arrives
+   * later than what is sent on other links.
+   */
+  public void lateCloses(int maxMillis) {
+    network.closeDelayMillis(() -> random.nextInt(maxMillis + 1));
+  }
+
   /** Sets after how many milliseconds the runs of long-running tasks fail; empty for never. */
   public void lifeMillis(Function<TaskId, OptionalLong> millis) {
     lifeMillis = millis;
@@ -387,7 +437,12 @@
   }
 
   public Host addHost(String name) {
-    Host host = new Host(name);
+    return addHost(name, MILLI_PROCESSORS);
+  }
+
+  /** Adds an entry host with the given processing power, in thousandths of a processor. */
+  public Host addHost(String name, int milliProcessors) {
+    Host host = new Host(name, milliProcessors);
     hosts.add(host);
     host.start();
     return host;
@@ -523,7 +578,7 @@
             host.name,
             host.name + "#" + incarnation,
             FakeNetwork.address(host.name),
-            MILLI_PROCESSORS);
+            host.milliProcessors);
     HostSettings settings =
         new HostSettings(
             self,
@@ -679,7 +734,12 @@
     public Future<Map<String, String>> requestAdvice(
         StepId step, List<String> named, long timeoutMillis) {
       return host.adviceLink.call(
-          () -> decide(step, named), () -> Future.failedFuture("no answer"), timeoutMillis);
+          () ->
+              adviceTerms(step.job())
+                  .map(terms -> decide(step, named, terms.settings()))
+                  .orElseGet(() -> decide(step, named)),
+          () -> Future.failedFuture("no answer"),
+          timeoutMillis);
     }
 
     private Future<Map<String, String>> decide(StepId step, List<String> named) {
@@ -689,12 +749,58 @@
       time.after(DECIDE_MILLIS, () -> promise.complete(tickets));
       return promise.future();
     }
+
+    private Future<Map<String, String>> decide(
+        StepId step, List<String> named, AdviceSettings settings) {
+      long millis = Math.round(settings.callMillis(named.size()));
+      return adviceService.call(host.name, millis, () -> tickets(step, named, settings));
+    }
+  }
+
+  private Map<String, String> tickets(StepId step, List<String> named, AdviceSettings settings) {
+    Map<String, String> tickets = new LinkedHashMap<>();
+    named.stream()
+        .map(executors::get)
+        .filter(e -> isAllowed(step, e.id()))
+        .forEach(e -> tickets.put(e.id(), ticket(step, e, time.now() + settings.validityMillis())));
+    return tickets;
+  }
+
+  private static String ticket(StepId step, FakeExecutor executor, long validUntil) {
+    return step + "/" + executor.id() + "/" + executor.info().bootMillis() + "/" + validUntil;
+  }
+
+  /** Returns whether an executor accepts the ticket of a start. */
+  boolean isTicketValid(FakeExecutor executor, TaskId task, String ticket) {
+    if (adviceTerms(task.job()).isEmpty()) {
+      return true;
+    }
+    boolean needed =
+        configuration
+            .queue(oracle.spec(task.job()).queue().name())
+            .filter(Queue::needsAdvice)
+            .isPresent();
+    StepId step = new StepId(task.job(), task.occurrence(), task.step());
+    long validUntil =
+        ticket.isEmpty() ? 0 : Long.parseLong(ticket.substring(ticket.lastIndexOf('/') + 1));
+    return !needed
+        || (time.now() <= validUntil && ticket.equals(ticket(step, executor, validUntil)));
   }
 
   /** Returns whether the advice service allows a step on an executor. */
   public boolean isAllowed(StepId step, String executor) {
-    return alwaysAllowed(executor)
-        || Math.floorMod((step + executor).hashCode(), 100) < allowedExecutorShare * 100;
+    return adviceTerms(step.job())
+        .map(terms -> draw(step, executor) < terms.allowedShare())
+        .orElseGet(
+            () ->
+                alwaysAllowed(executor)
+                    || Math.floorMod((step + executor).hashCode(), 100)
+                        < allowedExecutorShare * 100);
+  }
+
+  /** Returns a number between 0 and 1 that is independent for each step and executor. */
+  private static double draw(StepId step, String executor) {
+    return new SplittableRandom((step + "/" + executor).hashCode()).nextDouble();
   }
 
   /**
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/FakeExecutor.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/FakeExecutor.java
@@ -292,6 +292,9 @@
     if (request.run() <= highestEndedRun.getOrDefault(request.task(), 0) || existing != null) {
       return refused(Refusal.STALE_RUN);
     }
+    if (!simulation.isTicketValid(this, request.task(), request.ticket())) {
+      return refused(Refusal.TICKET);
+    }
     JobSpec job = simulation.oracle().started(this, request);
     StepSpec spec = job.steps().get(request.task().step());
     long checkpointMillis =
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/FakeNetwork.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/FakeNetwork.java
@@ -17,6 +17,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.LongSupplier;
 
 /** The network between the simulated entry hosts; messages travel in their encoded form. */
 final class FakeNetwork {
@@ -89,7 +90,7 @@
     public void close() {
       if (open) {
         closeLocally();
-        time.after(LATENCY_MILLIS, other::closedByOther);
+        time.after(LATENCY_MILLIS + closeDelayMillis.getAsLong(), other::closedByOther);
       }
     }
 
@@ -116,13 +117,14 @@
     /** Ends this side without the knowledge of its process, which has ended. */
     private void abort() {
       open = false;
-      time.after(LATENCY_MILLIS, other::closedByOther);
+      time.after(LATENCY_MILLIS + closeDelayMillis.getAsLong(), other::closedByOther);
     }
   }
 
   private final VirtualTime time;
   private final Map<String, Endpoint> running = new HashMap<>();
   private final Set<String> cut = new HashSet<>();
+  private LongSupplier closeDelayMillis = () -> 0;
 
   FakeNetwork(VirtualTime time) {
     this.time = time;
@@ -169,6 +171,14 @@
     }
   }
 
+  /**
+   * Sets by how many milliseconds the close of a link arrives later than what is sent on other
+   * links.
+   */
+  void closeDelayMillis(LongSupplier millis) {
+    closeDelayMillis = millis;
+  }
+
   /** Sets whether messages between a host and all others are held up. */
   void cut(String host, boolean value) {
     if (value) {
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/Oracle.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/Oracle.java
@@ -191,6 +191,24 @@
     return spec;
   }
 
+  /** Returns a job that was submitted. */
+  JobSpec spec(String job) {
+    return submitted.get(job);
+  }
+
+  /** Returns whether the successful ends of all tasks of a job were acknowledged. */
+  boolean isDoneForGood(JobSpec spec) {
+    return IntStream.range(0, spec.occurrences())
+        .allMatch(
+            k -> IntStream.range(0, spec.steps().size()).allMatch(s -> isDoneForGood(spec, k, s)));
+  }
+
+  private boolean isDoneForGood(JobSpec spec, int occurrence, int step) {
+    return IntStream.range(0, spec.steps().get(step).tasks())
+        .mapToObj(i -> new TaskId(spec.id(), occurrence, step, i))
+        .allMatch(acknowledgedDone::contains);
+  }
+
   /** Returns whether a zone is evacuated. */
   boolean isEvacuated(String zone) {
     return evacuatedAtMillis.containsKey(zone);
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/WaitingWorkCheck.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/WaitingWorkCheck.java
@@ -42,12 +42,18 @@
 
   private final ClusterSimulation simulation;
   private final Map<String, JobSpec> accepted = new LinkedHashMap<>();
+
+  /** The accepted jobs of which something may still have to run. */
+  private final Map<String, JobSpec> unfinished = new LinkedHashMap<>();
+
   private final Set<String> cancelled = new HashSet<>();
   private final Map<String, Long> waitingSince = new HashMap<>();
   private final Map<TaskId, Long> lastRunningAt = new HashMap<>();
   private final Set<String> reported = new HashSet<>();
   private long faultsUntil;
   private long settledAt = Long.MAX_VALUE;
+  private long longestMillis;
+  private String longest = "none";
 
   public WaitingWorkCheck(ClusterSimulation simulation) {
     this.simulation = simulation;
@@ -56,7 +62,9 @@
 
   /** Records that a job was accepted. */
   public void accepted(JobSpec spec) {
-    accepted.putIfAbsent(spec.id(), spec);
+    if (accepted.putIfAbsent(spec.id(), spec) == null) {
+      unfinished.put(spec.id(), spec);
+    }
   }
 
   /** Records that the cancellation of a job was requested. */
@@ -74,9 +82,23 @@
     settledAt = simulation.time().now() + SETTLE_MILLIS;
   }
 
+  /**
+   * Returns the longest time in milliseconds for which work that could run was waiting in a calm
+   * time, within the bound or not.
+   */
+  public long longestWaitMillis() {
+    return longestMillis;
+  }
+
+  /** Describes the work that waited longest in a calm time. */
+  public String longestWait() {
+    return longest;
+  }
+
   private void tick() {
     Cluster cluster = new Cluster();
-    accepted.values().stream().filter(this::isOpen).forEach(spec -> check(spec, cluster));
+    unfinished.values().removeIf(simulation.oracle()::isDoneForGood);
+    unfinished.values().stream().filter(this::isOpen).forEach(spec -> check(spec, cluster));
     simulation.time().after(INTERVAL_MILLIS, this::tick);
   }
 
@@ -157,6 +179,11 @@
     }
     long now = simulation.time().now();
     long since = waitingSince.computeIfAbsent(subject, s -> now);
+    long calmMillis = now - Math.max(since, faultsUntil + CALM_MILLIS);
+    if (calmMillis > longestMillis) {
+      longestMillis = calmMillis;
+      longest = task + " of queue " + spec.queue().name() + " since " + since + " ms";
+    }
     boolean calm = since >= faultsUntil + CALM_MILLIS;
     boolean settled = now >= settledAt && since <= settledAt - WAIT_MILLIS;
     if (now - since >= WAIT_MILLIS && (calm || settled) && reported.add(subject)) {
