Name the callers in the line of each advice call

Cause: the scheduler reserves a caller and knows nothing else of them. Change: AdviceSlots tells how many hosts can be asked, how many are linked and how many calls are in progress; both lines, of an answer and of a failure, end with it. Decisions are the same. The two new tests do not compile without the change; lines ended with the milliseconds or the problem before.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/AdviceDispatcher.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/AdviceDispatcher.java
@@ -103,6 +103,12 @@
     return free.isPresent();
   }
 
+  @Override
+  public Usage usage() {
+    int calls = localCaller.calls + callers.values().stream().mapToInt(c -> c.calls).sum();
+    return new Usage(1 + (int) availablePeers().count(), 1 + callers.size(), calls);
+  }
+
   private Optional<Caller> shortCaller() {
     return Stream.concat(Stream.of(localCaller), availablePeers())
         .filter(c -> c.calls < MAX_SHORT_CALLS_PER_CALLER && c.busyMillis <= SHORT_CALL_MILLIS)
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/AdvicePlanner.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/AdvicePlanner.java
@@ -41,12 +41,15 @@
   /** Duration of the shortest call for which no host was free in this round. */
   private double refusedMillis = Double.POSITIVE_INFINITY;
 
+  private AdviceSlots lastSlots = millis -> false;
+
   AdvicePlanner(OwnerState state) {
     this.state = state;
   }
 
   /** Starts a round of placement, in which hosts may be free again. */
-  void startRound() {
+  void startRound(AdviceSlots slots) {
+    lastSlots = slots;
     refusedMillis = Double.POSITIVE_INFINITY;
   }
 
@@ -215,7 +218,8 @@
             + asked.size()
             + " executors allowed after "
             + (now - sentAt)
-            + " ms");
+            + " ms; "
+            + lastSlots.usage());
   }
 
   /** Records that a call was not answered. */
@@ -223,6 +227,6 @@
     step.tickets().callFailed(now + RETRY_MILLIS, now);
     step.retry();
     state.decisionListener.decisionMade(
-        Kind.ADVICE, step.id().job(), step.id().toString(), problem);
+        Kind.ADVICE, step.id().job(), step.id().toString(), problem + "; " + lastSlots.usage());
   }
 }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/AdviceSlots.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/AdviceSlots.java
@@ -7,6 +7,22 @@
  */
 @FunctionalInterface
 public interface AdviceSlots {
+  /**
+   * The hosts that can make calls, and what they do.
+   *
+   * @param available hosts that can be asked to make a call, including the owner
+   * @param known these hosts and those that are left out because a call of theirs failed
+   * @param calls number of calls that are queued or in progress on all of them
+   */
+  record Usage(int available, int known, int calls) {
+    static final Usage NONE = new Usage(0, 0, 0);
+
+    @Override
+    public String toString() {
+      return "%d of %d hosts can be asked, %d calls in progress".formatted(available, known, calls);
+    }
+  }
+
   /**
    * Reserves a caller for one call.
    *
@@ -14,4 +30,9 @@
    * @return whether a caller was free
    */
   boolean reserve(double callMillis);
+
+  /** Returns which callers there are now, for the log. */
+  default Usage usage() {
+    return Usage.NONE;
+  }
 }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Placement.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Placement.java
@@ -39,7 +39,7 @@
     if (waiting.isEmpty()) {
       return;
     }
-    advice.startRound();
+    advice.startRound(slots);
     state.reservations.beginRound();
     Preemption preemption = new Preemption(state, runs);
     order
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/AdviceDispatcherTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/AdviceDispatcherTest.java
@@ -6,6 +6,7 @@
 import io.cactusspring.jobs.model.StepId;
 import io.cactusspring.jobs.port.AdviceService;
 import io.cactusspring.jobs.schedule.Action;
+import io.cactusspring.jobs.schedule.AdviceSlots;
 import io.cactusspring.jobs.simulation.VirtualTime;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -18,6 +19,9 @@
 final class AdviceDispatcherTest {
   private static final double LONG_MILLIS = 700;
   private static final double SHORT_MILLIS = 30;
+  private static final Action.RequestAdvice CALL =
+      new Action.RequestAdvice(
+          new StepId("job", 0, 0), List.of("x1"), new AdviceSettings(600, 6, 2_000));
 
   private final VirtualTime time = new VirtualTime();
   private final AdviceDispatcher dispatcher =
@@ -63,17 +67,26 @@
     assertThat(reserveCalls(LONG_MILLIS, 3)).isEqualTo(1);
   }
 
+  /** Guards against advice lines that do not tell a lack of callers from denied tickets. */
+  @Test
+  void usageNamesTheHostsThatCanBeAskedAndTheCallsInProgress() {
+    setPeers(1);
+    dispatcher.addHost("failing", (step, executors, timeout) -> Future.failedFuture("no answer"));
+    assertThat(reserveCalls(LONG_MILLIS, 2)).isEqualTo(2);
+    assertThat(dispatcher.usage()).isEqualTo(new AdviceSlots.Usage(3, 3, 2));
+    dispatcher.requestAdvice(CALL);
+    dispatcher.requestAdvice(CALL);
+    assertThat(dispatcher.usage()).isEqualTo(new AdviceSlots.Usage(2, 3, 1));
+  }
+
   /** Guards against hosts that stay unused for many seconds after an outage of the service. */
   @Test
   void hostsMakeCallsAgainTwoSecondsAfterAnOutageOfTheAdviceService() {
     AdviceService failing = (step, executors, timeout) -> Future.failedFuture("unavailable");
     IntStream.range(0, 8).forEach(i -> dispatcher.addHost("host" + i, failing));
-    Action.RequestAdvice call =
-        new Action.RequestAdvice(
-            new StepId("job", 0, 0), List.of("x1"), new AdviceSettings(600, 6, 2_000));
     for (int i = 0; i < 80; i++) {
       for (int k = 0; k < 8 && dispatcher.reserve(LONG_MILLIS); k++) {
-        dispatcher.requestAdvice(call);
+        dispatcher.requestAdvice(CALL);
       }
       time.run(100);
     }
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/JobSchedulerTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/JobSchedulerTest.java
@@ -431,6 +431,36 @@
     assertThat(starts().stream().map(Action.Start::executor).toList()).containsExactly("x2");
   }
 
+  /** Guards against advice lines that do not tell a lack of callers from denied tickets. */
+  @Test
+  void lineOfAnAdviceCallNamesTheCallers() {
+    List<String> reasons = new ArrayList<>();
+    listener = (kind, job, subject, reason) -> reasons.add(kind + ": " + reason);
+    AdviceSlots slots =
+        new AdviceSlots() {
+          @Override
+          public boolean reserve(double callMillis) {
+            return true;
+          }
+
+          @Override
+          public Usage usage() {
+            return new Usage(2, 6, 1);
+          }
+        };
+    addExecutor("x1");
+    submit("j1", queue(new AdviceSettings(10, 1, 2_000)), tasks(1).build());
+    Action.RequestAdvice call = (Action.RequestAdvice) scheduler.decide(slots, now, now).get(0);
+    scheduler.adviceFailed(call.step(), "no answer", now);
+    assertThat(reasons)
+        .contains("ADVICE: no answer; 2 of 6 hosts can be asked, 1 calls in progress");
+    scheduler.adviceAnswered(call.step(), call.executors(), Map.of(), now - 430, now);
+    assertThat(reasons)
+        .contains(
+            "ADVICE: 0 of 1 executors allowed after 430 ms;"
+                + " 2 of 6 hosts can be asked, 1 calls in progress");
+  }
+
   @Test
   void ticketIsNotUsedShortlyBeforeItExpires() {
     addExecutor("x1");
