Report steps that wait for long, and what holds them

What operators saw: accepted work of which nothing runs left no trace as long as no decision was made on it; which of room, order, tickets, callers, leases or exclusions held it could not be told. Cause: lines are written for decisions only. Change: after a round, once a second, the owner finds what holds the steps that have waited for 3 s and writes STEP_WAITS (CS2401) with the reason, the age and the number of tasks that wait, again each time that the age has doubled, for at most 32 steps a pass. A step that has room and that nothing known holds is UNEXPLAINED. The age of the oldest step by reason is a gauge at /metrics; the lines are counted by cactusspring_events_total. Placement keeps the order of its last round for it; decisions are the same.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerTerm.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerTerm.java
@@ -373,6 +373,7 @@
 
   private void close() {
     ended = true;
+    log.oldestWaits(Map.of());
     heartbeats.stop();
     announcements.stop();
     inboxFollowers.forEach(TopicFollower::stop);
@@ -470,6 +471,11 @@
     public void jobEnded(EndedJob job) {
       log.jobEnded(job, claim.term());
     }
+
+    @Override
+    public void oldestWaits(Map<String, Long> millisByReason) {
+      log.oldestWaits(millisByReason);
+    }
   }
 
   private final class InboxSink implements TopicSink {
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/log/JobLog.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/log/JobLog.java
@@ -11,6 +11,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.atomic.AtomicLong;
@@ -53,6 +54,12 @@
      * Records how long a job of a queue spent in a stage; called for all stages when it has ended.
      */
     default void recordStage(String queue, Stage stage, long millis) {}
+
+    /**
+     * Records the age of the oldest step that waits, in milliseconds, by reason; a reason that is
+     * missing holds no step.
+     */
+    default void recordOldestWaits(Map<String, Long> millisByReason) {}
   }
 
   /**
@@ -111,6 +118,11 @@
     event(JobEvent.JOB_ENDED, fields.toArray());
   }
 
+  /** Records the age of the oldest step that waits, in milliseconds, by reason. */
+  public void oldestWaits(Map<String, Long> millisByReason) {
+    counter.recordOldestWaits(millisByReason);
+  }
+
   private static String kind(JobEvent event, Object... fields) {
     return switch (event) {
       case DECISION -> String.valueOf(fields[1]);
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/DecisionListener.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/DecisionListener.java
@@ -1,5 +1,7 @@
 package io.cactusspring.jobs.schedule;
 
+import java.util.Map;
+
 /**
  * Receives each decision of the scheduler and its inputs, for the log.
  *
@@ -20,6 +22,7 @@
     RUN_MOVED,
     RUN_UNKNOWN,
     STARTS_HELD,
+    STEP_WAITS,
     JOB_FAILED,
     JOB_COMPLETED,
     JOB_CANCELLED,
@@ -56,4 +59,10 @@
 
   /** Called when a job that is neither scheduled nor long-running has ended. */
   default void jobEnded(EndedJob job) {}
+
+  /**
+   * Called every second with the age of the oldest step that waits, in milliseconds, by reason.
+   * Reasons that hold no step are missing.
+   */
+  default void oldestWaits(Map<String, Long> millisByReason) {}
 }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
@@ -61,6 +61,7 @@
   private final Placement placement;
   private final RunMonitor monitor;
   private final RunMoves moves;
+  private final WaitMonitor waits;
   private final Throttle throttle;
   private final AdmissionPolicy admission;
   private final AnnouncementAge announcements = new AnnouncementAge();
@@ -150,6 +151,7 @@
     placement = new Placement(state, runs, advice, order);
     monitor = new RunMonitor(state, runs);
     moves = new RunMoves(state, runs, now);
+    waits = new WaitMonitor(state, now);
     throttle = new Throttle(state);
     admission = new AdmissionPolicy(state);
     entries.stream()
@@ -174,6 +176,7 @@
       return;
     }
     LiveJob job = new LiveJob(entry, state.waitingSteps, wallMillis, now);
+    job.markAdopted();
     state.addJob(job);
     entry.progress().ifPresent(p -> p.steps().forEach(s -> adoptRuns(job, s, now)));
     job.steps().forEach(s -> runs.restartIncompleteGang(s, now));
@@ -381,6 +384,7 @@
     moves.leaveDraining(now);
     placement.place(slots, now);
     moves.leaveEvacuatedZones(now);
+    waits.check(slots, placement.ranked(), now);
     List<Action> decided = new ArrayList<>(state.actions);
     state.actions.clear();
     return decided;
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveExecutor.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveExecutor.java
@@ -242,7 +242,7 @@
   }
 
   /** Returns whether the announcement is that of the present boot, as are its capacity and zone. */
-  private boolean isBootAnnounced() {
+  boolean isBootAnnounced() {
     return info.bootMillis() == 0 || info.bootMillis() >= bootMillis;
   }
 
@@ -360,6 +360,11 @@
     return silentSince != NEVER;
   }
 
+  /** Returns whether the executor has reported to this owner and answers. */
+  boolean answers() {
+    return hasReported && !isSilent();
+  }
+
   boolean hasClock() {
     return clockAt != NEVER;
   }
@@ -384,6 +389,11 @@
     leaseLapsesAt = Math.max(leaseLapsesAt, when);
   }
 
+  /** Returns when the last lease that this owner knows of has lapsed. */
+  long leaseLapsesAt() {
+    return leaseLapsesAt;
+  }
+
   boolean leaseLapsed(long now) {
     return now > leaseLapsesAt;
   }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveJob.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveJob.java
@@ -31,6 +31,7 @@
   private JobState state = JobState.PENDING;
   private boolean started;
   private boolean surplus;
+  private boolean adopted;
   private boolean deferralLogged;
   private boolean setAside;
   private int nextOccurrence;
@@ -92,6 +93,15 @@
     return knownSince;
   }
 
+  /** Returns whether the job was accepted before this owner took over. */
+  boolean adopted() {
+    return adopted;
+  }
+
+  void markAdopted() {
+    adopted = true;
+  }
+
   JobState state() {
     return state;
   }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveStep.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveStep.java
@@ -143,6 +143,11 @@
     return tasks.size() - doneTasks - waiting.size();
   }
 
+  /** Returns the tasks that have no run and are not done. */
+  Stream<LiveTask> waiting() {
+    return waiting.stream();
+  }
+
   Stream<LiveTask> due(long now) {
     return waiting.stream().filter(t -> t.isDue(now));
   }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveTask.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveTask.java
@@ -47,6 +47,11 @@
     return isWaiting() && retryAt <= now;
   }
 
+  /** Returns when the pause before the next run ends; in the past if there is none. */
+  long retryAt() {
+    return retryAt;
+  }
+
   void retryAt(long when) {
     retryAt = when;
   }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/OwnerState.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/OwnerState.java
@@ -260,6 +260,11 @@
     return runsByJob.containsKey(job);
   }
 
+  /** Returns the number of runs of a job that are counted on executors. */
+  int runsOf(String job) {
+    return runsByJob.getOrDefault(job, 0);
+  }
+
   /** Returns whether more tasks of a step stay within the limit of their organisation. */
   boolean withinLimit(LiveStep step, int tasks) {
     String organisation = step.job().spec().organisation();
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Placement.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Placement.java
@@ -21,6 +21,7 @@
   private final StepOrder order;
   private final SuspectPlacement suspects;
   private final ErrorContainment containment;
+  private List<LiveStep> ranked = List.of();
 
   Placement(OwnerState state, RunLifecycle runs, AdvicePlanner advice, StepOrder order) {
     this.state = state;
@@ -37,20 +38,23 @@
     List<LiveStep> waiting =
         state.waitingSteps.all().stream().filter(s -> s.due(now).findAny().isPresent()).toList();
     if (waiting.isEmpty()) {
+      ranked = List.of();
       return;
     }
     advice.startRound(slots);
     state.reservations.beginRound();
     Preemption preemption = new Preemption(state, runs);
-    order
-        .sorted(waiting, now)
-        .forEach(
-            s ->
-                containment.guardJob(
-                    s.job().id(), now, () -> placeStep(s, slots, preemption, now)));
+    ranked = order.sorted(waiting, now);
+    ranked.forEach(
+        s -> containment.guardJob(s.job().id(), now, () -> placeStep(s, slots, preemption, now)));
     state.reservations.endRound();
   }
 
+  /** Returns the steps of the last round in the order in which they were placed. */
+  List<LiveStep> ranked() {
+    return ranked;
+  }
+
   private void placeStep(LiveStep step, AdviceSlots slots, Preemption preemption, long now) {
     int together = step.spec().gang() ? step.tasks().size() : 1;
     if (step.job().isSetAside() || !state.withinLimit(step, together)) {
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Tickets.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Tickets.java
@@ -54,6 +54,16 @@
     return callPending;
   }
 
+  /** Returns for how many milliseconds the present call has been in progress. */
+  long pendingMillis(long now) {
+    return callPending ? now - callStartedAt : 0;
+  }
+
+  /** Returns from when the next call may be made. */
+  long nextCallAt() {
+    return nextCallAt;
+  }
+
   boolean mayCall(long now) {
     return !callPending && now >= nextCallAt;
   }
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/EarlierLeasesTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/EarlierLeasesTest.java
@@ -112,4 +112,42 @@
     assertThat(runs(simulation, spec)).isTrue();
     assertThat(simulation.oracle().violations()).isEmpty();
   }
+
+  /** Guards against a step that waits for a lease to lapse and leaves no trace in the log. */
+  @Test
+  void stepUnderAnExecutorThatIsNotReachedIsNamedInTheLog() {
+    ClusterSimulation simulation = new ClusterSimulation(3);
+    simulation.taskWorkMillis(id -> 60_000L);
+    List.of("a", "b").forEach(simulation::addHost);
+    List.of("x1", "x2")
+        .forEach(id -> simulation.addExecutor(id, "zone", new Resources(4_000, 4_000, 0)));
+    simulation.time().run(20_000);
+    StepSpec step = StepSpec.builder().resources(new Resources(500, 100, 0)).build();
+    JobSpec spec =
+        new JobSpec(
+            "j1",
+            ClusterSimulation.queue("quick", 0, null),
+            "team",
+            "p",
+            List.of(step),
+            0,
+            0,
+            0,
+            0);
+    simulation.submit(simulation.hosts().get(0), spec);
+    simulation.time().run(1_000);
+    FakeExecutor lost =
+        simulation.executors().stream().filter(e -> !e.tasks().isEmpty()).toList().get(0);
+    lost.crash();
+    simulation.hosts().forEach(Host::kill);
+    simulation.time().run(1_000);
+    simulation.hosts().forEach(Host::start);
+    simulation.time().run(LEASE_MILLIS - 1_000);
+    assertThat(
+            simulation.logLines().stream()
+                .filter(l -> l.contains("STEP_WAITS") && l.contains("\"j1\""))
+                .filter(l -> l.contains("LEASE: executor " + lost.id() + " does not answer"))
+                .count())
+        .isAtLeast(1L);
+  }
 }
