Tell the time under earlier owners from that before any owner

Cause: the stage ended when the present owner learned of the job. Change: a job that the owner found at its takeover has this time in the new stage EARLIER_OWNERS (earlierOwnersMillis), all others in TRANSFER as before. Result: timeBeforeATakeoverIsThatOfEarlierOwners and the sum of all stages pass in JobStagesTest; there is no such field without the change.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/StageClock.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/StageClock.java
@@ -37,7 +37,8 @@
    * @param steps its steps
    */
   static StageTimes ofJob(LiveJob job, List<LiveStep> steps) {
-    StageTimes chain = StageTimes.NONE.with(Stage.TRANSFER, job.knownSince() - job.submittedAt());
+    Stage before = job.adopted() ? Stage.EARLIER_OWNERS : Stage.TRANSFER;
+    StageTimes chain = StageTimes.NONE.with(before, job.knownSince() - job.submittedAt());
     Optional<LiveStep> step = steps.stream().max(Comparator.comparingLong(LiveStep::doneAt));
     while (step.isPresent()) {
       chain = chain.plus(step.get().stages());
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/StageTimes.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/StageTimes.java
@@ -4,6 +4,7 @@
 import java.util.EnumMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.regex.Pattern;
 
 /**
  * How long something spent in each stage of its processing.
@@ -19,8 +20,10 @@
    * are written to the log and to the metrics.
    */
   public enum Stage {
-    /** Before the owner knew the job: its entry host, the inbox, or an earlier owner. */
+    /** Before any owner knew the job: its entry host and the inbox. */
     TRANSFER,
+    /** Before the present owner took over, for a job that was accepted before that. */
+    EARLIER_OWNERS,
     /** Runs that were lost, stopped or failed, and the waits before them. */
     RETRY,
     /** Waiting while a call to the advice service was in progress. */
@@ -34,11 +37,15 @@
     /** From the confirmation until the owner learned of the end. */
     RUN;
 
+    private static final Pattern WORD_START = Pattern.compile("_(.)");
+
     /**
      * Returns the name of the field with the stage's time in the log, such as {@code runMillis}.
      */
     public String fieldName() {
-      return name().toLowerCase(Locale.ROOT) + "Millis";
+      String lower = name().toLowerCase(Locale.ROOT);
+      return WORD_START.matcher(lower).replaceAll(m -> m.group(1).toUpperCase(Locale.ROOT))
+          + "Millis";
     }
   }
 
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/JobStagesTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/JobStagesTest.java
@@ -76,7 +76,8 @@
     submit("j1", 3);
     simulation.time().run(4_000);
     long stages = 0;
-    for (String stage : List.of("transfer", "retry", "advice", "room", "store", "start", "run")) {
+    for (String stage :
+        List.of("transfer", "earlierOwners", "retry", "advice", "room", "store", "start", "run")) {
       stages += millis("j1", stage + "Millis");
     }
     assertThat(stages).isEqualTo(millis("j1", "millis"));
@@ -113,4 +114,18 @@
     simulation.time().run(8_000);
     assertThat(millis("j1", "retryMillis")).isAtLeast(100);
   }
+
+  /** Guards against a wait under an earlier owner that looks like a slow entry host or inbox. */
+  @Test
+  void timeBeforeATakeoverIsThatOfEarlierOwners() {
+    submit("first", 4);
+    submit("second", 1);
+    simulation.time().run(300);
+    owner.kill();
+    simulation.time().run(200);
+    owner.start();
+    simulation.time().run(30_000);
+    assertThat(millis("second", "earlierOwnersMillis")).isAtLeast(300);
+    assertThat(millis("second", "transferMillis")).isEqualTo(0);
+  }
 }
