--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/AdviceDispatcher.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/AdviceDispatcher.java
@@ -107,6 +107,12 @@
     return free.isPresent();
   }
 
+  @Override
+  public Usage usage() {
+    int calls = localCaller.calls + callers.values().stream().mapToInt(c -> c.calls).sum();
+    return new Usage(1 + (int) availablePeers().count(), 1 + callers.size(), calls);
+  }
+
   private Optional<Caller> shortCaller() {
     long now = timers.nowMillis();
     return Stream.concat(Stream.of(localCaller), availablePeers())
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/AdvicePlanner.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/AdvicePlanner.java
@@ -48,12 +48,15 @@
   /** The same for long calls, which wait for other hosts than short ones. */
   private double refusedLongMillis = Double.POSITIVE_INFINITY;
 
+  private AdviceSlots lastSlots = millis -> false;
+
   AdvicePlanner(OwnerState state) {
     this.state = state;
   }
 
   /** Starts a round of placement, in which hosts may be free again. */
-  void startRound() {
+  void startRound(AdviceSlots slots) {
+    lastSlots = slots;
     refusedShortMillis = Double.POSITIVE_INFINITY;
     refusedLongMillis = Double.POSITIVE_INFINITY;
   }
@@ -237,7 +240,8 @@
             + asked.size()
             + " executors allowed after "
             + (now - sentAt)
-            + " ms");
+            + " ms; "
+            + lastSlots.usage());
   }
 
   /** Learns how many executors are allowed from those of which that was not known. */
@@ -260,6 +264,6 @@
     step.tickets().callFailed(now + RETRY_MILLIS, now);
     step.retry();
     state.decisionListener.decisionMade(
-        Kind.ADVICE, step.id().job(), step.id().toString(), problem);
+        Kind.ADVICE, step.id().job(), step.id().toString(), problem + "; " + lastSlots.usage());
   }
 }
