Give accepted jobs that have waited for long a share of each service

Cause: overdue, surplus and deferred jobs, and low priorities, rank after the others, and nothing ended that.

Change: AgedSteps promotes one step of each service at a time: of the jobs that cannot be in time and were accepted 20 s ago or more, the oldest. It is placed before all other finite steps, for 5 s at most. Promoted steps use 5% of a service together; a larger one runs alone. The age is that of the job, which a takeover does not change. "aged-steps" switches it off.

This is no fixed bound: the wait grows with the late work before a job, and admission counts no late work.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Mechanism.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Mechanism.java
@@ -38,7 +38,9 @@
   /** Counting in the resource that limits a service, instead of processors. */
   SCARCE_RESOURCE,
   /** Keeping executors for gangs that wait. */
-  RESERVATIONS;
+  RESERVATIONS,
+  /** A share of each service for steps that have waited for long. */
+  AGED_STEPS;
 
   /** Returns the name in settings, such as {@code shortage-order}. */
   public String settingName() {
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/StepOrder.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/StepOrder.java
@@ -12,9 +12,9 @@
  * The order in which ready steps are placed.
  *
  * <p>Long-running tasks come first, because they have to run all the time. Jobs that are too late
- * to be of use to their callers come last. The other steps are ordered by the priority of their
- * queue, then by whether the job can still meet its objective, then by how much of the capacity the
- * organisation uses relative to its weight.
+ * to be of use to their callers come last, until {@link AgedSteps} promotes them. The other steps
+ * are ordered by the priority of their queue, then by whether the job can still meet its objective,
+ * then by how much of the capacity the organisation uses relative to its weight.
  *
  * <p>In a shortage, jobs that exceed the agreed rate of their organisation come after the others.
  * Within a priority, jobs that the {@link ShortagePlan} defers come later, and organisations within
@@ -36,6 +36,7 @@
    */
   private record Rank(
       boolean finite,
+      boolean notPromoted,
       boolean overdue,
       boolean surplus,
       int priority,
@@ -48,6 +49,7 @@
 
   private static final Comparator<Rank> ORDER =
       Comparator.comparing(Rank::finite)
+          .thenComparing(Rank::notPromoted)
           .thenComparing(Rank::overdue)
           .thenComparing(Rank::surplus)
           .thenComparingInt(Rank::priority)
@@ -83,6 +85,7 @@
 
   private final OwnerState state;
   private final ShortageMonitor shortage;
+  private final AgedSteps aged;
   private final Map<LiveStep, Expectation> expectations = new IdentityHashMap<>();
 
   /** Ranks in a shortage, in which many steps wait; they are as old as the expectations at most. */
@@ -93,6 +96,7 @@
   StepOrder(OwnerState state, ShortageMonitor shortage) {
     this.state = state;
     this.shortage = shortage;
+    aged = new AgedSteps(state);
   }
 
   /** Returns the steps in the order in which they are to be placed. */
@@ -105,6 +109,9 @@
     if (shortage.update(steps, this::objective, now)) {
       ranksInShortage.clear();
     }
+    if (aged.update(steps, s -> !isInTime(s, state.queue(s.job()), now), now)) {
+      ranksInShortage.clear();
+    }
     if (steps.size() < 2) {
       return steps;
     }
@@ -114,6 +121,11 @@
     return steps.stream().sorted(Comparator.comparing(ranks::get, ORDER)).toList();
   }
 
+  /** Returns whether a step is placed before all other finite ones because it waited for long. */
+  boolean isPromoted(LiveStep step) {
+    return aged.isPromoted(step);
+  }
+
   private ShortageMonitor.Objective objective(LiveStep step, long now) {
     Expectation expected = expectation(step, state.queue(step.job()));
     return new ShortageMonitor.Objective(
@@ -140,6 +152,7 @@
     long objectiveAt = job.submittedAt() + expected.objectiveMillis;
     return new Rank(
         !step.spec().longRunning(),
+        !isPromoted(step),
         isOverdue(step, objectiveStatus),
         isSurplus(job, queue),
         queue.priority(),
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/SlotModel.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/SlotModel.java
@@ -80,6 +80,7 @@
   private final RunLifecycle runs;
   private final PriorityQueue<End> ends = new PriorityQueue<>(Comparator.comparingLong(End::at));
   private final Placement placement;
+  private final AdmissionPolicy admission;
   private long now = 100_000;
 
   private SlotModel(Set<Mechanism> disabled) {
@@ -92,6 +93,7 @@
     runs = new RunLifecycle(state);
     StepOrder order = new StepOrder(state, new ShortageMonitor(state));
     placement = new Placement(state, runs, new AdvicePlanner(state), order);
+    admission = new AdmissionPolicy(state);
   }
 
   /** Returns a model with the order under shortage. */
@@ -158,12 +160,29 @@
    */
   Submission submit(
       String id, Queue queue, String organisation, double durationFactor, StepSpec... steps) {
-    JobSpec spec = new JobSpec(id, queue, organisation, "", List.of(steps), 0, 0, 0, now);
+    return accept(job(id, queue, organisation, steps), durationFactor);
+  }
+
+  /** Submits a job now, which is accepted only if it is admitted. */
+  void offer(
+      String id, Queue queue, String organisation, double durationFactor, StepSpec... steps) {
+    JobSpec spec = job(id, queue, organisation, steps);
+    if (admission.admit(spec, now) instanceof Admission.Admitted) {
+      accept(spec, durationFactor);
+      admission.accepted(spec, now);
+    }
+  }
+
+  private JobSpec job(String id, Queue queue, String organisation, StepSpec... steps) {
+    return new JobSpec(id, queue, organisation, "", List.of(steps), 0, 0, 0, now);
+  }
+
+  private Submission accept(JobSpec spec, double durationFactor) {
     LiveJob job = new LiveJob(JobEntry.submitted(spec), state.waitingSteps, now, now);
     state.addJob(job);
     job.markReady(now);
     Submission submission = new Submission(spec, durationFactor);
-    submissions.put(id, submission);
+    submissions.put(spec.id(), submission);
     return submission;
   }
 
