Ask for advice on a promoted step before room is free

Callers: late jobs of queues that need advice made no call for it for a minute and more, or got tickets for room that others had taken meanwhile.

Cause: a call names only executors with free room, and under load that room is gone before the ticket is there.

Change: a step that has its turn names executors by their whole capacity, so that it holds tickets when room is free. At most one step of a service has a turn.

promotedStepAsksAboutExecutorsThatAreFull fails without the change (no call).

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Placement.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Placement.java
@@ -1,5 +1,6 @@
 package io.cactusspring.jobs.schedule;
 
+import io.cactusspring.core.model.Resources;
 import io.cactusspring.jobs.model.Queue;
 import io.cactusspring.jobs.model.StepSpec;
 import io.cactusspring.jobs.schedule.Reservations.Reservation;
@@ -8,6 +9,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Function;
 import java.util.stream.Stream;
 
 /** Chooses executors for waiting tasks, and requests advice for steps that need it. */
@@ -76,7 +78,7 @@
       return;
     }
     step.expensiveSearchNotBefore(now + EXPENSIVE_SEARCH_INTERVAL_MILLIS);
-    advice.plan(step, left, LiveExecutor::free, slots, now);
+    advice.plan(step, left, roomToAskFor(step), slots, now);
     Queue queue = state.queue(step.job());
     boolean urgent = order.mayPreempt(step, queue, now);
     if (urgent && !step.tickets().callPending()) {
@@ -87,6 +89,14 @@
     }
   }
 
+  /**
+   * Returns the room of an executor from which on a step asks for advice. Room that is free is
+   * taken by others before a ticket is there, so a promoted step asks before.
+   */
+  private Function<LiveExecutor, Resources> roomToAskFor(LiveStep step) {
+    return order.isPromoted(step) ? e -> e.info().capacity() : LiveExecutor::free;
+  }
+
   /**
    * Returns the tasks of a step that are due, without new ones for which the progress record of the
    * job has no room.
@@ -191,7 +201,7 @@
     if (!kept.isEmpty()) {
       advice.renew(step, kept, slots, now);
     } else if (!state.reservations.areMadeFor(step) || !advice.explore(step, slots, now)) {
-      advice.plan(step, step.tasks().size(), LiveExecutor::free, slots, now);
+      advice.plan(step, step.tasks().size(), roomToAskFor(step), slots, now);
     }
   }
 
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/DeniedAdviceTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/DeniedAdviceTest.java
@@ -169,4 +169,19 @@
     configure(new AdviceSettings(400, 6, 3_000));
     assertThat(callDue().orElseThrow().executors()).containsExactly("x1");
   }
+
+  /** Guards against a late step whose tickets always come after others have taken the room. */
+  @Test
+  void promotedStepAsksAboutExecutorsThatAreFull() {
+    boot("x1", FIRST_BOOT);
+    StepSpec whole = StepSpec.builder().tasks(1).resources(CAPACITY).longRunning(true).build();
+    Queue open = new Queue("open", "host", "/o/", "svc", 0, 2, 1.5, 250, null, false);
+    JobSpec service = new JobSpec("service", open, "team", "p", List.of(whole), 0, 0, 0, now);
+    scheduler.submitted(JobEntry.submitted(service), now, now);
+    assertThat(startedOn()).containsExactly("x1");
+    now += AgedSteps.AGED_AFTER_MILLIS - 100;
+    assertThat(callDue()).isEmpty();
+    now += 200;
+    assertThat(callDue().orElseThrow().executors()).containsExactly("x1");
+  }
 }
