--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/RollingRestartFuzzTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/RollingRestartFuzzTest.java
@@ -34,9 +34,6 @@
   /** Number of seeds; the default is what CI runs, more with {@code -Dcactusspring.fuzz=N}. */
   private static final int SEEDS = Integer.getInteger("cactusspring.fuzz", 4);
 
-  /** Seeds that fail for a fault in KNOWN-RED.txt. They run only by themselves. */
-  private static final Set<Long> KNOWN_RED_SEEDS = Set.of(8L);
-
   private static final long FIRST_SEED = Long.getLong("cactusspring.fuzz.first", 6);
 
   /** Prints the log of the hosts; intended for runs of one seed. */
@@ -444,10 +441,6 @@
   @Test
   void acceptedWorkRunsAfterAllHostsWereRestarted() {
     for (long seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
-      if (SEEDS > 1 && KNOWN_RED_SEEDS.contains(seed)) {
-        System.out.println("known red, not run: RollingRestartFuzzTest, seed " + seed);
-        continue;
-      }
       assertWithMessage("seed %s", seed).that(run(seed)).isEmpty();
     }
   }
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/WaitMonitorTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/WaitMonitorTest.java
@@ -77,7 +77,7 @@
             ledger.values(),
             id -> Optional.ofNullable(ledger.get(id)).flatMap(JobEntry::spec),
             listener,
-            now + LEASE_LEFT_MILLIS,
+            InheritedLeases.until(now + LEASE_LEFT_MILLIS),
             now,
             now);
     created.configure(configuration(NO_LIMIT));
