Count the room of unknown executors in full before denied ones are named again

Callers: an advice call named executors that had been denied although others had enough room, which made it longer.

Cause: the room of the others was weighted by the share that is usually allowed, so it fell short of the waiting tasks.

Change: denied executors are named only if the room of all others, unweighted, is too small for the waiting tasks.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/AdvicePlanner.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/AdvicePlanner.java
@@ -149,18 +149,21 @@
         (int) Math.ceil(Math.log(MAX_MISS_PROBABILITY) / Math.log(1 - Math.min(0.95, share)));
     double wanted = waiting * SPARE_FACTOR;
     double expected = 0;
+    int fit = 0;
     List<LiveExecutor> named = new ArrayList<>();
     for (LiveExecutor e : fitting) {
       boolean enough =
           step.tickets().isDenied(e)
-              ? expected >= waiting
+              ? fit >= waiting
               : expected >= wanted && named.size() >= minNamed;
       if (enough || named.size() >= MAX_EXECUTORS_PER_CALL) {
         break;
       }
       boolean known = step.tickets().isAllowed(e);
       named.add(e);
-      expected += tasksThatFit(step, e, room.apply(e)) * (known ? 1 : share);
+      int tasks = tasksThatFit(step, e, room.apply(e));
+      fit += tasks;
+      expected += tasks * (known ? 1 : share);
     }
     return named;
   }
