Count long calls apart from short ones where callers are held

Long calls are counted apart, and a round leaves a step out only if calls of both kinds were refused.

The cases of longCallsAreMadeBesideShortCallsOfAnyDuration cover 40 to 140 ms, where the review's trial saw no long call before.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/AdviceDispatcher.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/AdviceDispatcher.java
@@ -53,6 +53,7 @@
   private static final class Caller {
     private final AdviceService service;
     private int calls;
+    private int longCalls;
     private double busyMillis;
     private long backoffUntil = Long.MIN_VALUE;
     private long backoffMillis = INITIAL_BACKOFF_MILLIS;
@@ -100,6 +101,7 @@
     free.ifPresent(
         c -> {
           c.calls++;
+          c.longCalls += AdviceSlots.isShort(callMillis) ? 0 : 1;
           c.busyMillis += callMillis;
           c.heldUntil = Long.MIN_VALUE;
           reserved.add(new Reservation(c, callMillis, timers.nowMillis()));
@@ -128,7 +130,7 @@
     List<Caller> callers = others.isEmpty() ? List.of(localCaller) : others;
     long maxLongCalls =
         callers.size() - Math.min(SHORT_ONLY_HOSTS, callers.size() / SHORT_ONLY_DIVISOR);
-    if (callers.stream().filter(c -> c.busyMillis > SHORT_CALL_MILLIS).count() >= maxLongCalls) {
+    if (callers.stream().filter(c -> c.longCalls > 0).count() >= maxLongCalls) {
       return Optional.empty();
     }
     Optional<Caller> idle = callers.stream().filter(c -> c.calls == 0).findFirst();
@@ -150,7 +152,7 @@
 
   private static Optional<Caller> nextToHold(List<Caller> callers, long now) {
     return callers.stream()
-        .filter(c -> c.busyMillis <= SHORT_CALL_MILLIS && c.nextHoldAt <= now)
+        .filter(c -> c.longCalls == 0 && c.nextHoldAt <= now)
         .min(Comparator.comparingDouble(c -> c.busyMillis));
   }
 
@@ -188,6 +190,7 @@
               caller.calls--;
               caller.busyMillis -= slot.millis;
               if (!AdviceSlots.isShort(slot.millis)) {
+                caller.longCalls--;
                 long now = timers.nowMillis();
                 caller.nextHoldAt = now + (now - slot.reservedAt);
               }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/AdvicePlanner.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/AdvicePlanner.java
@@ -90,7 +90,9 @@
       return;
     }
     AdviceSettings settings = queue.advice();
-    if (isRefused(settings.callMillis(1))) {
+    boolean refused =
+        isRefused(settings.callMillis(1)) && isRefused(settings.callMillis(MAX_EXECUTORS_PER_CALL));
+    if (refused) {
       return;
     }
     call(step, queue, candidates(step, queue, waiting, room, now), slots, now);
@@ -173,18 +175,21 @@
     int atLeast = minNamed << Math.min(MAX_DOUBLINGS, step.tickets().misses());
     double wanted = waiting * SPARE_FACTOR;
     double expected = 0;
+    int fit = 0;
     List<LiveExecutor> named = new ArrayList<>();
     for (LiveExecutor e : fitting) {
       boolean enough =
           step.tickets().isDenied(e)
-              ? !named.isEmpty() && !step.tickets().isDenied(named.getFirst())
+              ? fit >= waiting
               : expected >= wanted && named.size() >= atLeast;
       if (enough || named.size() >= MAX_EXECUTORS_PER_CALL) {
         break;
       }
       boolean known = step.tickets().isAllowed(e);
       named.add(e);
-      expected += tasksThatFit(step, e, room.apply(e)) * (known ? 1 : share);
+      int tasks = tasksThatFit(step, e, room.apply(e));
+      fit += tasks;
+      expected += tasks * (known ? 1 : share);
     }
     return named;
   }
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/AdviceDispatcherTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/AdviceDispatcherTest.java
@@ -15,6 +15,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests the distribution of advice calls over the entry hosts. */
 final class AdviceDispatcherTest {
@@ -124,8 +126,8 @@
   }
 
   /** Makes all the short calls that find a caller, and then a long one if it finds a caller. */
-  private void askInTurn(AdviceDispatcher asked, int shortCalls, AtomicInteger[] made) {
-    for (int i = 0; i < shortCalls && asked.reserve(SHORT_MILLIS); i++) {
+  private void askInTurn(AdviceDispatcher asked, double shortMillis, AtomicInteger[] made) {
+    for (int i = 0; i < 4 && asked.reserve(shortMillis); i++) {
       made[0].incrementAndGet();
       asked.requestAdvice(call("x1"));
     }
@@ -136,9 +138,13 @@
   }
 
   private int[] callsMadeInTenSeconds(AdviceDispatcher asked) {
+    return callsMadeInTenSeconds(asked, SHORT_MILLIS);
+  }
+
+  private int[] callsMadeInTenSeconds(AdviceDispatcher asked, double shortMillis) {
     AtomicInteger[] made = {new AtomicInteger(), new AtomicInteger()};
     for (int i = 0; i < 500; i++) {
-      askInTurn(asked, 4, made);
+      askInTurn(asked, shortMillis, made);
       time.run(20);
     }
     return new int[] {made[0].get(), made[1].get()};
@@ -164,6 +170,15 @@
     assertThat(callsMadeInTenSeconds(busy)[1]).isAtLeast(5);
   }
 
+  /** Guards against callers that seem to make long calls because of the short ones they have. */
+  @ParameterizedTest
+  @ValueSource(doubles = {40, 80, 100, 140})
+  void longCallsAreMadeBesideShortCallsOfAnyDuration(double shortMillis) {
+    AdviceDispatcher busy = new AdviceDispatcher(new OneAtATime(shortMillis), time.timers());
+    IntStream.range(0, 2).forEach(i -> busy.addHost("host" + i, new OneAtATime(shortMillis)));
+    assertThat(callsMadeInTenSeconds(busy, shortMillis)[1]).isAtLeast(5);
+  }
+
   /** The service is slow, or the hosts have just started. */
   @Test
   void longCallsAreMadeWhileShortCallsTakeTenTimesAsLongAsExpected() {
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/AdviceWidthTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/AdviceWidthTest.java
@@ -65,11 +65,12 @@
     scheduler.submitted(JobEntry.submitted(spec), now, now);
   }
 
-  private Action.RequestAdvice callDue() {
+  private Action.RequestAdvice callDue(String job) {
     now += 50;
     return scheduler.decide(millis -> true, now, now).stream()
         .filter(Action.RequestAdvice.class::isInstance)
         .map(Action.RequestAdvice.class::cast)
+        .filter(call -> call.step().job().equals(job))
         .findFirst()
         .orElseThrow();
   }
@@ -85,7 +86,7 @@
   private void learnThatAThirdIsAllowed() {
     for (int i = 0; i < 20; i++) {
       submit("small" + i, 1);
-      Action.RequestAdvice call = callDue();
+      Action.RequestAdvice call = callDue("small" + i);
       int third = Math.ceilDiv(call.executors().size(), 3);
       answer(call, Set.copyOf(call.executors().subList(0, third)));
     }
@@ -99,7 +100,7 @@
     int named = 0;
     int calls = 0;
     for (int last = 0; named < EXECUTORS; calls++) {
-      Action.RequestAdvice call = callDue();
+      Action.RequestAdvice call = callDue("job");
       assertThat(call.executors().size()).isAtLeast(Math.min(2 * last, EXECUTORS - named));
       last = call.executors().size();
       named += last;
@@ -116,10 +117,10 @@
     submit("first", WIDE);
     String allowed = "x0";
     for (int i = 0; i < 60; i++) {
-      answer(callDue(), Set.of(allowed));
+      answer(callDue("first"), Set.of(allowed));
       now += 3_000;
     }
     submit("second", WIDE);
-    assertThat(callDue().executors().size()).isAtLeast(20);
+    assertThat(callDue("second").executors().size()).isAtLeast(20);
   }
 }
