Bound the searches for executors to ask about while callers are short

Cause: a refused call used to end all searches of a round. Since refusals of short and of long calls are told apart, each step with long calls searched its executors every 20 ms, most of them in vain, as their service was full; a search also sorted denied executors along.

Change: after a refused call at most four steps search in 20 ms, and a step that searched in vain pauses for 500 ms so that others get their turn. Denied executors are looked at only if the others have too little room.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/AdvicePlanner.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/AdvicePlanner.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
+import java.util.stream.Stream;
 
 /**
  * Selects the executors that an advice call names.
@@ -24,6 +25,10 @@
  */
 final class AdvicePlanner {
   private static final int MAX_EXECUTORS_PER_CALL = 100;
+  // While callers are short, most searches are in vain, and hundreds of steps may wait.
+  private static final int MAX_SEARCHES_WHILE_REFUSED = 4;
+  private static final long SEARCHES_INTERVAL_MILLIS = 20;
+  private static final long FRUITLESS_SEARCH_PAUSE_MILLIS = 500;
   private static final double INITIAL_ALLOWED_SHARE = 0.5;
   private static final double MIN_ALLOWED_SHARE = 0.1;
   private static final double SMOOTHING_FACTOR = 0.1;
@@ -48,6 +53,8 @@
   /** The same for long calls, which wait for other hosts than short ones. */
   private double refusedLongMillis = Double.POSITIVE_INFINITY;
 
+  private int searchesLeft;
+  private long searchesCountedFrom = Long.MIN_VALUE / 2;
   private AdviceSlots lastSlots = millis -> false;
 
   AdvicePlanner(OwnerState state) {
@@ -65,6 +72,25 @@
     return callMillis >= (AdviceSlots.isShort(callMillis) ? refusedShortMillis : refusedLongMillis);
   }
 
+  private boolean callersAreShort() {
+    return Double.isFinite(refusedShortMillis) || Double.isFinite(refusedLongMillis);
+  }
+
+  /**
+   * Returns whether a search for executors may be made now. Searches are few after a refused call,
+   * and a step whose search was in vain lets others search before its next one.
+   */
+  private boolean maySearch(long now) {
+    if (!callersAreShort()) {
+      return true;
+    }
+    if (now - searchesCountedFrom >= SEARCHES_INTERVAL_MILLIS) {
+      searchesCountedFrom = now;
+      searchesLeft = MAX_SEARCHES_WHILE_REFUSED;
+    }
+    return searchesLeft-- > 0;
+  }
+
   private void refused(double callMillis) {
     if (AdviceSlots.isShort(callMillis)) {
       refusedShortMillis = Math.min(refusedShortMillis, callMillis);
@@ -92,10 +118,14 @@
     AdviceSettings settings = queue.advice();
     boolean refused =
         isRefused(settings.callMillis(1)) && isRefused(settings.callMillis(MAX_EXECUTORS_PER_CALL));
-    if (refused) {
+    if (refused || !maySearch(now)) {
       return;
     }
-    call(step, queue, candidates(step, queue, waiting, room, now), slots, now);
+    List<LiveExecutor> named = candidates(step, queue, waiting, room, now);
+    if (named.isEmpty() && callersAreShort()) {
+      step.expensiveSearchNotBefore(now + FRUITLESS_SEARCH_PAUSE_MILLIS);
+    }
+    call(step, queue, named, slots, now);
   }
 
   /**
@@ -160,15 +190,6 @@
   private List<LiveExecutor> candidates(
       LiveStep step, Queue queue, int waiting, Function<LiveExecutor, Resources> room, long now) {
     double share = Math.max(MIN_ALLOWED_SHARE, allowedShare(queue));
-    Comparator<LiveExecutor> byDenial = Comparator.comparing(step.tickets()::isDenied);
-    List<LiveExecutor> fitting =
-        state.executors.values().stream()
-            .filter(e -> e.isUsableAsLastResort(now) && Placement.mayRun(e, step, queue, 0))
-            .filter(e -> step.spec().committed().fitsIn(room.apply(e)))
-            .filter(e -> step.tickets().valid(e, now).isEmpty())
-            .filter(e -> !step.tickets().isDenied(e) || step.tickets().mayRepeat(e, now))
-            .sorted(byDenial.thenComparing(preference(step, queue, now)))
-            .toList();
     int minNamed =
         (int) Math.ceil(Math.log(MAX_MISS_PROBABILITY) / Math.log(1 - Math.min(0.95, share)));
     // Naming more executors costs little beside another call.
@@ -177,23 +198,38 @@
     double expected = 0;
     int fit = 0;
     List<LiveExecutor> named = new ArrayList<>();
-    for (LiveExecutor e : fitting) {
-      boolean enough =
-          step.tickets().isDenied(e)
-              ? fit >= waiting
-              : expected >= wanted && named.size() >= atLeast;
+    for (LiveExecutor e :
+        fitting(step, queue, room, now)
+            .filter(e -> !step.tickets().isDenied(e))
+            .sorted(preference(step, queue, now))
+            .toList()) {
+      boolean enough = expected >= wanted && named.size() >= atLeast;
       if (enough || named.size() >= MAX_EXECUTORS_PER_CALL) {
-        break;
+        return named;
       }
-      boolean known = step.tickets().isAllowed(e);
       named.add(e);
       int tasks = tasksThatFit(step, e, room.apply(e));
       fit += tasks;
-      expected += tasks * (known ? 1 : share);
+      expected += tasks * (step.tickets().isAllowed(e) ? 1 : share);
+    }
+    if (fit < waiting) {
+      fitting(step, queue, room, now)
+          .filter(e -> step.tickets().mayRepeat(e, now))
+          .limit(MAX_EXECUTORS_PER_CALL - named.size())
+          .forEach(named::add);
     }
     return named;
   }
 
+  /** Returns the executors that have room for a task of a step, which has no ticket for them. */
+  private Stream<LiveExecutor> fitting(
+      LiveStep step, Queue queue, Function<LiveExecutor, Resources> room, long now) {
+    return state.executors.values().stream()
+        .filter(e -> e.isUsableAsLastResort(now) && Placement.mayRun(e, step, queue, 0))
+        .filter(e -> step.spec().committed().fitsIn(room.apply(e)))
+        .filter(e -> step.tickets().valid(e, now).isEmpty());
+  }
+
   private Comparator<LiveExecutor> preference(LiveStep step, Queue queue, long now) {
     Comparator<LiveExecutor> byKnownAllowed =
         Comparator.comparingInt(e -> step.tickets().isAllowed(e) ? 0 : 1);
