Bound only the searches for long calls, and only while short ones are refused

Cause: the bound of searches counted those for short calls too, once a long call was refused, although callers for short ones were free.

Change: a refused long call ends the searches for long calls only, as before; the bound applies to searches for long calls after a refused short one.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/AdvicePlanner.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/AdvicePlanner.java
@@ -25,7 +25,7 @@
  */
 final class AdvicePlanner {
   private static final int MAX_EXECUTORS_PER_CALL = 100;
-  // While callers are short, most searches are in vain, and hundreds of steps may wait.
+  // While short calls take all callers, most searches are in vain, and hundreds of steps may wait.
   private static final int MAX_SEARCHES_WHILE_REFUSED = 4;
   private static final long SEARCHES_INTERVAL_MILLIS = 20;
   private static final long FRUITLESS_SEARCH_PAUSE_MILLIS = 500;
@@ -72,16 +72,17 @@
     return callMillis >= (AdviceSlots.isShort(callMillis) ? refusedShortMillis : refusedLongMillis);
   }
 
-  private boolean callersAreShort() {
-    return Double.isFinite(refusedShortMillis) || Double.isFinite(refusedLongMillis);
+  /** Returns whether all callers are taken by short calls, so that only long calls may be due. */
+  private boolean shortCallsAreRefused() {
+    return Double.isFinite(refusedShortMillis);
   }
 
   /**
-   * Returns whether a search for executors may be made now. Searches are few after a refused call,
-   * and a step whose search was in vain lets others search before its next one.
+   * Returns whether a search for executors may be made now. Searches are few after a refused short
+   * call, and a step whose search was in vain lets others search before its next one.
    */
   private boolean maySearch(long now) {
-    if (!callersAreShort()) {
+    if (!shortCallsAreRefused()) {
       return true;
     }
     if (now - searchesCountedFrom >= SEARCHES_INTERVAL_MILLIS) {
@@ -122,7 +123,7 @@
       return;
     }
     List<LiveExecutor> named = candidates(step, queue, waiting, room, now);
-    if (named.isEmpty() && callersAreShort()) {
+    if (named.isEmpty() && shortCallsAreRefused()) {
       step.expensiveSearchNotBefore(now + FRUITLESS_SEARCH_PAUSE_MILLIS);
     }
     call(step, queue, named, slots, now);
