Hold a caller beyond the owner's next round

Cause: the hold of a caller ended 300 ms after a long call was last asked for. In the next round short calls come first, and took the caller.

Change: it ends after 1 s. longCallsAreMadeIfRoundsAreHalfASecondApart makes no long call with 300 ms; a single caller that nobody asks any more is free again after 1 s.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/AdviceDispatcher.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/AdviceDispatcher.java
@@ -42,8 +42,11 @@
   /** Additional duration of a call through another host. */
   private static final double PEER_CALL_OVERHEAD_MILLIS = 3;
 
-  /** Time without a request for a long call after which a held caller is free again. */
-  private static final long HOLD_MILLIS = 300;
+  /**
+   * Time without a request for a long call after which a held caller is free again; longer than
+   * between two rounds under overload.
+   */
+  private static final long HOLD_MILLIS = 1_000;
 
   private static final long TIMEOUT_MARGIN_MILLIS = 1_500;
   private static final long INITIAL_BACKOFF_MILLIS = 1_000;
