Name and share what a newcomer stumbles over in the last changes

Cause: read once more as by somebody who does not know the project. An age had no unit in its name; mayStart meant two things in JobScheduler, and isSilent three; "extra" and "fit" said nothing; an error while the reason of a wait was sought was logged without its place; two tests built the same cluster, three fuzz tests recorded internal errors in the same lines.

Change: nextLineAgeMillis, isStartable, hasUnansweredRuns, leaseRecord, tasksWithRoom; the place of the error is in the line; ClusterSimulation.recordInternalErrors and one set-up in EarlierLeasesTest. Checks are the same; that test now has three hosts in both of its cases.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/HeartbeatWriter.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/HeartbeatWriter.java
@@ -35,7 +35,7 @@
   private OwnerRecord last;
   private long end;
   private Optional<Write> write = Optional.empty();
-  private Optional<Promise<Void>> extra = Optional.empty();
+  private Optional<Promise<Void>> leaseRecord = Optional.empty();
   private Optional<Promise<Void>> release = Optional.empty();
   private long lastStoredSentAt;
   private long ownedAt;
@@ -127,16 +127,16 @@
    * it is stored.
    */
   Future<Void> writeLeases() {
-    Promise<Void> promise = extra.orElseGet(Promise::promise);
-    extra = Optional.of(promise);
+    Promise<Void> promise = leaseRecord.orElseGet(Promise::promise);
+    leaseRecord = Optional.of(promise);
     if (write.isEmpty()) {
-      startExtra();
+      startLeaseRecord();
     }
     return promise.future();
   }
 
-  // Not a heartbeat: their number shows a later owner how long the claim has been stored.
-  private void startExtra() {
+  // It repeats the number of the last heartbeat, by which a later owner tells the claim's age.
+  private void startLeaseRecord() {
     if (!stopped && release.isEmpty()) {
       start(last);
     }
@@ -170,8 +170,8 @@
 
   private void start(OwnerRecord record) {
     long now = timers.nowMillis();
-    Write started = new Write(record.withLeases(leases.apply(now)), now, extra);
-    extra = Optional.empty();
+    Write started = new Write(record.withLeases(leases.apply(now)), now, leaseRecord);
+    leaseRecord = Optional.empty();
     write = Optional.of(started);
     send(started);
   }
@@ -220,8 +220,8 @@
       release.ifPresent(Promise::tryComplete);
     } else if (release.isPresent()) {
       startRelease();
-    } else if (extra.isPresent()) {
-      startExtra();
+    } else if (leaseRecord.isPresent()) {
+      startLeaseRecord();
     }
     done.requested.ifPresent(Promise::tryComplete);
   }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerController.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerController.java
@@ -339,7 +339,7 @@
     confirmRecords(now);
     scheduler.decide(adviceDispatcher, timers.wallMillis(), now).forEach(this::execute);
     storeChanges();
-    if (heartbeats.silentExecutors().stream().anyMatch(e -> !scheduler.isSilent(e, now))) {
+    if (heartbeats.silentExecutors().stream().anyMatch(e -> !scheduler.hasUnansweredRuns(e, now))) {
       writeLeases();
     }
     renewLeases(now);
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/AdvicePlanner.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/AdvicePlanner.java
@@ -194,26 +194,27 @@
     int minNamed =
         (int) Math.ceil(Math.log(MAX_MISS_PROBABILITY) / Math.log(1 - Math.min(0.95, share)));
     // Naming more executors costs little beside another call.
-    int atLeast = minNamed << Math.min(MAX_DOUBLINGS, step.tickets().misses());
+    int leastNamed = minNamed << Math.min(MAX_DOUBLINGS, step.tickets().misses());
     double wanted = waiting * SPARE_FACTOR;
     double expected = 0;
-    int fit = 0;
-    List<LiveExecutor> named = new ArrayList<>();
-    for (LiveExecutor e :
+    int tasksWithRoom = 0;
+    List<LiveExecutor> notDenied =
         fitting(step, queue, room, now)
             .filter(e -> !step.tickets().isDenied(e))
             .sorted(preference(step, queue, now))
-            .toList()) {
-      boolean enough = expected >= wanted && named.size() >= atLeast;
+            .toList();
+    List<LiveExecutor> named = new ArrayList<>();
+    for (LiveExecutor e : notDenied) {
+      boolean enough = expected >= wanted && named.size() >= leastNamed;
       if (enough || named.size() >= MAX_EXECUTORS_PER_CALL) {
         return named;
       }
       named.add(e);
       int tasks = tasksThatFit(step, e, room.apply(e));
-      fit += tasks;
+      tasksWithRoom += tasks;
       expected += tasks * (step.tickets().isAllowed(e) ? 1 : share);
     }
-    if (fit < waiting) {
+    if (tasksWithRoom < waiting) {
       fitting(step, queue, room, now)
           .filter(e -> step.tickets().mayRepeat(e, now))
           .limit(MAX_EXECUTORS_PER_CALL - named.size())
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
@@ -462,7 +462,7 @@
   }
 
   /** Returns whether an executor has runs and does not answer. */
-  public boolean isSilent(String executor, long now) {
+  public boolean hasUnansweredRuns(String executor, long now) {
     return silentExecutors.contains(executor, now);
   }
 
@@ -630,7 +630,7 @@
       return Optional.empty();
     }
     Optional<String> ticket = ticket(task, executor, now);
-    if (!mayStart(executor, run, now) || ticket.isEmpty()) {
+    if (!isStartable(executor, run, now) || ticket.isEmpty()) {
       if (run.phase() == Run.Phase.DECIDED) {
         runs.lost(executor, run, "executor, zone or ticket not usable any more", now);
       } else {
@@ -652,7 +652,7 @@
             ticket.get()));
   }
 
-  private boolean mayStart(LiveExecutor executor, Run run, long now) {
+  private boolean isStartable(LiveExecutor executor, Run run, long now) {
     if (run.phase() == Run.Phase.DECIDED) {
       return executor.maySend(run, now) && executor.hasClock();
     }
@@ -671,7 +671,7 @@
   public boolean startMayGrantLease(String executorId, RunKey key, long now) {
     LiveExecutor executor = state.executors.get(executorId);
     Run run = executor == null ? null : executor.run(key);
-    return run != null && mayStart(executor, run, now);
+    return run != null && isStartable(executor, run, now);
   }
 
   private Optional<String> ticket(LiveTask task, LiveExecutor executor, long now) {
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/WaitDiagnosis.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/WaitDiagnosis.java
@@ -45,7 +45,7 @@
       return find(step, now);
     } catch (RuntimeException e) {
       // Unlike an error of a decision, this one must not end the term.
-      return new WaitReason.Undetermined(e.toString());
+      return new WaitReason.Undetermined(e + " at " + e.getStackTrace()[0]);
     }
   }
 
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/WaitMonitor.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/WaitMonitor.java
@@ -22,7 +22,7 @@
   static final int MAX_STEPS_PER_PASS = 32;
 
   private static final class Wait {
-    private long nextLineAge = MIN_AGE_MILLIS;
+    private long nextLineAgeMillis = MIN_AGE_MILLIS;
     private WaitReason reason;
   }
 
@@ -67,7 +67,7 @@
 
   private boolean isLineDue(WaitingStep waiting, long now) {
     Wait known = waits.get(waiting.step);
-    return known == null || waiting.age(now) >= known.nextLineAge;
+    return known == null || waiting.age(now) >= known.nextLineAgeMillis;
   }
 
   private void report(WaitingStep waiting, WaitDiagnosis diagnosis, long now) {
@@ -75,10 +75,10 @@
     Wait wait = waits.computeIfAbsent(step, s -> new Wait());
     wait.reason = diagnosis.of(step, now);
     long age = waiting.age(now);
-    if (age < wait.nextLineAge) {
+    if (age < wait.nextLineAgeMillis) {
       return;
     }
-    wait.nextLineAge = 2 * age;
+    wait.nextLineAgeMillis = 2 * age;
     LiveJob job = step.job();
     boolean longer = job.adopted() && waiting.since == job.knownSince();
     state.decisionListener.decisionMade(
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/ClusterFuzzTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/ClusterFuzzTest.java
@@ -374,12 +374,9 @@
   private static void run(long seed, Variant variant) {
     Fuzz fuzz = new Fuzz(seed, variant);
     fuzz.run();
-    List<String> lines = fuzz.simulation.logLines();
-    lines.stream()
-        .filter(l -> l.contains("INTERNAL_ERROR"))
-        .forEach(l -> fuzz.simulation.oracle().recordViolation("error", l));
+    fuzz.simulation.recordInternalErrors();
     if (PRINT_LOG) {
-      lines.forEach(System.out::println);
+      fuzz.simulation.logLines().forEach(System.out::println);
     }
     fuzz.check(seed);
   }
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/EarlierLeasesTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/EarlierLeasesTest.java
@@ -27,6 +27,7 @@
   private static final long MANY = 1_000;
 
   private final EarlierLeases leases = new EarlierLeases(SETTINGS);
+  private final ClusterSimulation simulation = new ClusterSimulation(3);
 
   private static OwnerRecord owner(long term, long heartbeat, boolean released) {
     return new OwnerRecord(term, "a", "a#" + term, "a:1", heartbeat, released);
@@ -118,20 +119,7 @@
     assertThat(inherited).isEqualTo(InheritedLeases.until(50_000 + GRACE_MILLIS + LEASE_MILLIS));
   }
 
-  private static boolean runs(ClusterSimulation simulation, JobSpec spec) {
-    return simulation.executors().stream()
-        .filter(FakeExecutor::isUp)
-        .flatMap(e -> e.tasks().stream())
-        .anyMatch(t -> t.job().equals(spec.id()));
-  }
-
-  /**
-   * Guards against accepted work that does not run at the end of a day, after all hosts and the
-   * executor of its task were killed: within one lease, the restart and a claim it has to run.
-   */
-  @Test
-  void taskOfALostExecutorRunsAfterOneLeaseWhenAllHostsAreKilled() {
-    ClusterSimulation simulation = new ClusterSimulation(3);
+  private JobSpec startTaskOfAMinute() {
     simulation.taskWorkMillis(id -> 60_000L);
     List.of("a", "b", "c").forEach(simulation::addHost);
     List.of("x1", "x2")
@@ -149,47 +137,47 @@
             0,
             0,
             0);
-    Host host = simulation.hosts().get(0);
-    simulation.submit(host, spec);
+    simulation.submit(simulation.hosts().get(0), spec);
     simulation.time().run(1_000);
-    simulation.executors().stream().filter(e -> !e.tasks().isEmpty()).toList().get(0).crash();
+    return spec;
+  }
+
+  /** Returns the executor; the hosts are back after a second. */
+  private FakeExecutor loseItsExecutorAndAllHosts() {
+    FakeExecutor lost =
+        simulation.executors().stream().filter(e -> !e.tasks().isEmpty()).toList().get(0);
+    lost.crash();
     simulation.hosts().forEach(Host::kill);
     simulation.time().run(1_000);
     simulation.hosts().forEach(Host::start);
+    return lost;
+  }
+
+  private boolean runs(JobSpec spec) {
+    return simulation.executors().stream()
+        .filter(FakeExecutor::isUp)
+        .flatMap(e -> e.tasks().stream())
+        .anyMatch(t -> t.job().equals(spec.id()));
+  }
+
+  /**
+   * Guards against accepted work that does not run at the end of a day, after all hosts and the
+   * executor of its task were killed: within one lease, the restart and a claim it has to run.
+   */
+  @Test
+  void taskOfALostExecutorRunsAfterOneLeaseWhenAllHostsAreKilled() {
+    JobSpec spec = startTaskOfAMinute();
+    loseItsExecutorAndAllHosts();
     simulation.time().run(LEASE_MILLIS + 2_000);
-    assertThat(runs(simulation, spec)).isTrue();
+    assertThat(runs(spec)).isTrue();
     assertThat(simulation.oracle().violations()).isEmpty();
   }
 
   /** Guards against a step that waits for a lease to lapse and leaves no trace in the log. */
   @Test
   void stepUnderAnExecutorThatIsNotReachedIsNamedInTheLog() {
-    ClusterSimulation simulation = new ClusterSimulation(3);
-    simulation.taskWorkMillis(id -> 60_000L);
-    List.of("a", "b").forEach(simulation::addHost);
-    List.of("x1", "x2")
-        .forEach(id -> simulation.addExecutor(id, "zone", new Resources(4_000, 4_000, 0)));
-    simulation.time().run(20_000);
-    StepSpec step = StepSpec.builder().resources(new Resources(500, 100, 0)).build();
-    JobSpec spec =
-        new JobSpec(
-            "j1",
-            ClusterSimulation.queue("quick", 0, null),
-            "team",
-            "p",
-            List.of(step),
-            0,
-            0,
-            0,
-            0);
-    simulation.submit(simulation.hosts().get(0), spec);
-    simulation.time().run(1_000);
-    FakeExecutor lost =
-        simulation.executors().stream().filter(e -> !e.tasks().isEmpty()).toList().get(0);
-    lost.crash();
-    simulation.hosts().forEach(Host::kill);
-    simulation.time().run(1_000);
-    simulation.hosts().forEach(Host::start);
+    startTaskOfAMinute();
+    FakeExecutor lost = loseItsExecutorAndAllHosts();
     simulation.time().run(LEASE_MILLIS - 1_000);
     assertThat(
             simulation.logLines().stream()
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/RollingRestartFuzzTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/RollingRestartFuzzTest.java
@@ -428,10 +428,7 @@
               + " ms: "
               + fuzz.check.longestWait());
     }
-    List<String> lines = fuzz.simulation.logLines();
-    lines.stream()
-        .filter(l -> l.contains("INTERNAL_ERROR"))
-        .forEach(l -> fuzz.simulation.oracle().recordViolation("error", l));
+    fuzz.simulation.recordInternalErrors();
     return fuzz.simulation.oracle().violations();
   }
 
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/WaitingWorkFuzzTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/WaitingWorkFuzzTest.java
@@ -332,10 +332,7 @@
   static List<String> run(long seed, boolean printLog) {
     Fuzz fuzz = new Fuzz(seed, printLog);
     fuzz.run();
-    List<String> lines = fuzz.simulation.logLines();
-    lines.stream()
-        .filter(l -> l.contains("INTERNAL_ERROR"))
-        .forEach(l -> fuzz.simulation.oracle().recordViolation("error", l));
+    fuzz.simulation.recordInternalErrors();
     return fuzz.simulation.oracle().violations();
   }
 
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/ClusterSimulation.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/ClusterSimulation.java
@@ -339,6 +339,13 @@
     return testLog.lines();
   }
 
+  /** Records each internal error that a host has logged as a violation. */
+  public void recordInternalErrors() {
+    logLines().stream()
+        .filter(l -> l.contains("INTERNAL_ERROR"))
+        .forEach(l -> oracle.recordViolation("error", l));
+  }
+
   /** Returns whether no fault is active, so that guarantees with a time bound have to hold. */
   public boolean isFaultFree() {
     return faultFree;
