Log which version decided a request, how old it was, and overdue reads of it

Callers of the report were served by a replaced version. The log could not tell by which bound: SUBMISSION named version and age when the answer was ready, refusals named neither, and nothing showed that a read of the configuration was overdue.

A decision now carries its basis, the version and the time since it was last confirmed; refusals with 404, 401 and 503 name it. GRANTED_UNCONFIRMED (CS2108) names the grants above the age at which nothing is refused as missing any more, READ_OVERDUE (CS2107) a read that is not answered, and CONFIGURATION how long the version before was unconfirmed. No decision has changed.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/EntryHost.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/EntryHost.java
@@ -41,6 +41,7 @@
   private final JobService service;
   private final EventLoopLag lag = new EventLoopLag();
   private boolean lagging;
+  private boolean readOverdue;
   private SiteConfiguration configuration = SiteConfiguration.NONE;
   private Optional<OwnerTerm> term = Optional.empty();
   private long lastTickAt;
@@ -143,6 +144,23 @@
     return now;
   }
 
+  private void logOverdueRead() {
+    boolean overdue = configurationFollower.isOverdue();
+    if (overdue && !readOverdue) {
+      log.event(
+          JobEvent.READ_OVERDUE,
+          "topic",
+          "operators",
+          "next",
+          configurationFollower.next(),
+          "configuration",
+          configuration.version(),
+          "configurationAgeMillis",
+          configurationFollower.ageMillis());
+    }
+    readOverdue = overdue;
+  }
+
   private void measureLag(long now) {
     lag.taskRan(now - lastTickAt - TICK_MILLIS, now);
     if (lag.isLagging() != lagging) {
@@ -183,6 +201,7 @@
       monitor.paused();
     }
     measureLag(now);
+    logOverdueRead();
     lastTickAt = now;
     isReady();
     checkOwnership();
@@ -259,8 +278,15 @@
       if (read.version() <= configuration.version()) {
         return;
       }
+      log.event(
+          JobEvent.CONFIGURATION,
+          "version",
+          read.version(),
+          "previous",
+          configuration.version(),
+          "previousAgeMillis",
+          configurationFollower.ageMillis());
       configuration = read;
-      log.event(JobEvent.CONFIGURATION, "version", read.version());
       term.ifPresent(t -> t.configure(read));
     }
 
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/JobService.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/JobService.java
@@ -97,31 +97,49 @@
   public Resolution resolve(String callerHost, String path, Optional<String> key) {
     SiteConfiguration current = configuration.get();
     long age = configurationFollower.ageMillis();
+    Resolution.Basis basis = new Resolution.Basis(current.version(), age);
     if (current.version() == 0) {
       return new Resolution.Undetermined("no configuration has been loaded yet");
     }
     boolean stale = age > settings.staleMillis();
     Optional<Queue> queue = current.route(callerHost, path);
     if (queue.isEmpty()) {
-      return stale ? undetermined(age) : new Resolution.NoQueue();
+      return stale ? undetermined(basis) : new Resolution.NoQueue(basis);
     }
     String remainingPath = path.substring(queue.get().pathPrefix().length());
     Optional<Organisation> team = key.flatMap(current::organisationOfKey);
     if (queue.get().open()) {
       String organisation = team.map(Organisation::name).orElse("");
-      return new Resolution.Granted(queue.get(), organisation, remainingPath);
+      return granted(queue.get(), organisation, remainingPath, basis);
     }
     if (age > settings.maxKeyConfigurationAgeMillis()) {
-      return undetermined(age);
+      return undetermined(basis);
     }
     if (team.isEmpty()) {
-      return stale ? undetermined(age) : new Resolution.UnknownKey();
+      return stale ? undetermined(basis) : new Resolution.UnknownKey(basis);
     }
-    return new Resolution.Granted(queue.get(), team.get().name(), remainingPath);
+    return granted(queue.get(), team.get().name(), remainingPath, basis);
   }
 
-  private static Resolution undetermined(long age) {
-    return new Resolution.Undetermined("the configuration was last confirmed " + age + " ms ago");
+  private Resolution granted(
+      Queue queue, String organisation, String remainingPath, Resolution.Basis basis) {
+    if (basis.ageMillis() > settings.staleMillis()) {
+      log.event(
+          JobEvent.GRANTED_UNCONFIRMED,
+          "queue",
+          queue.name(),
+          "organisation",
+          organisation,
+          "configuration",
+          basis.version(),
+          "configurationAgeMillis",
+          basis.ageMillis());
+    }
+    return new Resolution.Granted(queue, organisation, remainingPath, basis);
+  }
+
+  private static Resolution undetermined(Resolution.Basis basis) {
+    return new Resolution.Undetermined("the configuration is too old to decide by: " + basis);
   }
 
   /**
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/Resolution.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/Resolution.java
@@ -8,19 +8,32 @@
  * @since 0.2
  */
 public sealed interface Resolution {
+  /**
+   * The version of the configuration that a decision rests on.
+   *
+   * @param ageMillis time since the read was sent that last showed that no later version was stored
+   */
+  record Basis(long version, long ageMillis) {
+    @Override
+    public String toString() {
+      return "version " + version + ", last confirmed " + ageMillis + " ms ago";
+    }
+  }
+
   /**
    * The caller may use the queue.
    *
    * @param organisation empty on an open queue without a key
    * @param remainingPath the part of the path after the queue's prefix
    */
-  record Granted(Queue queue, String organisation, String remainingPath) implements Resolution {}
+  record Granted(Queue queue, String organisation, String remainingPath, Basis basis)
+      implements Resolution {}
 
   /** No queue has this address. */
-  record NoQueue() implements Resolution {}
+  record NoQueue(Basis basis) implements Resolution {}
 
   /** No organisation has this key. */
-  record UnknownKey() implements Resolution {}
+  record UnknownKey(Basis basis) implements Resolution {}
 
   /** The data of this host is missing or too old to decide; another host may be able to. */
   record Undetermined(String reason) implements Resolution {}
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/log/JobEvent.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/log/JobEvent.java
@@ -22,6 +22,9 @@
   CONFIGURATION(2104, "a configuration is in force"),
   ZONE_EVACUATED(2105, "an availability zone is evacuated; nothing is started there"),
   ZONE_IN_USE(2106, "an availability zone is returned to use"),
+  READ_OVERDUE(2107, "a read of the configuration has got no answer in time"),
+  GRANTED_UNCONFIRMED(
+      2108, "a request is granted by a configuration that was confirmed too long ago for others"),
   CLAIMED(2201, "this host owns the executors"),
   OWNER_CHANGED(2202, "another owner was read in the ledger"),
   STEPPED_DOWN(2203, "this host no longer owns the executors"),
