--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/Oracle.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/Oracle.java
@@ -64,6 +64,11 @@
   private final Map<String, Long> evacuatedAtMillis = new HashMap<>();
   private final Map<TaskId, Integer> crashes = new HashMap<>();
   private final Map<TaskId, Integer> startsAfterCrashes = new HashMap<>();
+
+  /** A submission that a host has routed by its configuration. */
+  private record Routed(long sentAt, boolean inTouch) {}
+
+  private final Map<String, Routed> routed = new HashMap<>();
   private int crashCount;
   private int startCount;
 
@@ -145,6 +150,36 @@
     }
   }
 
+  /** Records that a host has routed a submission by its configuration. */
+  void routed(JobSpec spec, long sentAt, boolean inTouch) {
+    routed.put(spec.id(), new Routed(sentAt, inTouch));
+  }
+
+  private void checkService(FakeExecutor executor, JobSpec spec) {
+    Routed submission = routed.get(spec.id());
+    boolean ownerInTouch =
+        simulation.hosts().stream()
+            .filter(ClusterSimulation.Host::isOwner)
+            .allMatch(ClusterSimulation.Host::isInTouch);
+    if (submission == null || !ownerInTouch) {
+      return;
+    }
+    Set<String> allowed =
+        simulation.servicesAllowed(spec.queue().name(), submission.sentAt(), submission.inTouch());
+    if (!allowed.contains(executor.service())) {
+      recordViolation(
+          "configuration",
+          "%s, sent %d to queue %s, starts on %s of service %s; expected %s"
+              .formatted(
+                  spec.id(),
+                  submission.sentAt(),
+                  spec.queue().name(),
+                  executor.id(),
+                  executor.service(),
+                  allowed));
+    }
+  }
+
   JobSpec started(FakeExecutor executor, StartRequest request) {
     startCount++;
     TaskId task = request.task();
@@ -155,6 +190,7 @@
       throw new IllegalStateException("start of a task of unknown job " + task.job());
     }
     begun.add(task.job());
+    checkService(executor, spec);
     if (doubtfulDone.remove(task)) {
       reopened.add(task);
     }
