Check in the soak which version decides direct requests, and silence open connections

The soak never removed a queue that anybody asked for, and could not silence connections while new ones work. Operators now add and remove a keyed and an open queue and a key all the time, callers ask each host directly, and ConfigurationHistory judges the answers (LATE_CONFIGURATION). A new fault silences all connections to the store that are open, for good.

SoakOracleTest shows histories that break the rule: a removed queue that is served 2.1 s after the acknowledgement, and an added one that is refused after it was served. Starts are checked in the simulation only.

--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/CallerChecks.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/CallerChecks.java
@@ -25,6 +25,10 @@
   /** The host has read the whole request, or had the time to do so. */
   private static final Set<Verdict> WITHOUT_ANSWER = Set.of(Verdict.CUT, Verdict.TIMEOUT);
 
+  /** Answers that no job gets: its queue is never removed, and each id stands for one job. */
+  private static final Set<Verdict> NEVER_RIGHT =
+      Set.of(Verdict.INVALID, Verdict.CONFLICT, Verdict.NO_QUEUE);
+
   private final SoakOracle.Settings settings;
   private final Map<String, JobFacts> jobs;
   private final Disturbances disturbances;
@@ -69,7 +73,7 @@
       findings.add(
           answer.at(), Rule.REQUEST_WITHOUT_ANSWER, describe(answer) + " sent " + answer.sentAt());
     }
-    if (answer.verdict() == Verdict.INVALID || answer.verdict() == Verdict.CONFLICT) {
+    if (NEVER_RIGHT.contains(answer.verdict())) {
       findings.add(answer.at(), Rule.INVALID_ANSWER, describe(answer));
     }
     long tookMillis = answer.at() - answer.sentAt();
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/Callers.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/Callers.java
@@ -126,7 +126,7 @@
           accepted = true;
           after(random.nextInt((int) POLL_MILLIS), this::query);
         }
-        case CONFLICT, INVALID, NO_SUCH_JOB -> {}
+        case CONFLICT, INVALID, NO_SUCH_JOB, NO_QUEUE -> {}
         case REJECTED, UNKNOWN_KEY -> retry(Math.max(POLL_MILLIS, answer.retryAfterMillis()));
         case UNDECIDED, NOT_SENT, UNREAD, CUT, TIMEOUT -> retry(RETRY_MILLIS);
       }
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/FaultInjector.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/FaultInjector.java
@@ -5,6 +5,7 @@
 import io.cactusspring.soak.LinkProxy.Mode;
 import io.vertx.core.Vertx;
 import java.util.List;
+import java.util.Optional;
 
 /** Begins and ends the planned faults. */
 final class FaultInjector {
@@ -40,6 +41,7 @@
     System.out.println(recorder.now() + " ms: " + fault);
     if (fault.disturbs()) {
       recorder.record(at -> new Observation.Disturbed(at, at + fault.millis() + RECOVERY_MILLIS));
+      recordImpairment(fault);
     }
     int target = fault.target();
     switch (fault.kind()) {
@@ -73,6 +75,7 @@
       case LINK_CUT_TO_STORE -> cluster.links().get(target).set(Mode.CUT_TO_STORE, 0);
       case LINK_CUT_FROM_STORE -> cluster.links().get(target).set(Mode.CUT_FROM_STORE, 0);
       case LINK_SILENT -> cluster.links().get(target).set(Mode.SILENT, 0);
+      case OPEN_CONNECTIONS_SILENT -> cluster.links().forEach(LinkProxy::silenceOpenConnections);
       case EXECUTOR_CRASHED -> cluster.executors().get(target).crash();
       case EXECUTOR_DRAINED -> drain(target);
       case EXECUTOR_SILENT ->
@@ -113,12 +116,29 @@
       case EXECUTOR_SILENT, EXECUTOR_LATE, EXECUTOR_LOSES_ANSWERS ->
           cluster.executorFaults(target).end(fault);
       case EXECUTOR_RESIZED -> cluster.resize(target, 100);
-      case HOST_RELOADED, HISTORY_DROPPED, SURGE, OVERLOAD, CANCELLATIONS, KEY_WITHDRAWN -> {}
+      case OPEN_CONNECTIONS_SILENT,
+          HOST_RELOADED,
+          HISTORY_DROPPED,
+          SURGE,
+          OVERLOAD,
+          CANCELLATIONS,
+          KEY_WITHDRAWN -> {}
       case ZONE_EVACUATED -> useZone(target, false);
       case CONFIGURATION_CHANGED -> operators.restore();
     }
   }
 
+  private void recordImpairment(Fault fault) {
+    boolean ofOneHost =
+        (fault.kind().group == Fault.Group.PROCESS || fault.kind().group == Fault.Group.LINK)
+            && fault.kind() != Fault.Kind.OPEN_CONNECTIONS_SILENT;
+    Optional<String> host =
+        Optional.of(fault.target()).filter(t -> ofOneHost).map(t -> cluster.hosts().get(t).name());
+    if (ofOneHost || fault.kind().group != Fault.Group.EXECUTOR) {
+      recorder.record(at -> new Observation.HostImpaired(at, at + fault.millis(), host));
+    }
+  }
+
   private void halted(HostProcess host, long millis) {
     recorder.record(at -> new Observation.HostHalted(at, at + millis + SIGNAL_MILLIS, host.name()));
   }
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/HostProcess.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/HostProcess.java
@@ -75,6 +75,7 @@
       builder.environment().put(SettingsFile.VARIABLE, file.toString());
       Process started = builder.start();
       startedNanos = System.nanoTime();
+      recorder.record(at -> new Observation.HostStarted(at, name()));
       process = started;
       Files.writeString(folder.resolve(name() + ".pid"), started.pid() + "\n");
       endExpected = false;
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/LinkProxy.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/LinkProxy.java
@@ -55,6 +55,11 @@
     return "127.0.0.1:" + port;
   }
 
+  /** Forwards nothing on the open connections from now on, without closing them. */
+  void silenceOpenConnections() {
+    connections.forEach(c -> c.silent = true);
+  }
+
   void set(Mode newMode, long newDelayMillis) {
     mode = newMode;
     delayMillis = newDelayMillis;
@@ -79,6 +84,7 @@
     private final NetSocket caller;
     private final NetSocket store;
     private boolean incomplete;
+    private boolean silent;
 
     Connection(NetSocket caller, NetSocket store) {
       this.caller = caller;
@@ -120,6 +126,9 @@
     }
 
     private void forward(Buffer bytes) {
+      if (connection.silent) {
+        return;
+      }
       if (mode == Mode.SILENT || mode == cut) {
         connection.incomplete = true;
       } else if (mode == Mode.DELAYED || !waiting.isEmpty()) {
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/Observation.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/Observation.java
@@ -2,11 +2,15 @@
 
 import io.cactusspring.jobs.model.ExecutorInfo;
 import io.cactusspring.jobs.model.JobState;
+import io.cactusspring.jobs.model.Organisation;
+import io.cactusspring.jobs.model.Queue;
 import io.cactusspring.jobs.model.StepSpec;
 import io.cactusspring.jobs.model.TaskId;
 import io.cactusspring.jobs.port.ExecutorClient.EndReason;
+import io.cactusspring.jobs.simulation.ConfigurationHistory;
 import io.cactusspring.platform.standin.CallerClient.Verdict;
 import java.util.List;
+import java.util.Optional;
 
 /** What callers, executors and the fault injection saw, in milliseconds since the run began. */
 public sealed interface Observation {
@@ -85,6 +89,34 @@
   /** The operator withdraws an API key. */
   record KeyWithdrawn(long at, String key) implements Observation {}
 
+  /** The store acknowledges a version of the configuration. */
+  record Configured(long at, long version, List<Queue> queues, List<Organisation> organisations)
+      implements Observation {}
+
+  /**
+   * A host answers a direct request for the count of a queue.
+   *
+   * @param key empty if the request carries none
+   */
+  record Counted(
+      long at,
+      long sentAt,
+      String host,
+      Queue queue,
+      Optional<String> key,
+      ConfigurationHistory.Verdict verdict)
+      implements Observation {}
+
+  /** A host's process begins. */
+  record HostStarted(long at, String host) implements Observation {}
+
+  /**
+   * A fault strikes a host, so that bounds need not hold for it while the fault lasts.
+   *
+   * @param host empty if it strikes all hosts
+   */
+  record HostImpaired(long at, long until, Optional<String> host) implements Observation {}
+
   /** The operator takes a zone out of use or returns it. */
   record ZoneUse(long at, String zone, boolean out) implements Observation {}
 
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/Operators.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/Operators.java
@@ -20,6 +20,7 @@
     ATTEMPTS,
     TARGET_LATENCY,
     ROUTE,
+    OPEN_ROUTE,
     KEY
   }
 
@@ -30,6 +31,7 @@
   private boolean keyWithdrawn;
   private Difference difference = Difference.NONE;
   private Optional<String> extraKey = Optional.empty();
+  private Optional<String> lastExtraKey = Optional.empty();
 
   Operators(Recorder recorder, StoreServer store, Callers callers) {
     this.recorder = recorder;
@@ -62,12 +64,25 @@
     Optional<String> oldKey = extraKey;
     extraKey =
         Optional.of(Site.EXTRA_KEY_OWNER + "-" + version).filter(k -> next == Difference.KEY);
-    store.configure(
-        new Deployment(version, queues(), Site.deployment().services(), organisations()));
+    extraKey.ifPresent(k -> lastExtraKey = extraKey);
+    publish();
     oldKey.ifPresent(k -> recorder.record(at -> new Observation.KeyWithdrawn(at, k)));
     callers.useExtraKey(extraKey);
   }
 
+  /** Writes the configuration as it is. */
+  void publish() {
+    List<Queue> queues = queues();
+    List<Organisation> organisations = organisations();
+    store.configure(new Deployment(version, queues, Site.deployment().services(), organisations));
+    recorder.record(at -> new Observation.Configured(at, version, queues, organisations));
+  }
+
+  /** Returns the key that was added last, which may have been revoked since. */
+  Optional<String> lastExtraKey() {
+    return lastExtraKey;
+  }
+
   private List<Queue> queues() {
     List<Queue> queues = Site.deployment().queues();
     return switch (difference) {
@@ -79,8 +94,8 @@
           queues.stream()
               .map(q -> copy(q, q.name(), q.maxAttempts(), 2 * q.targetLatencyMillis()))
               .toList();
-      case ROUTE ->
-          Stream.concat(queues.stream(), Stream.of(copy(Site.QUICK, "extra", 1, 0))).toList();
+      case ROUTE -> Stream.concat(queues.stream(), Stream.of(Site.EXTRA)).toList();
+      case OPEN_ROUTE -> Stream.concat(queues.stream(), Stream.of(Site.OPEN)).toList();
       case NONE, KEY -> queues;
     };
   }
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/Site.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/Site.java
@@ -21,6 +21,13 @@
   static final Queue SERVING = queue("serving", 1, 2, 1_000, null);
   static final Queue BATCH = queue("batch", 2, 2.2, 1_200, null);
 
+  /** Queues that operators add and remove again, and one that never exists. */
+  static final Queue EXTRA = queue("extra", 0, 1.5, 250, null);
+
+  static final Queue OPEN =
+      new Queue("open", "soak.example", "/open/", SERVICE, 0, MAX_ATTEMPTS, 1.5, 250, null, true);
+  static final Queue UNKNOWN = queue("unknown", 0, 1.5, 250, null);
+
   /** The organisation with the most jobs. */
   static final String LARGE = "org0";
 
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakOracle.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakOracle.java
@@ -51,6 +51,7 @@
   private final RunChecks runChecks;
   private final WaitingChecks waitingChecks;
   private final CallerChecks callerChecks;
+  private final ConfigurationChecks configurationChecks;
 
   public SoakOracle(Settings settings) {
     this.settings = settings;
@@ -58,6 +59,7 @@
     runChecks = new RunChecks(settings, jobs, executors, disturbances, findings);
     waitingChecks = new WaitingChecks(settings, jobs, runChecks, executors, disturbances, findings);
     callerChecks = new CallerChecks(settings, jobs, disturbances, findings);
+    configurationChecks = new ConfigurationChecks(settings, findings);
   }
 
   /** Takes the next observation; their times must not decrease. */
@@ -89,6 +91,10 @@
       case Observation.LoadEnded e -> waitingChecks.loadEnded(e.at());
       case Observation.Disturbed d -> disturbances.add(d);
       case Observation.KeyWithdrawn k -> callerChecks.keyWithdrawn(k);
+      case Observation.Configured c -> configurationChecks.configured(c);
+      case Observation.Counted c -> configurationChecks.counted(c);
+      case Observation.HostStarted s -> configurationChecks.hostStarted(s);
+      case Observation.HostImpaired i -> configurationChecks.hostImpaired(i);
       case Observation.ZoneUse z -> executors.zoneUse(z);
       case Surge s -> surges.add(s);
       case Observation.HostHalted h -> callerChecks.hostHalted(h);
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakRun.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakRun.java
@@ -11,6 +11,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -59,6 +60,7 @@
   private final SoakOracle oracle;
   private final Recorder recorder;
   private final Cluster cluster;
+  private final CallerClient client = new CallerClient(vertx);
   private Callers callers;
   private String outcome = "";
 
@@ -121,7 +123,6 @@
         FaultPlan.draw(options.seed(), faultMillis, options.hosts(), options.faults());
     LoadPlan load = new LoadPlan(options.seed(), faults, options.failurePermille());
     List<Arrival> arrivals = load.draw(options.durationMillis());
-    CallerClient client = new CallerClient(vertx);
     return cluster
         .listen(options.hosts(), load, id -> callers.arrival(id).orElse(null))
         .compose(v -> startHosts(faults, arrivals))
@@ -166,6 +167,9 @@
     watchLag(recorder.now());
     callers.schedule(arrivals);
     Operators operators = new Operators(recorder, cluster.store(), callers);
+    operators.publish();
+    new DirectCallers(vertx, recorder, client, cluster.hosts(), operators, options.seed() + 4)
+        .run(options.durationMillis());
     new FaultInjector(vertx, recorder, cluster, operators).schedule(faults);
     return vertx.timer(options.durationMillis(), TimeUnit.MILLISECONDS).mapEmpty();
   }
@@ -177,6 +181,9 @@
           long now = recorder.now();
           if (now - probedAt > LAG_PROBE_MILLIS + MAX_LAG_MILLIS) {
             recorder.record(at -> new Observation.Disturbed(probedAt, at + MAX_LAG_MILLIS));
+            recorder.record(
+                at ->
+                    new Observation.HostImpaired(probedAt, at + MAX_LAG_MILLIS, Optional.empty()));
           }
           watchLag(now);
         });
--- a/cactusspring-soak/src/test/java/io/cactusspring/soak/SoakOracleTest.java
+++ b/cactusspring-soak/src/test/java/io/cactusspring/soak/SoakOracleTest.java
@@ -1,6 +1,7 @@
 package io.cactusspring.soak;
 
 import static com.google.common.truth.Truth.assertThat;
+import static io.cactusspring.core.model.Resources.NONE;
 import static io.cactusspring.soak.History.HOST;
 import static io.cactusspring.soak.History.JOB;
 import static io.cactusspring.soak.History.step;
@@ -8,12 +9,17 @@
 
 import io.cactusspring.jobs.model.ExecutorInfo;
 import io.cactusspring.jobs.model.JobState;
+import io.cactusspring.jobs.model.Organisation;
+import io.cactusspring.jobs.model.Queue;
 import io.cactusspring.jobs.model.StepSpec;
 import io.cactusspring.jobs.model.TaskId;
 import io.cactusspring.jobs.port.ExecutorClient.EndReason;
+import io.cactusspring.jobs.simulation.ConfigurationHistory;
 import io.cactusspring.platform.standin.CallerClient.Verdict;
 import io.cactusspring.soak.Observation.Request;
 import java.util.List;
+import java.util.Optional;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 /** Guards against a check that passes everything: each one has to fail on an injected fault. */
@@ -397,6 +403,54 @@
     assertThat(history.broken()).containsExactly(Rule.WITHDRAWN_KEY_ACCEPTED);
   }
 
+  private static Observation.Configured configured(long at, long version, Queue... queues) {
+    return new Observation.Configured(
+        at, version, List.of(queues), List.of(new Organisation("org", Set.of("org-a"), 1, NONE)));
+  }
+
+  private static Observation.Counted counted(
+      long at, long sentAt, ConfigurationHistory.Verdict verdict) {
+    return new Observation.Counted(at, sentAt, HOST, Site.EXTRA, Optional.of("org-a"), verdict);
+  }
+
+  @Test
+  void removedQueueThatIsServedTooLongIsFound() {
+    history
+        .observe(at -> configured(at, 1, Site.EXTRA))
+        .pass(5_000)
+        .observe(at -> configured(at, 2))
+        .pass(1_900)
+        .observe(at -> counted(at, at - 5, ConfigurationHistory.Verdict.SERVED));
+    assertThat(history.broken()).isEmpty();
+    history.pass(200).observe(at -> counted(at, at - 5, ConfigurationHistory.Verdict.SERVED));
+    assertThat(history.broken()).containsExactly(Rule.LATE_CONFIGURATION);
+  }
+
+  @Test
+  void addedQueueThatIsRefusedAfterItWasServedIsFound() {
+    history
+        .observe(at -> configured(at, 1))
+        .pass(5_000)
+        .observe(at -> configured(at, 2, Site.EXTRA))
+        .observe(at -> counted(at, at - 5, ConfigurationHistory.Verdict.NO_QUEUE))
+        .observe(at -> counted(at, at - 5, ConfigurationHistory.Verdict.SERVED));
+    assertThat(history.broken()).isEmpty();
+    history.pass(300).observe(at -> counted(at, at - 5, ConfigurationHistory.Verdict.NO_QUEUE));
+    assertThat(history.broken()).containsExactly(Rule.LATE_CONFIGURATION);
+  }
+
+  @Test
+  void hostThatIsCutOffMayServeARemovedQueue() {
+    history
+        .observe(at -> configured(at, 1, Site.EXTRA))
+        .pass(5_000)
+        .observe(at -> new Observation.HostImpaired(at, at + 9_000, Optional.of(HOST)))
+        .observe(at -> configured(at, 2))
+        .pass(4_000)
+        .observe(at -> counted(at, at - 5, ConfigurationHistory.Verdict.SERVED));
+    assertThat(history.broken()).isEmpty();
+  }
+
   @Test
   void requestCutByAPlannedStopIsFound() {
     history
