Go on deciding while the configuration is loaded again

Callers got 503 from a host that had to load the configuration anew because the store had dropped its history: the age counted as unknown until the load was complete, although the data had been confirmed just before. The age now counts from the last confirmation throughout, and a read on a new connection takes the shorter wait of a slow store into account, so that it begins early enough.

hostGoesOnDecidingWhileItLoadsTheTopicAgain fails before and passes now.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/TopicFollower.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/TopicFollower.java
@@ -53,6 +53,9 @@
    */
   private long lastReadDelayMillis;
 
+  /** How long the read in progress waits at the store. */
+  private long currentWaitMillis;
+
   /** Offsets of loaded records that were appended during the load and are read again, by key. */
   private Map<String, Long> appendedDuringLoad = Map.of();
 
@@ -119,9 +122,7 @@
    * since is unknown.
    */
   public long ageMillis() {
-    return loaded
-        ? confirmed.map(clock::millisSince).orElse(Long.MAX_VALUE)
-        : Long.MAX_VALUE;
+    return confirmed.map(clock::millisSince).orElse(Long.MAX_VALUE);
   }
 
   /** Returns whether a read is overdue, which is the first sign of an unreachable store. */
@@ -135,7 +136,7 @@
    */
   boolean isReadLate() {
     long margin = Math.min(OVERDUE_MARGIN_MILLIS, MIN_LATE_MARGIN_MILLIS + 2 * lastReadDelayMillis);
-    boolean unanswered = timers.nowMillis() - answeredAt > waitMillis + margin;
+    boolean unanswered = timers.nowMillis() - answeredAt > currentWaitMillis + margin;
     return running
         && confirmed.isPresent()
         && (unanswered || ageMillis() > 2 * waitMillis + margin);
@@ -229,6 +230,7 @@
     AgeClock.Mark sent = clock.mark();
     watching = loaded;
     long wait = waitMillis - Math.min(waitMillis / 2, 2 * lastReadDelayMillis);
+    currentWaitMillis = wait;
     Future<Boolean> done =
         loaded
             ? topic.read(next, wait).map(batch -> isCurrent(expectedGeneration) && apply(batch))
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/ConfigurationFreshnessTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/ConfigurationFreshnessTest.java
@@ -120,6 +120,24 @@
     assertThat(resolve("/open/", Optional.empty())).isInstanceOf(Resolution.Undetermined.class);
   }
 
+  /**
+   * Guards against a host that decides nothing while it loads a topic whose history was dropped.
+   */
+  @Test
+  void hostGoesOnDecidingWhileItLoadsTheTopicAgain() {
+    host.disturbed(60_000);
+    host.storeLink().extraLatencyMillis(60);
+    simulation.time().run(5_000);
+    host.storeLink().disconnected(true);
+    publish(QUICK, OPEN);
+    simulation.operators().compact();
+    simulation.time().run(300);
+    host.storeLink().disconnected(false);
+    for (int i = 0; i < 200; i++) {
+      assertThat(resolve("/quick/", KEY)).isInstanceOf(Resolution.Granted.class);
+    }
+  }
+
   @Test
   void suspendedHostDecidesAgainOnceItHasReadTheConfiguration() {
     host.suspend(5_000);
