Grant no lease on the word of a clock that stood still

Work could run twice: an owner whose machine was suspended for 4 s, and that was cut off from the store and the other hosts, went on renewing leases for 4 s longer than its successor expects, on executors that the successor could not reach to fence them.

Cause: the 5 s after the last stored heartbeat in which leases are granted were counted on the monotonic clock, which does not count a suspension. The time since the heartbeat now comes from AgeClock, and counts as unknown after a suspension or a step of a clock, until the next heartbeat is stored.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/AgeClock.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/AgeClock.java
@@ -24,7 +24,12 @@
    *
    * @param discontinuities how often the difference between the clocks had changed by then
    */
-  record Mark(long steadyMillis, long wallMillis, int discontinuities) {}
+  record Mark(long steadyMillis, long wallMillis, int discontinuities) {
+    /** Returns a moment some milliseconds before this one. */
+    Mark earlierBy(long millis) {
+      return new Mark(steadyMillis - millis, wallMillis - millis, discontinuities);
+    }
+  }
 
   private final Timers timers;
   private long offsetMillis;
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/HeartbeatWriter.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/HeartbeatWriter.java
@@ -38,19 +38,20 @@
   private Optional<Promise<Void>> leaseRecord = Optional.empty();
   private Optional<Promise<Void>> release = Optional.empty();
   private long lastStoredSentAt;
-  private long ownedAt;
+  private final AgeClock clock;
+  private AgeClock.Mark owned;
   private boolean stopped;
 
   /** One record on its way to the store, of which several copies may be sent. */
   private static final class Write {
     private final OwnerRecord record;
-    private final long sentAt;
+    private final AgeClock.Mark sent;
     private final Optional<Promise<Void>> requested;
     private int inFlight;
 
-    Write(OwnerRecord record, long sentAt, Optional<Promise<Void>> requested) {
+    Write(OwnerRecord record, AgeClock.Mark sent, Optional<Promise<Void>> requested) {
       this.record = record;
-      this.sentAt = sentAt;
+      this.sent = sent;
       this.requested = requested;
     }
   }
@@ -78,8 +79,9 @@
     this.timers = timers;
     this.onSuperseded = onSuperseded;
     last = claim;
-    ownedAt = claimSentAt;
     lastStoredSentAt = timers.nowMillis();
+    clock = new AgeClock(timers);
+    owned = clock.mark().earlierBy(lastStoredSentAt - claimSentAt);
   }
 
   /** Returns when the last record was sent that is known to be stored. */
@@ -88,12 +90,12 @@
   }
 
   /**
-   * Returns a time at which no other host had claimed ownership. It is not later than the time at
-   * which the newest record of this term was stored, so a later owner that has read the record
-   * knows a bound.
+   * Returns the milliseconds since a time at which no other host had claimed ownership; {@link
+   * AgeClock#UNKNOWN} if the clocks do not tell. That time is not later than the time at which the
+   * newest record of this term was stored, so a later owner that has read the record knows a bound.
    */
-  long ownedAt() {
-    return ownedAt;
+  long millisSinceOwned() {
+    return clock.millisSince(owned);
   }
 
   /** Sets what the next records say of leases. */
@@ -169,8 +171,9 @@
   }
 
   private void start(OwnerRecord record) {
-    long now = timers.nowMillis();
-    Write started = new Write(record.withLeases(leases.apply(now)), now, leaseRecord);
+    AgeClock.Mark now = clock.mark();
+    Write started =
+        new Write(record.withLeases(leases.apply(now.steadyMillis())), now, leaseRecord);
     leaseRecord = Optional.empty();
     write = Optional.of(started);
     send(started);
@@ -213,8 +216,10 @@
     write = Optional.empty();
     end = newEnd;
     last = done.record;
-    lastStoredSentAt = Math.max(lastStoredSentAt, done.sentAt);
-    ownedAt = Math.max(ownedAt, done.sentAt);
+    lastStoredSentAt = Math.max(lastStoredSentAt, done.sent.steadyMillis());
+    if (clock.millisSince(done.sent) < millisSinceOwned()) {
+      owned = done.sent;
+    }
     if (done.record.released()) {
       stopped = true;
       release.ifPresent(Promise::tryComplete);
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerController.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerController.java
@@ -535,7 +535,7 @@
     boolean unrecorded =
         !heartbeats.allowsLease(start.executor())
             && scheduler.startMayGrantLease(start.executor(), start.run(), now);
-    if (!isConfirmed() || !mayGrantLeases(now) || unrecorded) {
+    if (!isConfirmed() || !mayGrantLeases() || unrecorded) {
       // Another owner may have taken over. The start is postponed until an append succeeds;
       // until then, the run stays in doubt.
       pendingStarts.add(start);
@@ -569,8 +569,8 @@
    * Returns whether executors may get leases. A later owner counts from the newest record in the
    * ownership partition, so records in the lanes do not prolong this.
    */
-  private boolean mayGrantLeases(long now) {
-    return now - heartbeats.ownedAt() < storeGraceMillis;
+  private boolean mayGrantLeases() {
+    return heartbeats.millisSinceOwned() < storeGraceMillis;
   }
 
   private void startAnswered(Action.Start start, CommandResult result) {
@@ -587,9 +587,9 @@
 
   private void sendLeaseRenewal(String id, long now) {
     LeaseRenewalRequest request =
-        mayGrantLeases(now) && !heartbeats.allowsLease(id)
+        mayGrantLeases() && !heartbeats.allowsLease(id)
             ? scheduler.reportRequest(id, now)
-            : scheduler.leaseRenewalRequest(id, mayGrantLeases(now), now);
+            : scheduler.leaseRenewalRequest(id, mayGrantLeases(), now);
     executors
         .renewLeases(scheduler.target(id), request)
         .onSuccess(result -> guarded(() -> leaseRenewalAnswered(id, request, now, result)));
