--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/EntryHost.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/EntryHost.java
@@ -148,7 +148,7 @@
   }
 
   private void logOverdueRead() {
-    boolean overdue = configurationFollower.isOverdue();
+    boolean overdue = configuration.version() > 0 && configurationFollower.isOverdue();
     if (overdue && !readOverdue) {
       log.event(
           JobEvent.READ_OVERDUE,
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/HeartbeatWriter.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/HeartbeatWriter.java
@@ -29,6 +29,7 @@
 
   private final KeyedTopic topic;
   private final Timers timers;
+  private final AgeClock clock;
   private final Consumer<String> onSuperseded;
   private final ResponseTimes responseTimes = new ResponseTimes();
   private LongFunction<LeaseBounds> leases;
@@ -38,7 +39,6 @@
   private Optional<Promise<Void>> leaseRecord = Optional.empty();
   private Optional<Promise<Void>> release = Optional.empty();
   private long lastStoredSentAt;
-  private final AgeClock clock;
   private AgeClock.Mark owned;
   private boolean stopped;
 
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/TopicFollower.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/TopicFollower.java
@@ -31,13 +31,13 @@
   private final KeyedTopic topic;
   private final TopicSink sink;
   private final Timers timers;
+  private final AgeClock clock;
   private final JobLog log;
   private final long waitMillis;
   private final LongSupplier pauseMillis;
   private boolean running;
   private boolean loaded;
   private long next;
-  private final AgeClock clock;
   private Optional<AgeClock.Mark> confirmed = Optional.empty();
   private long answeredAt = Long.MIN_VALUE / 2;
   private long uninterruptedReadsSince = Long.MAX_VALUE;
