Let reads of the configuration wait as long as the deployment's bound allows

On a deployment that wants a version in force within 1 s, a host would answer 503 half of the time: a read waits for 800 ms at the store, so the data is up to 1.6 s old. The wait now follows from the bound, at most 800 ms as before. hostOfADeploymentWithAShortBoundDecidesAllTheTime failed before. The present deployments, with 2 and 3 s, read as before.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/EntryHost.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/EntryHost.java
@@ -25,7 +25,12 @@
   private static final long TICK_MILLIS = 50;
   // A longer time between two ticks means that the process was paused.
   private static final long PAUSE_DETECTION_MILLIS = 1_000;
-  private static final long CONFIGURATION_WAIT_MILLIS = 800;
+  private static final long MIN_CONFIGURATION_WAIT_MILLIS = 100;
+  private static final long MAX_CONFIGURATION_WAIT_MILLIS = 800;
+
+  /** Time to notice that a read is late and to repeat it. */
+  private static final long REPEATED_READ_MILLIS = 300;
+
   private static final int FIRST_SEQUENCE_BOUND = 1 << 20;
 
   private final HostPorts ports;
@@ -63,7 +68,7 @@
             new ConfigurationSink(),
             timers,
             log,
-            configurationWaitMillis(settings.scheduler().maxZoneAgeMillis()),
+            configurationWaitMillis(settings),
             () -> 0);
     watchdog = new StoreWatchdog(configurationFollower, timers, log);
     peers = new PeerServer(ports.network(), settings.self(), timers, log);
@@ -106,10 +111,15 @@
    * Returns how long a read of the configuration waits. The data may be as old as two waits and a
    * response before the next read completes; that has to stay below its maximum age.
    */
-  private static long configurationWaitMillis(long maxZoneAgeMillis) {
-    return maxZoneAgeMillis == 0
-        ? CONFIGURATION_WAIT_MILLIS
-        : Math.min(CONFIGURATION_WAIT_MILLIS, maxZoneAgeMillis / 3);
+  private static long configurationWaitMillis(HostSettings settings) {
+    long maxAge = settings.configurationBounds().maxAgeMillis();
+    long wait =
+        Math.clamp(
+            (maxAge - REPEATED_READ_MILLIS) / 2,
+            MIN_CONFIGURATION_WAIT_MILLIS,
+            MAX_CONFIGURATION_WAIT_MILLIS);
+    long maxZoneAge = settings.scheduler().maxZoneAgeMillis();
+    return maxZoneAge == 0 ? wait : Math.min(wait, maxZoneAge / 3);
   }
 
   /** Starts following the topics of the store. */
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/ConfigurationFreshnessTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/ConfigurationFreshnessTest.java
@@ -138,6 +138,18 @@
     }
   }
 
+  /** Guards against a wait at the store that suits one bound only. */
+  @Test
+  void hostOfADeploymentWithAShortBoundDecidesAllTheTime() {
+    simulation.configurationBounds(new ConfigurationBounds(1_000, 5_000));
+    host.kill();
+    host.start();
+    simulation.time().run(4_000);
+    for (int i = 0; i < 400; i++) {
+      assertThat(resolve("/quick/", KEY)).isInstanceOf(Resolution.Granted.class);
+    }
+  }
+
   @Test
   void suspendedHostDecidesAgainOnceItHasReadTheConfiguration() {
     host.suspend(5_000);
