Require each injected fault of the configuration to be noticed by its own check

Any violation counted, so the owner that takes no later version could have been noticed by its answers alone, and nothing showed that the check of starts sees. Each fault now has to break the check it is meant for: answers, starts, revoked keys. A history in which a process goes back to an older version is checked as well.

--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/ConfigurationFuzzTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/ConfigurationFuzzTest.java
@@ -10,6 +10,7 @@
 import io.cactusspring.jobs.model.StepSpec;
 import io.cactusspring.jobs.simulation.ClusterSimulation;
 import io.cactusspring.jobs.simulation.ClusterSimulation.Host;
+import io.cactusspring.jobs.simulation.ConfigurationHistory;
 import io.cactusspring.jobs.simulation.FakeExecutor;
 import java.util.ArrayList;
 import java.util.List;
@@ -51,11 +52,11 @@
     private boolean spareKey = true;
     private int jobs;
 
-    Fuzz(long seed, Set<Disturbance> disturbances, Consumer<ClusterSimulation> plantedFault) {
+    Fuzz(long seed, Set<Disturbance> disturbances, Consumer<ClusterSimulation> injectedFault) {
       this.disturbances = disturbances;
       random = new Random(seed);
       simulation = new ClusterSimulation(seed);
-      plantedFault.accept(simulation);
+      injectedFault.accept(simulation);
       simulation.services(Set.of(ClusterSimulation.SERVICE, OTHER_SERVICE));
       publish();
       List.of("a", "b", "c").forEach(simulation::addHost);
@@ -261,8 +262,8 @@
   }
 
   private static List<String> violations(
-      long seed, Set<Disturbance> disturbances, Consumer<ClusterSimulation> plantedFault) {
-    Fuzz fuzz = new Fuzz(seed, disturbances, plantedFault);
+      long seed, Set<Disturbance> disturbances, Consumer<ClusterSimulation> injectedFault) {
+    Fuzz fuzz = new Fuzz(seed, disturbances, injectedFault);
     fuzz.run();
     fuzz.simulation.recordInternalErrors();
     if (PRINT_LOG) {
@@ -312,19 +313,21 @@
     assertNoViolations(Set.of(Disturbance.SUSPENDED_WITH_CLOCK_SET_BACK));
   }
 
+  /** Returns whether a seed breaks a check whose message contains a text. */
   private static boolean isNoticed(
-      Set<Disturbance> disturbances, Consumer<ClusterSimulation> plantedFault) {
+      String message, Set<Disturbance> disturbances, Consumer<ClusterSimulation> injectedFault) {
     return LongStream.range(FIRST_SEED, FIRST_SEED + SEEDS)
         .anyMatch(
             seed ->
-                violations(seed, disturbances, plantedFault).stream()
-                    .anyMatch(v -> v.contains("configuration")));
+                violations(seed, disturbances, injectedFault).stream()
+                    .anyMatch(v -> v.contains("configuration") && v.contains(message)));
   }
 
   @Test
-  void plantedHostThatIgnoresEveryOddVersionIsNoticed() {
+  void injectedHostThatIgnoresEveryOddVersionIsNoticedByItsAnswers() {
     assertThat(
             isNoticed(
+                "is allowed by no version",
                 Set.of(),
                 simulation ->
                     simulation.ignoredVersions((host, version) -> version > 3 && version % 2 == 1)))
@@ -332,21 +335,41 @@
   }
 
   @Test
-  void plantedOwnerThatTakesNoLaterVersionIsNoticed() {
+  void injectedOwnerThatTakesNoLaterVersionIsNoticedByItsStarts() {
     assertThat(
             isNoticed(
+                "starts on",
                 Set.of(),
                 simulation -> simulation.ignoredVersions((host, version) -> host.isOwner())))
         .isTrue();
   }
 
   @Test
-  void plantedHostThatAcceptsKeysAtAnyAgeIsNoticed() {
+  void injectedHostThatAcceptsKeysAtAnyAgeIsNoticedByARevokedKey() {
     assertThat(
             isNoticed(
+                "with a key that was revoked",
                 Set.of(Disturbance.CUT_OFF),
                 simulation ->
                     simulation.configurationBounds(new ConfigurationBounds(2_000, Long.MAX_VALUE))))
         .isTrue();
   }
+
+  /** A host that decides by an older version than before, though both may be in force. */
+  @Test
+  void answerByAnOlderVersionThanTheProcessHasShownIsNoticed() {
+    ConfigurationHistory history =
+        new ConfigurationHistory(new ConfigurationHistory.Bounds(2_000, 5_000, 250));
+    history.acknowledged(1, List.of(), List.of(), 0);
+    history.acknowledged(2, List.of(Fuzz.queue("open", "service", true)), List.of(), 10_000);
+    assertThat(history.check(answer(10_100, ConfigurationHistory.Verdict.SERVED))).isEmpty();
+    assertThat(history.check(answer(10_200, ConfigurationHistory.Verdict.NO_QUEUE))).isEmpty();
+    assertThat(history.check(answer(10_400, ConfigurationHistory.Verdict.NO_QUEUE))).isPresent();
+  }
+
+  private static ConfigurationHistory.Answer answer(
+      long sentAt, ConfigurationHistory.Verdict verdict) {
+    return new ConfigurationHistory.Answer(
+        "a#1", CALLER_HOST, "/open/", Optional.empty(), sentAt, sentAt + 5, verdict, true);
+  }
 }
