--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/EntryHost.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/EntryHost.java
@@ -29,7 +29,7 @@
   private static final long MAX_CONFIGURATION_WAIT_MILLIS = 800;
 
   /** Time to notice that a read is late and to repeat it. */
-  private static final long REPEATED_READ_MILLIS = 300;
+  private static final long REPEATED_READ_MARGIN_MILLIS = 300;
 
   private static final int FIRST_SEQUENCE_BOUND = 1 << 20;
 
@@ -115,7 +115,7 @@
     long maxAge = settings.configurationBounds().maxAgeMillis();
     long wait =
         Math.clamp(
-            (maxAge - REPEATED_READ_MILLIS) / 2,
+            (maxAge - REPEATED_READ_MARGIN_MILLIS) / 2,
             MIN_CONFIGURATION_WAIT_MILLIS,
             MAX_CONFIGURATION_WAIT_MILLIS);
     long maxZoneAge = settings.scheduler().maxZoneAgeMillis();
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/StoreWatchdog.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/StoreWatchdog.java
@@ -10,8 +10,9 @@
  */
 final class StoreWatchdog {
   /** How long an answer on a new connection may take before the store counts as unreachable. */
-  private static final long PATIENCE_MILLIS = 300;
+  private static final long ANSWER_TIMEOUT_MILLIS = 300;
 
+  /** Pause between two reads on new connections while the store does not answer. */
   private static final long RETRY_MILLIS = 500;
 
   /** While checks are further apart, the event loop lags and answers may be waiting for it. */
@@ -45,7 +46,7 @@
     if (!follower.isReadLate()) {
       unreachable = false;
     } else if (reading) {
-      unreachable |= timely && now - sentAt > PATIENCE_MILLIS;
+      unreachable |= timely && now - sentAt > ANSWER_TIMEOUT_MILLIS;
     } else if (now - endedAt >= RETRY_MILLIS) {
       read(now);
     }
@@ -67,7 +68,7 @@
               reading = false;
               endedAt = timers.nowMillis();
               // A later failure may be a timeout that a lagging event loop runs before the answer.
-              unreachable |= endedAt - sentAt <= PATIENCE_MILLIS;
+              unreachable |= endedAt - sentAt <= ANSWER_TIMEOUT_MILLIS;
               logRead(String.valueOf(problem.getMessage()));
             });
   }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/TopicFollower.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/TopicFollower.java
@@ -25,6 +25,8 @@
   private static final long MAX_RETRY_MILLIS = 400;
   // A slow store responds within about 400 ms.
   private static final long OVERDUE_MARGIN_MILLIS = 500;
+
+  /** Less than this is no delay, whatever the last reads took. */
   private static final long MIN_LATE_MARGIN_MILLIS = 150;
 
   private final String name;
@@ -125,7 +127,10 @@
     return confirmed.map(clock::millisSince).orElse(Long.MAX_VALUE);
   }
 
-  /** Returns whether a read is overdue, which is the first sign of an unreachable store. */
+  /**
+   * Returns whether a read is overdue, which is the first sign of an unreachable store. Unlike
+   * {@link #isReadLate()}, it allows for a store that has just become slow.
+   */
   public boolean isOverdue() {
     return timers.nowMillis() - answeredAt > waitMillis + OVERDUE_MARGIN_MILLIS;
   }
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/ClusterSimulation.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/ClusterSimulation.java
@@ -65,10 +65,10 @@
   private static final long RETURN_MILLIS = 3_000;
   private static final int INBOX_PARTITIONS = 4;
 
-  /** Undisturbed time from which on a host has to keep all bounds. */
-  private static final long STABLE_MILLIS = 3_000;
+  /** Time without a fault after which a host has to keep all bounds. */
+  private static final long SETTLE_MILLIS = 3_000;
 
-  /** How long the answer to a request, and the request itself, is on its way. */
+  /** How long a request is on its way to a host. */
   private static final long REQUEST_MILLIS = 1;
 
   private static final ConfigurationHistory.Bounds CONFIGURATION_BOUNDS =
@@ -196,9 +196,9 @@
       disturbedUntil = Math.max(disturbedUntil, time.now() + millis);
     }
 
-    /** Returns whether the host was undisturbed for so long that it has to keep all bounds. */
-    public boolean isInTouch() {
-      return time.now() >= Math.max(disturbedUntil, startedAt) + STABLE_MILLIS;
+    /** Returns whether the last fault and the start are so long ago that all bounds hold. */
+    public boolean isSettled() {
+      return time.now() >= Math.max(disturbedUntil, startedAt) + SETTLE_MILLIS;
     }
 
     /** Returns the running process; another one after each start. */
@@ -293,7 +293,7 @@
   }
 
   /**
-   * Plants a fault: hosts do not take some versions.
+   * Injects a fault: hosts do not take some versions.
    *
    * @param ignored decides by host and version; asked when a host reads the version
    */
@@ -906,7 +906,7 @@
       Host host, String callerHost, String path, Optional<String> key) {
     Promise<Resolution> answer = Promise.promise();
     long sentAt = time.now();
-    boolean inTouch = host.isInTouch();
+    boolean settled = host.isSettled();
     Consumer<Runnable> process = host.currentIncarnation();
     time.after(
         REQUEST_MILLIS,
@@ -923,7 +923,7 @@
                           sentAt,
                           time.now(),
                           verdict(resolution),
-                          inTouch && host.isInTouch()));
+                          settled && host.isSettled()));
                   answer.complete(resolution);
                 }));
     return answer.future();
@@ -955,7 +955,7 @@
       String key,
       Function<Resolution.Granted, JobSpec> job) {
     long sentAt = time.now();
-    boolean inTouch = host.isInTouch();
+    boolean settled = host.isSettled();
     return request(host, callerHost, path, Optional.of(key))
         .compose(
             resolution -> {
@@ -963,7 +963,7 @@
                 return Future.succeededFuture(Optional.empty());
               }
               JobSpec spec = job.apply(granted);
-              oracle.routed(spec, sentAt, inTouch);
+              oracle.routed(spec, sentAt, settled);
               return submit(host, spec)
                   .map(
                       outcome ->
@@ -974,8 +974,8 @@
   }
 
   /** Returns the services on which the tasks of a job may start. */
-  Set<String> servicesAllowed(String queue, long sentAt, boolean inTouch) {
-    return history.servicesAllowed(queue, sentAt, inTouch);
+  Set<String> servicesAllowed(String queue, long sentAt, boolean settled) {
+    return history.servicesAllowed(queue, sentAt, settled);
   }
 
   /** Submits a job to a host; the outcome says whether the host accepted it. */
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/ConfigurationHistory.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/ConfigurationHistory.java
@@ -34,7 +34,7 @@
    *
    * @param boot the process that answered; a restart makes it another one
    * @param key empty if the request carries none
-   * @param inTouch whether the host was undisturbed for long enough that versions apply in time
+   * @param settled whether the host was without a fault for so long that versions apply in time
    */
   public record Answer(
       String boot,
@@ -44,13 +44,13 @@
       long sentAt,
       long answeredAt,
       Verdict verdict,
-      boolean inTouch) {}
+      boolean settled) {}
 
   /**
-   * The promises.
+   * What operators are promised.
    *
-   * @param applyMillis time after the acknowledgement from which a version decides at every host in
-   *     touch
+   * @param applyMillis time after the acknowledgement from which a version decides at every settled
+   *     host
    * @param revokeMillis time after the acknowledgement from which a key that was taken away works
    *     nowhere
    * @param rollbackMillis time after an answer from which the process must not decide by an older
@@ -109,7 +109,7 @@
   public Optional<String> check(Answer answer) {
     int last = newestBefore(answer.answeredAt());
     Floor floor = floors.getOrDefault(answer.boot(), new Floor(0, Long.MIN_VALUE / 2));
-    int oldest = answer.inTouch() ? newestBefore(answer.sentAt() - bounds.applyMillis()) : 0;
+    int oldest = answer.settled() ? newestBefore(answer.sentAt() - bounds.applyMillis()) : 0;
     int oldestOfProcess =
         answer.sentAt() > floor.seenAt() + bounds.rollbackMillis() ? floor.index() : 0;
     Optional<Integer> decidedBy = oldestAllowing(answer, Math.max(oldest, oldestOfProcess), last);
@@ -153,10 +153,10 @@
    *
    * @param queue name of the queue to which the job was submitted
    * @param sentAt when the submission was sent that was accepted
-   * @param inTouch whether the host that accepted it was in touch
+   * @param settled whether the host that accepted it was settled; see {@link Answer}
    */
-  public Set<String> servicesAllowed(String queue, long sentAt, boolean inTouch) {
-    int oldest = inTouch ? newestBefore(sentAt - bounds.applyMillis()) : 0;
+  public Set<String> servicesAllowed(String queue, long sentAt, boolean settled) {
+    int oldest = settled ? newestBefore(sentAt - bounds.applyMillis()) : 0;
     return versions.subList(oldest, versions.size()).stream()
         .flatMap(v -> v.queues().stream())
         .filter(q -> q.name().equals(queue))
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/Oracle.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/Oracle.java
@@ -66,7 +66,7 @@
   private final Map<TaskId, Integer> startsAfterCrashes = new HashMap<>();
 
   /** A submission that a host has routed by its configuration. */
-  private record Routed(long sentAt, boolean inTouch) {}
+  private record Routed(long sentAt, boolean settled) {}
 
   private final Map<String, Routed> routed = new HashMap<>();
   private int crashCount;
@@ -151,21 +151,21 @@
   }
 
   /** Records that a host has routed a submission by its configuration. */
-  void routed(JobSpec spec, long sentAt, boolean inTouch) {
-    routed.put(spec.id(), new Routed(sentAt, inTouch));
+  void routed(JobSpec spec, long sentAt, boolean settled) {
+    routed.put(spec.id(), new Routed(sentAt, settled));
   }
 
   private void checkService(FakeExecutor executor, JobSpec spec) {
     Routed submission = routed.get(spec.id());
-    boolean ownerInTouch =
+    boolean ownerSettled =
         simulation.hosts().stream()
             .filter(ClusterSimulation.Host::isOwner)
-            .allMatch(ClusterSimulation.Host::isInTouch);
-    if (submission == null || !ownerInTouch) {
+            .allMatch(ClusterSimulation.Host::isSettled);
+    if (submission == null || !ownerSettled) {
       return;
     }
     Set<String> allowed =
-        simulation.servicesAllowed(spec.queue().name(), submission.sentAt(), submission.inTouch());
+        simulation.servicesAllowed(spec.queue().name(), submission.sentAt(), submission.settled());
     if (!allowed.contains(executor.service())) {
       recordViolation(
           "configuration",
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/ConfigurationChecks.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/ConfigurationChecks.java
@@ -12,12 +12,13 @@
 
 /** Checks which version of the configuration each direct request was decided by. */
 final class ConfigurationChecks {
-  /** Time after its acknowledgement from which a version decides at hosts in touch. */
+  /** Time after its acknowledgement from which a version decides at settled hosts. */
   static final long APPLY_MILLIS = 2_000;
 
-  /** Undisturbed time from which on a host is in touch. */
-  static final long STABLE_MILLIS = 3_000;
+  /** Time without a fault after which a host is settled. */
+  static final long SETTLE_MILLIS = 3_000;
 
+  /** Time after an answer from which a process must not decide by an older version. */
   private static final long ROLLBACK_MILLIS = 250;
 
   private final ConfigurationHistory history;
@@ -57,12 +58,12 @@
                 request.sentAt(),
                 request.at(),
                 request.verdict(),
-                isInTouch(request, start)))
+                isSettled(request, start)))
         .ifPresent(problem -> findings.add(request.at(), Rule.LATE_CONFIGURATION, problem));
   }
 
-  private boolean isInTouch(Counted request, HostStarted start) {
-    long since = request.sentAt() - STABLE_MILLIS;
+  private boolean isSettled(Counted request, HostStarted start) {
+    long since = request.sentAt() - SETTLE_MILLIS;
     return (start == null || start.at() <= since)
         && impairments.stream()
             .filter(i -> i.host().isEmpty() || i.host().orElseThrow().equals(request.host()))
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/DirectCallers.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/DirectCallers.java
@@ -14,10 +14,10 @@
  * add and remove, with keys that they add and revoke.
  */
 final class DirectCallers {
-  private static final int REQUEST_MILLIS = 60;
-  private static final int MIN_CHANGE_MILLIS = 400;
-  private static final int MAX_CHANGE_MILLIS = 3_000;
-  private static final long WAIT_MILLIS = 1_000;
+  private static final int REQUEST_INTERVAL_MILLIS = 60;
+  private static final int MIN_CHANGE_INTERVAL_MILLIS = 400;
+  private static final int MAX_CHANGE_INTERVAL_MILLIS = 3_000;
+  private static final long TIMEOUT_MILLIS = 1_000;
   private static final List<Queue> QUEUES =
       List.of(Site.QUICK, Site.EXTRA, Site.OPEN, Site.UNKNOWN);
 
@@ -53,13 +53,13 @@
     if (recorder.now() >= until) {
       return;
     }
-    vertx.setTimer(REQUEST_MILLIS, id -> ask(until));
+    vertx.setTimer(REQUEST_INTERVAL_MILLIS, id -> ask(until));
     HostProcess host = hosts.get(random.nextInt(hosts.size()));
     Queue queue = QUEUES.get(random.nextInt(QUEUES.size()));
     Optional<String> key = key();
     long sentAt = recorder.now();
     client
-        .count(host.callerAddress(), queue, key, WAIT_MILLIS)
+        .count(host.callerAddress(), queue, key, TIMEOUT_MILLIS)
         .onSuccess(
             answer ->
                 recorder.record(
@@ -78,7 +78,9 @@
   }
 
   private void change(long until) {
-    long millis = MIN_CHANGE_MILLIS + random.nextInt(MAX_CHANGE_MILLIS - MIN_CHANGE_MILLIS);
+    long millis =
+        MIN_CHANGE_INTERVAL_MILLIS
+            + random.nextInt(MAX_CHANGE_INTERVAL_MILLIS - MIN_CHANGE_INTERVAL_MILLIS);
     vertx.setTimer(
         millis,
         id -> {
