Show that lasting tasks wait 12 s after an executor and then the owner are lost

Cause: EarlierLeases lets the next owner wait for the longest leases that the killed one could have granted, 11.1 s from the takeover, unless it had recorded that the executor is silent.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -5,4 +5,4 @@
 . bin/jdk.sh || exit 2
 [ -f target/platform/cactusspring.jar ] && [ -d target/review-2 ] || exit 2
 exec "$JAVA_HOME/bin/java" -Dsun.net.httpserver.nodelay=true \
-  -cp 'target/review-2:target/platform/lib/*' review2.CountOfWaitingJobs review/7
+  -cp 'target/review-2:target/platform/lib/*' review2.LastingTaskAfterLosses review/7
--- a/review/standins-2/review2/Host.java
+++ b/review/standins-2/review2/Host.java
@@ -29,7 +29,6 @@
   Host(Cell cell, String name) {
     this.cell = cell;
     this.name = name;
-    // The port after the first one of the range has to be free as well.
     ports = Wire.freePort();
   }
 
--- a/review/standins-2/review2/Wire.java
+++ b/review/standins-2/review2/Wire.java
@@ -11,12 +11,18 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
 
 /** HTTP servers and JSON on loopback. */
 final class Wire {
   static final ObjectMapper JSON = new ObjectMapper();
+  private static final int LOWEST_PORT = 10_000;
+  private static final int HIGHEST_PORT = 30_000;
+  private static final Set<Integer> HANDED_OUT = new HashSet<>();
 
   private Wire() {}
 
@@ -43,11 +49,21 @@
     return JSON.readTree(body);
   }
 
-  static int freePort() {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
+  /** Returns a port that is free, as is the next one, below those that the system hands out. */
+  static synchronized int freePort() {
+    while (true) {
+      int port = ThreadLocalRandom.current().nextInt(LOWEST_PORT, HIGHEST_PORT) & ~1;
+      if (HANDED_OUT.add(port) && isFree(port) && isFree(port + 1)) {
+        return port;
+      }
+    }
+  }
+
+  private static boolean isFree(int port) {
+    try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+      return socket.isBound();
     } catch (IOException e) {
-      throw new UncheckedIOException(e);
+      return false;
     }
   }
 
