Name at most 100 executors in each call for advice

Cause: AdvicePlanner kept the bound of 100 executors only in the calls for tasks that find room (candidates). explore, for gangs with wide members, and renew, for executors that are kept for a gang, named as many as there were. The service refuses such a call, and it was repeated unchanged.

The bound is now kept where calls are made. What one call has no room for is asked next, first the executors without a valid ticket, and early enough for all calls. The emulator's advice service refuses calls that name over 100.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/AdvicePlanner.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/AdvicePlanner.java
@@ -24,6 +24,7 @@
  * all others together have too little room.
  */
 final class AdvicePlanner {
+  // The service refuses calls that name more.
   private static final int MAX_EXECUTORS_PER_CALL = 100;
   // While short calls take all callers, most searches are in vain, and hundreds of steps may wait.
   private static final int MAX_SEARCHES_WHILE_REFUSED = 4;
@@ -162,18 +163,30 @@
     if (!queue.needsAdvice() || !step.tickets().mayCall(now)) {
       return;
     }
-    List<LiveExecutor> named = kept.stream().map(Reservation::executor).distinct().toList();
+    List<LiveExecutor> executors = kept.stream().map(Reservation::executor).distinct().toList();
     long at = kept.stream().mapToLong(Reservation::at).max().orElse(now);
-    double callMillis = queue.advice().callMillis(named.size());
-    boolean valid = named.stream().allMatch(e -> step.tickets().valid(e, now).isPresent());
-    if (!valid && at - now <= callMillis + RENEWAL_MARGIN_MILLIS) {
-      call(step, queue, named, slots, now);
+    double callsMillis = callsMillis(queue.advice(), executors.size());
+    boolean valid = executors.stream().allMatch(e -> step.tickets().valid(e, now).isPresent());
+    if (!valid && at - now <= callsMillis + RENEWAL_MARGIN_MILLIS) {
+      Comparator<LiveExecutor> byNeed =
+          Comparator.comparing(e -> step.tickets().valid(e, now).isPresent());
+      call(step, queue, executors.stream().sorted(byNeed).toList(), slots, now);
     }
   }
 
+  /** Returns the duration of the calls, one after the other, that name a number of executors. */
+  private static double callsMillis(AdviceSettings settings, int executors) {
+    int full = executors / MAX_EXECUTORS_PER_CALL;
+    int rest = executors % MAX_EXECUTORS_PER_CALL;
+    return full * settings.callMillis(MAX_EXECUTORS_PER_CALL)
+        + (rest == 0 ? 0 : settings.callMillis(rest));
+  }
+
+  /** Makes a call that names the first of the given executors, as many as a call may name. */
   private void call(
-      LiveStep step, Queue queue, List<LiveExecutor> named, AdviceSlots slots, long now) {
+      LiveStep step, Queue queue, List<LiveExecutor> executors, AdviceSlots slots, long now) {
     AdviceSettings settings = queue.advice();
+    List<LiveExecutor> named = executors.stream().limit(MAX_EXECUTORS_PER_CALL).toList();
     double callMillis = settings.callMillis(named.size());
     if (named.isEmpty() || !step.tickets().mayCall(now) || isRefused(callMillis)) {
       return;
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/ClusterSimulation.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/ClusterSimulation.java
@@ -65,6 +65,9 @@
   private static final long RETURN_MILLIS = 3_000;
   private static final int INBOX_PARTITIONS = 4;
 
+  /** The service refuses calls that name more. */
+  private static final int MAX_EXECUTORS_PER_ADVICE_CALL = 100;
+
   /** Time without a fault after which a host has to keep all bounds. */
   private static final long SETTLE_MILLIS = 3_000;
 
@@ -838,6 +841,9 @@
 
     private Future<Map<String, String>> decide(
         StepId step, List<String> named, AdviceSettings settings) {
+      if (named.size() > MAX_EXECUTORS_PER_ADVICE_CALL) {
+        return Future.failedFuture(named.size() + " executors named");
+      }
       long millis = Math.round(settings.callMillis(named.size()));
       return adviceService.call(host.name, millis, () -> tickets(step, named, settings));
     }
