Count a refused connection as the end of the owner's process

Cause: a new owner waits for leases that the killed one might have granted for 5 s after its last record, unless that process is known to have ended. A connection that is refused because nothing listens at its address made the host claim, but did not count as that end.

An owner listens before it claims and until its process ends, so a refusal shows that it has ended, and the wait is one lease from then.

TakeoverChainTest.taskOfALostExecutorRunsInTimeWheneverTheOwnerIsKilledAfterwards and OwnerLinkTest.addressAtWhichNothingListensMeansThatTheOwnerHasEnded fail before and pass now.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerLink.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerLink.java
@@ -131,7 +131,8 @@
 
   private void dialFailed(Throwable problem) {
     if (problem instanceof NothingListensException) {
-      markVacant("its process has ended");
+      // An owner listens before it claims, and until its process ends.
+      markEnded("its process has ended");
     }
     redialLater();
   }
@@ -143,6 +144,11 @@
     timers.after(delay, () -> dial(expected));
   }
 
+  private void markEnded(String reason) {
+    endedAt = Math.min(endedAt, timers.nowMillis());
+    markVacant(reason);
+  }
+
   private void markVacant(String reason) {
     if (vacantSince == Long.MAX_VALUE) {
       vacantSince = timers.nowMillis();
@@ -184,8 +190,8 @@
   }
 
   /**
-   * Returns when another process answered at the address of the owner's, which had ended by then;
-   * {@link Long#MAX_VALUE} if none has.
+   * Returns when nothing listened at the owner's address any more, or another process answered
+   * there, so that the owner's had ended; {@link Long#MAX_VALUE} if neither was seen.
    */
   long endedAt() {
     return endedAt;
@@ -277,8 +283,7 @@
 
     private void applyStatus(OwnerStatus status) {
       if (!status.incarnation().equals(owner.incarnation())) {
-        endedAt = Math.min(endedAt, timers.nowMillis());
-        markVacant("its host runs another process");
+        markEnded("its host runs another process");
         return;
       }
       boolean wasActive = phase == OwnerPhase.ACTIVE;
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/OwnerLinkTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/OwnerLinkTest.java
@@ -8,6 +8,7 @@
 import io.cactusspring.jobs.model.HostIdentity;
 import io.cactusspring.jobs.port.PeerLink;
 import io.cactusspring.jobs.port.PeerNetwork;
+import io.cactusspring.jobs.port.PeerNetwork.NothingListensException;
 import io.cactusspring.jobs.simulation.TestLog;
 import io.cactusspring.jobs.simulation.VirtualTime;
 import io.vertx.core.Future;
@@ -22,6 +23,8 @@
 /** Tests what a host believes of the owner while it changes links. */
 final class OwnerLinkTest {
   private final List<PeerLink.Handler> opened = new ArrayList<>();
+  private final VirtualTime time = new VirtualTime();
+  private boolean refused;
 
   private final PeerNetwork network =
       new PeerNetwork() {
@@ -31,6 +34,9 @@
         @Override
         public Future<PeerLink> connect(
             String address, Function<PeerLink, PeerLink.Handler> handler) {
+          if (refused) {
+            return Future.failedFuture(new NothingListensException(address));
+          }
           PeerLink link = new SilentLink();
           opened.add(handler.apply(link));
           return Future.succeededFuture(link);
@@ -40,7 +46,7 @@
   private final OwnerLink link =
       new OwnerLink(
           network,
-          new VirtualTime().timers(),
+          time.timers(),
           new TestLog().log(),
           new HostIdentity("c", "c#1", "c:70", 750),
           (step, executors, timeout) -> Future.failedFuture("not used"),
@@ -75,6 +81,14 @@
     assertThat(link.endedAt()).isEqualTo(Long.MAX_VALUE);
   }
 
+  /** Guards against a wait for leases that a killed owner might still grant. */
+  @Test
+  void addressAtWhichNothingListensMeansThatTheOwnerHasEnded() {
+    refused = true;
+    link.follow(new OwnerRecord(1, "a", "a#1", "a:70", 0, false));
+    assertThat(link.endedAt()).isLessThan(Long.MAX_VALUE);
+  }
+
   @Test
   void statusOfAnotherProcessAtTheAddressMeansThatTheOwnerHasEnded() {
     link.follow(new OwnerRecord(1, "a", "a#1", "a:70", 0, false));
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/TakeoverChainTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/TakeoverChainTest.java
@@ -11,6 +11,8 @@
 import io.cactusspring.jobs.simulation.ClusterSimulation.Host;
 import io.cactusspring.jobs.simulation.FakeExecutor;
 import java.util.List;
+import java.util.function.Supplier;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -38,11 +40,15 @@
 
   @BeforeEach
   void startTaskOfAMinute() {
+    startTaskOfAMinute(2);
+  }
+
+  private void startTaskOfAMinute(int executors) {
     simulation = new ClusterSimulation(3);
     simulation.taskWorkMillis(id -> 60_000L);
     List.of("a", "b", "c").forEach(simulation::addHost);
-    List.of("x1", "x2")
-        .forEach(id -> simulation.addExecutor(id, "zone", new Resources(4_000, 4_000, 0)));
+    IntStream.rangeClosed(1, executors)
+        .forEach(i -> simulation.addExecutor("x" + i, "zone", new Resources(4_000, 4_000, 0)));
     simulation.time().run(20_000);
     simulation.submit(simulation.hosts().get(0), JOB);
     simulation.time().run(1_000);
@@ -100,6 +106,57 @@
     assertThat(simulation.oracle().violations()).isEmpty();
   }
 
+  /** Returns until when a task has to run again, in the users' words on tasks that last. */
+  private static long latestRunAt(long lostAt, long disturbedAt) {
+    return Math.max(lostAt + 6_000, disturbedAt + 4_000) + 3_000;
+  }
+
+  /**
+   * Loses the executor of a task and then processes, and checks when the task runs again.
+   *
+   * @param pauseMillis time between the two losses
+   * @param downMillis time until the processes are started again
+   */
+  private void checkLosses(
+      int executors, long pauseMillis, long downMillis, Supplier<List<Host>> lostHosts) {
+    startTaskOfAMinute(executors);
+    executorOfTask().crash();
+    long lostAt = simulation.time().now();
+    simulation.time().run(pauseMillis);
+    List<Host> lost = lostHosts.get();
+    lost.forEach(Host::kill);
+    simulation.time().run(downMillis);
+    lost.forEach(Host::start);
+    long latest = latestRunAt(lostAt, simulation.time().now());
+    simulation.time().run(latest - simulation.time().now());
+    String losses = "%s executors, pause %s ms, down for %s ms";
+    assertWithMessage(losses, executors, pauseMillis, downMillis).that(runs()).isTrue();
+    assertThat(simulation.oracle().violations()).isEmpty();
+  }
+
+  private void checkLosses(Supplier<List<Host>> lostHosts) {
+    for (long pause = 0; pause <= 2_000; pause += 100) {
+      for (long down : List.of(200, 500, 900, 2_000)) {
+        checkLosses(2 + (int) (pause / 100 % 3), pause, down, lostHosts);
+      }
+    }
+  }
+
+  /**
+   * Guards against a wait for leases that the killed owner might have granted for seconds after its
+   * end, if it had not recorded yet that the executor does not answer.
+   */
+  @Test
+  void taskOfALostExecutorRunsInTimeWheneverTheOwnerIsKilledAfterwards() {
+    checkLosses(this::owners);
+  }
+
+  /** Nobody was there to see that the owner had ended. */
+  @Test
+  void taskOfALostExecutorRunsInTimeAfterAllHostsAreKilled() {
+    checkLosses(() -> simulation.hosts());
+  }
+
   /**
    * Guards against a second run beside one whose lease was renewed after the owner had recorded
    * that its executor does not answer.
