Shorten the wait for earlier leases when their owner is seen to have ended

Cause: how long a new owner waits for leases of the owner before was computed once, at its claim, and the link to that owner was closed then. If the machine of the owner was lost, so that nothing answers at its address, the end of its process is seen only after the claim, once the machine is back.

The new owner now goes on dialling the address and computes the wait anew, in its own records too. The leases of the owners before that one are not shortened.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/EarlierLeases.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/EarlierLeases.java
@@ -48,41 +48,29 @@
    *
    * @param endedAt when the process of the newest record had certainly ended; {@link
    *     Long#MAX_VALUE} if that is not known
+   * @param now when a lease may have been granted last if no record is known
    */
   InheritedLeases inherited(long endedAt, long now) {
+    if (newest.equals(OwnerRecord.NONE)) {
+      return InheritedLeases.until(now + settings.previousOwnerLeaseMillis());
+    }
     Map<String, Long> silentMillis =
         newest.leases().map(LeaseBounds::silentExecutorMillis).orElse(Map.of());
     Map<String, Long> silentLapseAt =
         silentMillis.keySet().stream()
             .collect(
                 Collectors.toMap(Function.identity(), e -> newestStoredBy + silentMillis.get(e)));
-    return new InheritedLeases(lapseAt(endedAt, now), silentLapseAt);
-  }
-
-  /**
-   * Returns when the last lease of all owners up to the newest record has lapsed.
-   *
-   * @param endedAt when the process of the newest record had certainly ended; {@link
-   *     Long#MAX_VALUE} if that is not known
-   * @param now returned with the longest possible lease added if no record is known
-   */
-  long lapseAt(long endedAt, long now) {
-    if (newest.equals(OwnerRecord.NONE)) {
-      return now + settings.previousOwnerLeaseMillis();
-    }
-    long lastGrant =
-        newest.released()
-            ? newestStoredBy
-            : Math.min(newestStoredBy + settings.storeGraceMillis(), endedAt);
     long lease = settings.previousOwnerLeaseMillis() - settings.storeGraceMillis();
-    return newest
-        .leases()
-        .map(l -> lapseAt(l, lastGrant + lease))
-        .orElse(Math.max(claimStoredBy + settings.previousOwnerLeaseMillis(), lastGrant + lease));
-  }
-
-  private long lapseAt(LeaseBounds bounds, long ownLapseAt) {
-    long earlierLapseAt = newestStoredBy + bounds.earlierLeasesMillis();
-    return bounds.granted() ? Math.max(earlierLapseAt, ownLapseAt) : earlierLapseAt;
+    long ownLapseAt =
+        newestStoredBy + lease + (newest.released() ? 0 : settings.storeGraceMillis());
+    long earlierLapseAt =
+        newest
+            .leases()
+            .map(l -> newestStoredBy + l.earlierLeasesMillis())
+            .orElse(claimStoredBy + settings.previousOwnerLeaseMillis());
+    boolean granted = newest.leases().map(LeaseBounds::granted).orElse(true);
+    long lapseAt = granted ? Math.max(earlierLapseAt, ownLapseAt) : earlierLapseAt;
+    InheritedLeases inherited = new InheritedLeases(lapseAt, silentLapseAt, earlierLapseAt, lease);
+    return endedAt == Long.MAX_VALUE ? inherited : inherited.lastOwnerEnded(endedAt);
   }
 }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/EntryHost.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/EntryHost.java
@@ -43,6 +43,10 @@
   private final ZoneTracker zones;
   private final PeerServer peers;
   private final OwnerLink link;
+
+  /** The link to the owner before this host, until that one is known to have ended. */
+  private final OwnerLink predecessor;
+
   private final OwnershipMonitor monitor;
   private final JobService service;
   private final EventLoopLag lag = new EventLoopLag();
@@ -72,15 +76,8 @@
             () -> 0);
     watchdog = new StoreWatchdog(configurationFollower, timers, log);
     peers = new PeerServer(ports.network(), settings.self(), timers, log);
-    link =
-        new OwnerLink(
-            ports.network(),
-            timers,
-            log,
-            settings.self(),
-            ports.advice(),
-            random,
-            this::checkOwnership);
+    link = newLink(this::checkOwnership);
+    predecessor = newLink(this::checkPredecessor);
     monitor =
         new OwnershipMonitor(
             ports.ownership(),
@@ -107,6 +104,11 @@
             lag);
   }
 
+  private OwnerLink newLink(Runnable onChange) {
+    return new OwnerLink(
+        ports.network(), timers, log, settings.self(), ports.advice(), random, onChange);
+  }
+
   /**
    * Returns how long a read of the configuration waits. The data may be as old as two waits and a
    * response before the next read completes; that has to stay below its maximum age.
@@ -219,9 +221,17 @@
     lastTickAt = now;
     isReady();
     checkOwnership();
+    predecessor.tick();
     timers.after(TICK_MILLIS, this::tick);
   }
 
+  private void checkPredecessor() {
+    if (predecessor.endedAt() < Long.MAX_VALUE) {
+      term.ifPresent(t -> t.predecessorEnded(predecessor.endedAt()));
+      predecessor.stop();
+    }
+  }
+
   private void checkOwnership() {
     monitor.check();
   }
@@ -233,6 +243,7 @@
   private void termChanged(OwnerTerm changed) {
     if (changed.isEnded() && term.filter(t -> t == changed).isPresent()) {
       term = Optional.empty();
+      predecessor.stop();
       link.rememberDurationFactors(changed.durationFactors());
       monitor.termEnded(changed.number());
     }
@@ -251,7 +262,12 @@
     }
 
     @Override
-    public void claimed(OwnerRecord claim, long end, long sentAt, InheritedLeases earlierLeases) {
+    public void claimed(
+        OwnerRecord claim,
+        long end,
+        long sentAt,
+        OwnerRecord previous,
+        InheritedLeases earlierLeases) {
       OwnerTerm begun =
           new OwnerTerm(
               ports,
@@ -270,6 +286,9 @@
       term = Optional.of(begun);
       peers.setTerm(begun);
       begun.start();
+      if (earlierLeases.dependOnLastOwner()) {
+        predecessor.follow(previous);
+      }
       if (draining) {
         begun.release();
       }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerLink.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerLink.java
@@ -104,8 +104,14 @@
     old.ifPresent(c -> c.link.close());
   }
 
+  /** Closes the connection and opens no other one until the next owner is followed. */
+  void stop() {
+    owner = OwnerRecord.NONE;
+    disconnect();
+  }
+
   private void dial(int expectedGeneration) {
-    if (expectedGeneration != generation) {
+    if (expectedGeneration != generation || owner.address().isEmpty()) {
       return;
     }
     network
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerTerm.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerTerm.java
@@ -58,7 +58,7 @@
   private LedgerSnapshot snapshot = new LedgerSnapshot();
   private final Map<String, ExecutorInfo> executors = new HashMap<>();
   private final long claimedAt;
-  private final InheritedLeases earlierLeases;
+  private InheritedLeases earlierLeases;
   private final Map<String, Double> inheritedFactors;
   private SiteConfiguration configuration;
   private Optional<OwnerController> controller = Optional.empty();
@@ -123,7 +123,7 @@
             claim,
             end,
             claimSentAt,
-            earlierLeases::bounds,
+            now -> this.earlierLeases.bounds(now),
             timers,
             this::superseded);
     advice = new AdviceDispatcher(ports.advice(), timers);
@@ -363,6 +363,32 @@
         });
   }
 
+  /**
+   * Records that the process of the owner before had certainly ended at a time, so that it has
+   * granted no lease since.
+   */
+  void predecessorEnded(long endedAt) {
+    InheritedLeases known = earlierLeases;
+    earlierLeases = known.lastOwnerEnded(endedAt);
+    if (ended || earlierLeases.equals(known)) {
+      return;
+    }
+    long now = timers.nowMillis();
+    log.event(
+        JobEvent.EARLIER_LEASES_SHORTENED,
+        "term",
+        claim.term(),
+        "beforeMillis",
+        InheritedLeases.remaining(known.lapseAt(), now),
+        "earlierLeasesMillis",
+        InheritedLeases.remaining(earlierLeases.lapseAt(), now));
+    controller.ifPresent(
+        c -> {
+          c.scheduler().earlierLeasesShortened(earlierLeases);
+          c.scheduleRound();
+        });
+  }
+
   /** Ends the term because the ledger names a later owner. */
   void superseded() {
     superseded("the ledger names a later owner");
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnershipMonitor.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnershipMonitor.java
@@ -45,9 +45,15 @@
      *
      * @param end offset that follows the claim in the ownership partition
      * @param sentAt when the claim was first sent
+     * @param predecessor the owner before; {@link OwnerRecord#NONE} if it is not known
      * @param earlierLeases when the leases of earlier owners have lapsed
      */
-    void claimed(OwnerRecord claim, long end, long sentAt, InheritedLeases earlierLeases);
+    void claimed(
+        OwnerRecord claim,
+        long end,
+        long sentAt,
+        OwnerRecord predecessor,
+        InheritedLeases earlierLeases);
 
     /** Called when the ownership partition names another claim than before. */
     void ownerChanged(OwnerRecord owner);
@@ -58,13 +64,20 @@
     private final OwnerRecord record;
     private final long end;
     private final long sentAt;
+    private final OwnerRecord predecessor;
     private final InheritedLeases earlierLeases;
     private boolean maybeStored;
 
-    Claim(OwnerRecord record, long end, long sentAt, InheritedLeases earlierLeases) {
+    Claim(
+        OwnerRecord record,
+        long end,
+        long sentAt,
+        OwnerRecord predecessor,
+        InheritedLeases earlierLeases) {
       this.record = record;
       this.end = end;
       this.sentAt = sentAt;
+      this.predecessor = predecessor;
       this.earlierLeases = earlierLeases;
     }
   }
@@ -198,7 +211,7 @@
     OwnerRecord record =
         new OwnerRecord(term, self.host(), self.incarnation(), self.address(), 0, false)
             .withLeases(inherited.bounds(now));
-    Claim claim = new Claim(record, follower.next(), now, inherited);
+    Claim claim = new Claim(record, follower.next(), now, view.owner(), inherited);
     pendingClaim = Optional.of(claim);
     lastClaim = pendingClaim;
     send(claim);
@@ -287,14 +300,14 @@
       pendingClaim = Optional.empty();
       Claim claim =
           lastClaim.filter(c -> c.record.isSameClaim(owner)).orElseGet(() -> forgottenClaim(owner));
-      host.claimed(owner, entry.offset() + 1, claim.sentAt, claim.earlierLeases);
+      host.claimed(owner, entry.offset() + 1, claim.sentAt, claim.predecessor, claim.earlierLeases);
     }
   }
 
   /** Returns a claim that is stored although another one was sent since. */
   private Claim forgottenClaim(OwnerRecord record) {
     InheritedLeases inherited = earlierLeases.inherited(Long.MAX_VALUE, timers.nowMillis());
-    return new Claim(record, 0, Long.MIN_VALUE / 2, inherited);
+    return new Claim(record, 0, Long.MIN_VALUE / 2, OwnerRecord.NONE, inherited);
   }
 
   private final class Sink implements TopicSink {
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/InheritedLeases.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/InheritedLeases.java
@@ -12,16 +12,33 @@
  * @param lapseAt when all of them have lapsed
  * @param silentLapseAt when they have lapsed on executors that did not answer the last owner, by
  *     executor id
+ * @param earlierLapseAt when those of the owners before the last one have lapsed
+ * @param leaseMillis how long a lease of the last owner lasts at most, from when it was granted
  * @since 0.2
  */
-public record InheritedLeases(long lapseAt, Map<String, Long> silentLapseAt) {
+public record InheritedLeases(
+    long lapseAt, Map<String, Long> silentLapseAt, long earlierLapseAt, long leaseMillis) {
   public InheritedLeases {
     silentLapseAt = Map.copyOf(silentLapseAt);
   }
 
   /** Returns leases of which no more is known than when all have lapsed. */
   public static InheritedLeases until(long lapseAt) {
-    return new InheritedLeases(lapseAt, Map.of());
+    return new InheritedLeases(lapseAt, Map.of(), lapseAt, 0);
+  }
+
+  /**
+   * Returns the leases if the last owner has granted none since a time, at which its process had
+   * certainly ended.
+   */
+  public InheritedLeases lastOwnerEnded(long endedAt) {
+    long shortened = Math.min(lapseAt, Math.max(earlierLapseAt, endedAt + leaseMillis));
+    return new InheritedLeases(shortened, silentLapseAt, earlierLapseAt, leaseMillis);
+  }
+
+  /** Returns whether the leases may lapse sooner once the last owner is known to have ended. */
+  public boolean dependOnLastOwner() {
+    return lapseAt > earlierLapseAt;
   }
 
   /** Returns when the leases on an executor have lapsed. */
@@ -42,7 +59,8 @@
     return new LeaseBounds(false, remaining(lapseAt, now), silent);
   }
 
-  static long remaining(long lapseAt, long now) {
+  /** Returns in how many milliseconds leases lapse; 0 if they have. */
+  public static long remaining(long lapseAt, long now) {
     return Math.max(0, lapseAt - now);
   }
 }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
@@ -68,7 +68,7 @@
   private final AnnouncementAge announcements = new AnnouncementAge();
   private final PriorityQueue<DueOccurrence> dueOccurrences =
       new PriorityQueue<>(Comparator.comparingLong(DueOccurrence::wallMillis));
-  private final InheritedLeases earlierLeases;
+  private InheritedLeases earlierLeases;
   private final SilentExecutors silentExecutors;
   private long lastVersion;
   private boolean zonesWereConfirmed;
@@ -199,7 +199,7 @@
       LiveTask task = job.task(new TaskId(job.id(), stored.occurrence(), stored.step(), i));
       LiveExecutor executor = state.executor(p.executor());
       executor.restoreBoot(p.bootMillis());
-      executor.extendLease(earlierLeases.lapseAt(executor.id()));
+      executor.inheritLease(earlierLeases.lapseAt(executor.id()));
       Run run =
           new Run(
               new RunKey(task.id(), p.run()),
@@ -213,6 +213,16 @@
     }
   }
 
+  /** Records that the leases of the previous owners lapse sooner than was known before. */
+  public void earlierLeasesShortened(InheritedLeases shortened) {
+    earlierLeases = shortened;
+    silentExecutors.inherit(shortened);
+    for (LiveExecutor executor : state.executors.values()) {
+      executor.inheritedLeaseShortened(shortened.lapseAt(executor.id()));
+      state.touch(executor);
+    }
+  }
+
   /** Starts with the duration factors of executor labels that a previous owner learned. */
   public void inheritDurationFactors(Map<String, Double> factorByLabel) {
     state.learned.inherit(factorByLabel);
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveExecutor.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveExecutor.java
@@ -37,6 +37,7 @@
   private long clockMillis;
   private long clockAt = NEVER;
   private long leaseLapsesAt = NEVER;
+  private long inheritedLeaseLapsesAt = NEVER;
   private long silentSince = NEVER;
   private final Set<String> silenceReasons = new HashSet<>();
   private boolean hasReported;
@@ -385,17 +386,23 @@
     return end;
   }
 
-  void extendLease(long when) {
-    leaseLapsesAt = Math.max(leaseLapsesAt, when);
+  /** Sets when the last lease has lapsed that earlier owners may have granted. */
+  void inheritLease(long lapsesAt) {
+    inheritedLeaseLapsesAt = lapsesAt;
+  }
+
+  /** Records that the leases of earlier owners, if there may be any, have lapsed by then. */
+  void inheritedLeaseShortened(long lapsesAt) {
+    inheritedLeaseLapsesAt = Math.min(inheritedLeaseLapsesAt, lapsesAt);
   }
 
   /** Returns when the last lease that this owner knows of has lapsed. */
   long leaseLapsesAt() {
-    return leaseLapsesAt;
+    return Math.max(leaseLapsesAt, inheritedLeaseLapsesAt);
   }
 
   boolean leaseLapsed(long now) {
-    return now > leaseLapsesAt;
+    return now > leaseLapsesAt();
   }
 
   long lastReceivedEnd() {
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/SilentExecutors.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/SilentExecutors.java
@@ -20,7 +20,7 @@
   private static final int MAX_EXECUTORS = 64;
 
   private final OwnerState state;
-  private final InheritedLeases inherited;
+  private InheritedLeases inherited;
   private final long begunAt;
 
   SilentExecutors(OwnerState state, InheritedLeases inherited, long begunAt) {
@@ -29,6 +29,11 @@
     this.begunAt = begunAt;
   }
 
+  /** Records that leases of earlier owners lapse sooner than was known. */
+  void inherit(InheritedLeases leases) {
+    inherited = leases;
+  }
+
   /** Returns what the owner has to record before it grants any lease to other executors. */
   LeaseBounds bounds(long now) {
     Map<String, Long> silent =
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/EarlierLeasesTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/EarlierLeasesTest.java
@@ -37,19 +37,20 @@
   @Test
   void ownerMayGrantLeasesForTheGraceAfterItsLastRecord() {
     leases.read(owner(1, MANY, false), 50_000);
-    assertThat(leases.lapseAt(UNKNOWN, 53_000)).isEqualTo(50_000 + GRACE_MILLIS + LEASE_MILLIS);
+    assertThat(leases.inherited(UNKNOWN, 53_000).lapseAt())
+        .isEqualTo(50_000 + GRACE_MILLIS + LEASE_MILLIS);
   }
 
   @Test
   void ownerThatHasReleasedItsTermGrantsNoMoreLeases() {
     leases.read(owner(1, MANY, true), 50_000);
-    assertThat(leases.lapseAt(UNKNOWN, 53_000)).isEqualTo(50_000 + LEASE_MILLIS);
+    assertThat(leases.inherited(UNKNOWN, 53_000).lapseAt()).isEqualTo(50_000 + LEASE_MILLIS);
   }
 
   @Test
   void ownerWhoseProcessHasEndedGrantsNoMoreLeases() {
     leases.read(owner(1, MANY, false), 50_000);
-    assertThat(leases.lapseAt(51_000, 53_000)).isEqualTo(51_000 + LEASE_MILLIS);
+    assertThat(leases.inherited(51_000, 53_000).lapseAt()).isEqualTo(51_000 + LEASE_MILLIS);
   }
 
   /** Guards against a second run beside one of the owner before, which need not have ended. */
@@ -58,7 +59,25 @@
     leases.read(owner(1, MANY, false), 40_000);
     leases.read(owner(2, 0, false), 50_000);
     leases.read(owner(2, 5, false), 51_000);
-    assertThat(leases.lapseAt(51_500, 53_000)).isEqualTo(50_000 + GRACE_MILLIS + LEASE_MILLIS);
+    assertThat(leases.inherited(51_500, 53_000).lapseAt())
+        .isEqualTo(50_000 + GRACE_MILLIS + LEASE_MILLIS);
+  }
+
+  /** The last owner is known to have ended only after the claim. */
+  @Test
+  void leasesLapseSoonerOnceTheLastOwnerIsKnownToHaveEnded() {
+    leases.read(owner(2, new LeaseBounds(true, 3_000, Map.of("x1", 700L))), 50_000);
+    InheritedLeases shortened = leases.inherited(UNKNOWN, 51_000).lastOwnerEnded(52_000);
+    assertThat(shortened.lapseAt("x2")).isEqualTo(52_000 + LEASE_MILLIS);
+    assertThat(shortened.lapseAt("x1")).isEqualTo(50_700);
+  }
+
+  /** Guards against a second run beside one of the owner before, which need not have ended. */
+  @Test
+  void endOfTheLastOwnerSaysNothingOfTheOwnersBefore() {
+    leases.read(owner(2, new LeaseBounds(true, 9_000, Map.of())), 50_000);
+    InheritedLeases shortened = leases.inherited(UNKNOWN, 51_000).lastOwnerEnded(51_000);
+    assertThat(shortened.lapseAt()).isEqualTo(59_000);
   }
 
   /** Guards against a wait that begins anew with each takeover or restart. */
@@ -66,12 +85,14 @@
   void heartbeatsShowHowLongTheClaimHasBeenStored() {
     leases.read(owner(2, 10, false), 60_000);
     long claimedBy = 60_000 - (long) (2_000 * 0.98);
-    assertThat(leases.lapseAt(60_000, 61_000)).isEqualTo(claimedBy + GRACE_MILLIS + LEASE_MILLIS);
+    assertThat(leases.inherited(60_000, 61_000).lapseAt())
+        .isEqualTo(claimedBy + GRACE_MILLIS + LEASE_MILLIS);
   }
 
   @Test
   void leasesOfAnUnknownOwnerLastTheLongestPossibleTime() {
-    assertThat(leases.lapseAt(UNKNOWN, 50_000)).isEqualTo(50_000 + GRACE_MILLIS + LEASE_MILLIS);
+    assertThat(leases.inherited(UNKNOWN, 50_000).lapseAt())
+        .isEqualTo(50_000 + GRACE_MILLIS + LEASE_MILLIS);
   }
 
   private static OwnerRecord owner(long term, LeaseBounds bounds) {
@@ -82,15 +103,16 @@
   @Test
   void ownerThatHasGrantedNoLeaseDoesNotProlongThoseOfEarlierOwners() {
     leases.read(owner(2, new LeaseBounds(false, 3_000, Map.of())), 50_000);
-    assertThat(leases.lapseAt(UNKNOWN, 51_000)).isEqualTo(53_000);
+    assertThat(leases.inherited(UNKNOWN, 51_000).lapseAt()).isEqualTo(53_000);
   }
 
   @Test
   void leasesOfTheLastOwnerAndOfThoseBeforeAreBothWaitedFor() {
     leases.read(owner(2, new LeaseBounds(true, 3_000, Map.of())), 50_000);
-    assertThat(leases.lapseAt(UNKNOWN, 51_000)).isEqualTo(50_000 + GRACE_MILLIS + LEASE_MILLIS);
+    assertThat(leases.inherited(UNKNOWN, 51_000).lapseAt())
+        .isEqualTo(50_000 + GRACE_MILLIS + LEASE_MILLIS);
     leases.read(owner(2, new LeaseBounds(true, 20_000, Map.of())), 50_000);
-    assertThat(leases.lapseAt(UNKNOWN, 51_000)).isEqualTo(70_000);
+    assertThat(leases.inherited(UNKNOWN, 51_000).lapseAt()).isEqualTo(70_000);
   }
 
   @Test
@@ -116,7 +138,8 @@
     leases.read(owner(2, new LeaseBounds(false, 0, Map.of("x1", 0L))), 40_000);
     leases.read(owner(3, 0, false), 50_000);
     InheritedLeases inherited = leases.inherited(UNKNOWN, 50_000);
-    assertThat(inherited).isEqualTo(InheritedLeases.until(50_000 + GRACE_MILLIS + LEASE_MILLIS));
+    assertThat(inherited.lapseAt()).isEqualTo(50_000 + GRACE_MILLIS + LEASE_MILLIS);
+    assertThat(inherited.silentLapseAt()).isEmpty();
   }
 
   private JobSpec startTaskOfAMinute() {
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/OwnerLinkTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/OwnerLinkTest.java
@@ -89,6 +89,16 @@
     assertThat(link.endedAt()).isLessThan(Long.MAX_VALUE);
   }
 
+  @Test
+  void linkThatWasStoppedIsNotOpenedAgain() {
+    refused = true;
+    link.follow(new OwnerRecord(1, "a", "a#1", "a:70", 0, false));
+    link.stop();
+    refused = false;
+    time.run(10_000);
+    assertThat(opened).isEmpty();
+  }
+
   @Test
   void statusOfAnotherProcessAtTheAddressMeansThatTheOwnerHasEnded() {
     link.follow(new OwnerRecord(1, "a", "a#1", "a:70", 0, false));
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/TakeoverChainTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/TakeoverChainTest.java
@@ -126,6 +126,7 @@
     List<Host> lost = lostHosts.get();
     lost.forEach(Host::kill);
     simulation.time().run(downMillis);
+    lost.forEach(h -> h.cutFromPeers(false));
     lost.forEach(Host::start);
     long latest = latestRunAt(lostAt, simulation.time().now());
     simulation.time().run(latest - simulation.time().now());
@@ -151,6 +152,17 @@
     checkLosses(this::owners);
   }
 
+  /** The machine is off, so that nothing answers at its address, not even a refusal. */
+  @Test
+  void ownerWhoseMachineWasLostIsKnownToHaveEndedOnceTheMachineIsBack() {
+    checkLosses(
+        () -> {
+          List<Host> lost = owners();
+          lost.forEach(h -> h.cutFromPeers(true));
+          return lost;
+        });
+  }
+
   /** Nobody was there to see that the owner had ended. */
   @Test
   void taskOfALostExecutorRunsInTimeAfterAllHostsAreKilled() {
