Store which runs of ended jobs may still be active

Cause: a run counts until it is certainly over, but the stored progress of a job that has ended held only its state, so that a later owner did not know of its runs. The same held for members of a gang of which another was done.

The progress now lists such runs as tasks that are done and have an executor, which earlier versions skip. A new owner counts and stops them. The progress is stored once more when the last of them is over.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnedJobs.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnedJobs.java
@@ -252,6 +252,11 @@
   /** Records that a lane holds a progress record of a known job. */
   void progressStored(String id, JobProgress progress, int lane, long now) {
     Job job = jobs.get(id);
+    if (job == null) {
+      // The job was forgotten while the record was being written.
+      lanes.deleteLater(lane, LedgerCodec.progressTombstone(id));
+      return;
+    }
     if (progress.version() <= job.version) {
       job.locations.progressInLane(lane);
       return;
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
@@ -176,6 +176,7 @@
       JobSpec spec = entry.spec().orElseThrow();
       long acceptedAt = LiveJob.acceptedAt(spec, wallMillis, now);
       state.accounts.submitted(spec.organisation(), acceptedAt, () -> {});
+      adoptRunsOfEndedJob(entry, wallMillis, now);
       return;
     }
     LiveJob job = new LiveJob(entry, state.waitingSteps, wallMillis, now);
@@ -189,27 +190,40 @@
     }
   }
 
+  private void adoptRunsOfEndedJob(JobEntry entry, long wallMillis, long now) {
+    List<StepProgress> steps = entry.progress().map(JobProgress::steps).orElse(List.of());
+    if (!steps.isEmpty()) {
+      LiveJob job = new LiveJob(entry, state.waitingSteps, wallMillis, now);
+      steps.forEach(s -> adoptRuns(job, s, now));
+      state.addEndedJob(job);
+    }
+  }
+
   private void adoptRuns(LiveJob job, StepProgress stored, long now) {
     List<TaskProgress> tasks = stored.tasks();
     for (int i = 0; i < tasks.size(); i++) {
       TaskProgress p = tasks.get(i);
-      if (p.done() || p.executor().isEmpty()) {
+      if (p.executor().isEmpty()) {
         continue;
       }
-      LiveTask task = job.task(new TaskId(job.id(), stored.occurrence(), stored.step(), i));
+      TaskId id = new TaskId(job.id(), stored.occurrence(), stored.step(), i);
       LiveExecutor executor = state.executor(p.executor());
       executor.restoreBoot(p.bootMillis());
       executor.inheritLease(earlierLeases.lapseAt(executor.id()));
       Run run =
           new Run(
-              new RunKey(task.id(), p.run()),
-              task.step().spec(),
+              new RunKey(id, p.run()),
+              job.spec().steps().get(stored.step()),
               job.spec(),
               Run.Phase.RUNNING,
               now);
       run.bootMillis(p.bootMillis());
       state.addRun(executor, run, now);
-      task.assign(run, executor);
+      if (UnassignedRun.isNamedBy(p)) {
+        run.stop();
+      } else {
+        job.task(id).assign(run, executor);
+      }
     }
   }
 
@@ -438,7 +452,7 @@
         complete = false;
         break;
       }
-      jobs.put(job.id(), job.progress(state.term, ++lastVersion));
+      jobs.put(job.id(), job.progress(state.term, ++lastVersion, state.unassignedRuns(job)));
       i.remove();
     }
     // An end may be acknowledged only once all changes that it caused are stored.
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveJob.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveJob.java
@@ -11,10 +11,13 @@
 import io.cactusspring.jobs.model.TaskId;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 /** The owner's state of a job. Occurrences of a scheduled job are added when they are due. */
 final class LiveJob {
@@ -246,11 +249,29 @@
     doneOccurrences.add(k);
   }
 
-  /** Returns the progress to store. The submission of a final job is deleted. */
-  JobProgress progress(long term, long version) {
+  /** Returns whether a task of the job waits for the end of a run. */
+  boolean waitsFor(Run run) {
+    LiveTask task = isFinal() ? null : task(run.key().task());
+    return task != null && task.run() == run;
+  }
+
+  /**
+   * Returns the progress to store. The submission of a final job is deleted once all its runs are
+   * over.
+   *
+   * @param unassigned runs that may be active although no task waits for their end
+   */
+  JobProgress progress(long term, long version, List<UnassignedRun> unassigned) {
+    Map<StepId, List<UnassignedRun>> runsByStep =
+        unassigned.stream()
+            .collect(
+                Collectors.groupingBy(
+                    r -> r.key().task().stepId(), LinkedHashMap::new, Collectors.toList()));
     if (isFinal()) {
+      List<StepProgress> steps =
+          runsByStep.keySet().stream().map(s -> doneProgress(s, runsByStep)).toList();
       return new JobProgress(
-          term, version, state, started, List.of(), spec.queue().name(), spec.organisation());
+          term, version, state, started, steps, spec.queue().name(), spec.organisation());
     }
     List<StepProgress> steps = new ArrayList<>();
     doneOccurrences.stream()
@@ -258,10 +279,19 @@
         .forEach(
             k -> {
               for (int i = 0; i < spec.steps().size(); i++) {
-                steps.add(new StepProgress(k, i, true, List.of()));
+                steps.add(doneProgress(new StepId(id(), k, i), runsByStep));
               }
             });
-    steps().stream().filter(LiveStep::hasBegun).map(LiveStep::progress).forEach(steps::add);
+    steps().stream()
+        .filter(LiveStep::hasBegun)
+        .map(s -> s.isDone() ? doneProgress(s.id(), runsByStep) : s.progress())
+        .forEach(steps::add);
     return new JobProgress(term, version, state, started, steps, "", "");
   }
+
+  private static StepProgress doneProgress(
+      StepId step, Map<StepId, List<UnassignedRun>> runsByStep) {
+    List<UnassignedRun> runs = runsByStep.getOrDefault(step, List.of());
+    return new StepProgress(step.occurrence(), step.step(), true, UnassignedRun.progress(runs));
+  }
 }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveStep.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveStep.java
@@ -225,10 +225,8 @@
     expensiveSearchNotBefore = when;
   }
 
+  /** Returns the progress to store while the step is not done. */
   StepProgress progress() {
-    if (isDone()) {
-      return new StepProgress(id.occurrence(), id.step(), true, List.of());
-    }
     return new StepProgress(
         id.occurrence(), id.step(), false, tasks.stream().map(LiveTask::progress).toList());
   }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/OwnerState.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/OwnerState.java
@@ -53,7 +53,11 @@
   final ZoneEvacuation zones;
   final CrashAttribution crashes;
   final Reservations reservations = new Reservations(this);
-  private final Map<String, Integer> runsByJob = new HashMap<>();
+  private final Map<String, Map<Run, LiveExecutor>> runsByJob = new HashMap<>();
+
+  /** Jobs that have ended, some of whose runs may still be active. */
+  private final Map<String, LiveJob> endedJobs = new HashMap<>();
+
   private final Map<String, Resources> capacityByService = new HashMap<>();
   private final Map<String, Resources> largestByService = new HashMap<>();
   private Optional<Resources> totalCapacity = Optional.empty();
@@ -112,8 +116,16 @@
     }
   }
 
-  /** Removes a job that has ended. */
+  /** Adds a job that had ended before this owner took over, once its runs are added. */
+  void addEndedJob(LiveJob job) {
+    if (hasRuns(job.id())) {
+      endedJobs.put(job.id(), job);
+    }
+  }
+
+  /** Removes a job that has ended; its runs are counted until they are certainly over. */
   void removeJob(LiveJob job) {
+    addEndedJob(job);
     if (jobs.remove(job.id()) != null && !job.longRunning()) {
       accounts.unfinishedJobsChanged(job.spec().organisation(), job.spec().queue().service(), -1);
     }
@@ -244,7 +256,9 @@
   void addRun(LiveExecutor executor, Run run, long now) {
     touch(executor);
     executor.add(run);
-    runsByJob.merge(run.key().task().job(), 1, Integer::sum);
+    runsByJob
+        .computeIfAbsent(run.key().task().job(), job -> new LinkedHashMap<>())
+        .put(run, executor);
     usage.merge(run.organisation(), run.spec().resources(), Resources::plus);
     account(run, 1, now);
   }
@@ -253,12 +267,22 @@
     touch(executor);
     if (executor.remove(run.key())) {
       gainedCapacity(executor);
-      runsByJob.computeIfPresent(run.key().task().job(), (job, n) -> n == 1 ? null : n - 1);
+      removeRunOfJob(run);
       usage.merge(run.organisation(), run.spec().resources(), Resources::minus);
       account(run, -1, now);
     }
   }
 
+  private void removeRunOfJob(Run run) {
+    String job = run.key().task().job();
+    Map<Run, LiveExecutor> left = runsByJob.getOrDefault(job, Map.of());
+    if (left.remove(run) != null && left.isEmpty()) {
+      runsByJob.remove(job);
+      // The stored progress still lists the run.
+      Optional.ofNullable(endedJobs.remove(job)).ifPresent(changed::add);
+    }
+  }
+
   private void account(Run run, int runs, long now) {
     if (!run.spec().longRunning()) {
       accounts.runsChanged(run.organisation(), run.service(), run.committed(), runs, now);
@@ -272,7 +296,15 @@
 
   /** Returns the number of runs of a job that are counted on executors. */
   int runsOf(String job) {
-    return runsByJob.getOrDefault(job, 0);
+    return runsByJob.getOrDefault(job, Map.of()).size();
+  }
+
+  /** Returns the runs of a job that may be active although no task of it waits for their end. */
+  List<UnassignedRun> unassignedRuns(LiveJob job) {
+    return runsByJob.getOrDefault(job.id(), Map.of()).entrySet().stream()
+        .filter(e -> e.getKey().mayHaveRun() && !job.waitsFor(e.getKey()))
+        .map(e -> new UnassignedRun(e.getKey().key(), e.getValue().id(), e.getKey().bootMillis()))
+        .toList();
   }
 
   /** Returns whether more tasks of a step stay within the limit of their organisation. */
