Let steps that were turned away ask for advice first while there is room

Callers saw that an accepted job had not one advice call in 60 s although its service had room: each round, steps that rank before it took the callers.

Cause: a step that finds no free caller had no turn of its own afterwards, so its wait had no bound. docs/design/holds.md gave one round.

A service without room keeps its order entirely, as calls would start nothing there.

AdviceTurnsTest.stepThatWasTurnedAwayForLongAsksFirstWhileItsServiceHasRoom: never asked in 20 s before, within 3.2 s now. AdviceSharingTest, two services of which one is flooded, passes on the code before as well: the emulator's hosts have no processor time to run short of.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/AdvicePlanner.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/AdvicePlanner.java
@@ -54,12 +54,14 @@
   /** The same for long calls, which wait for other hosts than short ones. */
   private double refusedLongMillis = Double.POSITIVE_INFINITY;
 
+  private final AdviceTurns turns;
   private int searchesLeft;
   private long searchesCountedFrom = Long.MIN_VALUE / 2;
   private AdviceSlots lastSlots = millis -> false;
 
   AdvicePlanner(OwnerState state) {
     this.state = state;
+    turns = new AdviceTurns(s -> state.queue(s.job()).service());
   }
 
   /** Starts a round of placement, in which hosts may be free again. */
@@ -69,6 +71,15 @@
     refusedLongMillis = Double.POSITIVE_INFINITY;
   }
 
+  /**
+   * Returns the steps in the order in which they may ask for advice.
+   *
+   * @param ranked the waiting steps in the order of their ranks
+   */
+  List<LiveStep> withTurns(List<LiveStep> ranked, long now) {
+    return turns.startRound(ranked, s -> !state.reservations.isBusy(s, now), now);
+  }
+
   private boolean isRefused(double callMillis) {
     return callMillis >= (AdviceSlots.isShort(callMillis) ? refusedShortMillis : refusedLongMillis);
   }
@@ -121,11 +132,15 @@
     boolean refused =
         isRefused(settings.callMillis(1)) && isRefused(settings.callMillis(MAX_EXECUTORS_PER_CALL));
     if (refused || !maySearch(now)) {
+      turns.turnedAway(step, now);
       return;
     }
     List<LiveExecutor> named = candidates(step, queue, waiting, room, now);
-    if (named.isEmpty() && shortCallsAreRefused()) {
-      step.expensiveSearchNotBefore(now + FRUITLESS_SEARCH_PAUSE_MILLIS);
+    if (named.isEmpty()) {
+      turns.nothingToAsk(step);
+      if (shortCallsAreRefused()) {
+        step.expensiveSearchNotBefore(now + FRUITLESS_SEARCH_PAUSE_MILLIS);
+      }
     }
     call(step, queue, named, slots, now);
   }
@@ -188,13 +203,19 @@
     AdviceSettings settings = queue.advice();
     List<LiveExecutor> named = executors.stream().limit(MAX_EXECUTORS_PER_CALL).toList();
     double callMillis = settings.callMillis(named.size());
-    if (named.isEmpty() || !step.tickets().mayCall(now) || isRefused(callMillis)) {
+    if (named.isEmpty() || !step.tickets().mayCall(now)) {
+      return;
+    }
+    if (isRefused(callMillis)) {
+      turns.turnedAway(step, now);
       return;
     }
     if (!slots.reserve(callMillis)) {
       refused(callMillis);
+      turns.turnedAway(step, now);
       return;
     }
+    turns.called(step);
     step.tickets().callStarted(named, settings, now);
     state.actions.add(
         new Action.RequestAdvice(
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Placement.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Placement.java
@@ -46,7 +46,7 @@
     advice.startRound(slots);
     state.reservations.beginRound();
     Preemption preemption = new Preemption(state, runs);
-    ranked = order.sorted(waiting, now);
+    ranked = advice.withTurns(order.sorted(waiting, now), now);
     ranked.forEach(
         s -> containment.guardJob(s.job().id(), now, () -> placeStep(s, slots, preemption, now)));
     state.reservations.endRound();
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Reservations.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Reservations.java
@@ -123,7 +123,7 @@
   }
 
   /** Returns whether so much of a service is in use that a gang has to wait for others to end. */
-  private boolean isBusy(String service, long now) {
+  boolean isBusy(String service, long now) {
     ResourceKind kind = state.scarceResource(service, now);
     double used =
         state.executors.values().stream()
