Stop dialling an earlier owner once its leases have lapsed

Cause: found in review of the change that lets a new owner dial its predecessor: the redials went on for the whole term if the machine of that owner never came back.

The link is closed once the leases have lapsed, or cannot lapse sooner.

TakeoverChainTest, OwnerLinkTest, EarlierLeasesTest and HandoverTest pass.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/EntryHost.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/EntryHost.java
@@ -221,10 +221,18 @@
     lastTickAt = now;
     isReady();
     checkOwnership();
-    predecessor.tick();
+    watchPredecessor(now);
     timers.after(TICK_MILLIS, this::tick);
   }
 
+  private void watchPredecessor(long now) {
+    if (term.filter(t -> t.waitsForPredecessor(now)).isPresent()) {
+      predecessor.tick();
+    } else {
+      predecessor.stop();
+    }
+  }
+
   private void checkPredecessor() {
     if (predecessor.endedAt() < Long.MAX_VALUE) {
       term.ifPresent(t -> t.predecessorEnded(predecessor.endedAt()));
@@ -286,7 +294,7 @@
       term = Optional.of(begun);
       peers.setTerm(begun);
       begun.start();
-      if (earlierLeases.dependOnLastOwner()) {
+      if (begun.waitsForPredecessor(timers.nowMillis())) {
         predecessor.follow(previous);
       }
       if (draining) {
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerLink.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerLink.java
@@ -106,8 +106,10 @@
 
   /** Closes the connection and opens no other one until the next owner is followed. */
   void stop() {
-    owner = OwnerRecord.NONE;
-    disconnect();
+    if (!owner.equals(OwnerRecord.NONE)) {
+      owner = OwnerRecord.NONE;
+      disconnect();
+    }
   }
 
   private void dial(int expectedGeneration) {
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerTerm.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerTerm.java
@@ -389,6 +389,11 @@
         });
   }
 
+  /** Returns whether leases may lapse sooner once the owner before is known to have ended. */
+  boolean waitsForPredecessor(long now) {
+    return earlierLeases.dependOnLastOwner() && now < earlierLeases.lapseAt();
+  }
+
   /** Ends the term because the ledger names a later owner. */
   void superseded() {
     superseded("the ledger names a later owner");
