--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/AdvicePlanner.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/AdvicePlanner.java
@@ -317,7 +317,9 @@
             + asked.size()
             + " executors allowed after "
             + (now - sentAt)
-            + " ms; "
+            + " ms; queue "
+            + step.job().spec().queue().name()
+            + "; "
             + lastSlots.usage());
   }
 
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/WaitMonitor.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/WaitMonitor.java
@@ -85,7 +85,7 @@
         Kind.STEP_WAITS,
         job.id(),
         step.id().toString(),
-        "%s: %s; %d of %d tasks wait for %s%d ms, job accepted %d ms ago"
+        "%s: %s; %d of %d tasks wait for %s%d ms, job accepted %d ms ago; queue %s"
             .formatted(
                 wait.reason.code(),
                 wait.reason.text(),
@@ -93,7 +93,8 @@
                 step.tasks().size(),
                 longer ? "at least " : "",
                 age,
-                now - job.submittedAt()));
+                now - job.submittedAt(),
+                job.spec().queue().name()));
   }
 
   private static boolean isWaiting(LiveTask task) {
