--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/AdviceDispatcher.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/AdviceDispatcher.java
@@ -150,14 +150,14 @@
    */
   private void hold(List<Caller> callers, long maxLongCalls) {
     long now = timers.nowMillis();
-    boolean shared = maxLongCalls == callers.size();
+    boolean allMakeLongCalls = maxLongCalls == callers.size();
     List<Caller> held = callers.stream().filter(c -> c.heldUntil > now).toList();
     held.forEach(c -> c.heldUntil = now + HOLD_MILLIS);
     long making = callers.stream().filter(c -> c.longCalls > 0).count();
-    if (held.size() < (shared ? 1 : maxLongCalls - making)) {
+    if (held.size() < (allMakeLongCalls ? 1 : maxLongCalls - making)) {
       callers.stream()
           .filter(c -> c.longCalls == 0 && c.heldUntil <= now)
-          .filter(c -> !shared || c.nextHoldAt <= now)
+          .filter(c -> !allMakeLongCalls || c.nextHoldAt <= now)
           .min(Comparator.comparingDouble(c -> c.busyMillis))
           .ifPresent(c -> c.heldUntil = now + HOLD_MILLIS);
     }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/EntryHost.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/EntryHost.java
@@ -45,7 +45,7 @@
   private final OwnerLink link;
 
   /** The link to the owner before this host, until that one is known to have ended. */
-  private final OwnerLink predecessor;
+  private final OwnerLink predecessorLink;
 
   private final OwnershipMonitor monitor;
   private final JobService service;
@@ -77,7 +77,7 @@
     watchdog = new StoreWatchdog(configurationFollower, timers, log);
     peers = new PeerServer(ports.network(), settings.self(), timers, log);
     link = newLink(this::checkOwnership);
-    predecessor = newLink(this::checkPredecessor);
+    predecessorLink = newLink(this::checkPredecessor);
     monitor =
         new OwnershipMonitor(
             ports.ownership(),
@@ -227,16 +227,16 @@
 
   private void watchPredecessor(long now) {
     if (term.filter(t -> t.waitsForPredecessor(now)).isPresent()) {
-      predecessor.tick();
+      predecessorLink.tick();
     } else {
-      predecessor.stop();
+      predecessorLink.stop();
     }
   }
 
   private void checkPredecessor() {
-    if (predecessor.endedAt() < Long.MAX_VALUE) {
-      term.ifPresent(t -> t.predecessorEnded(predecessor.endedAt()));
-      predecessor.stop();
+    if (predecessorLink.endedAt() < Long.MAX_VALUE) {
+      term.ifPresent(t -> t.predecessorEnded(predecessorLink.endedAt()));
+      predecessorLink.stop();
     }
   }
 
@@ -251,7 +251,7 @@
   private void termChanged(OwnerTerm changed) {
     if (changed.isEnded() && term.filter(t -> t == changed).isPresent()) {
       term = Optional.empty();
-      predecessor.stop();
+      predecessorLink.stop();
       link.rememberDurationFactors(changed.durationFactors());
       monitor.termEnded(changed.number());
     }
@@ -274,7 +274,7 @@
         OwnerRecord claim,
         long end,
         long sentAt,
-        OwnerRecord previous,
+        OwnerRecord predecessor,
         InheritedLeases earlierLeases) {
       OwnerTerm begun =
           new OwnerTerm(
@@ -295,7 +295,7 @@
       peers.setTerm(begun);
       begun.start();
       if (begun.waitsForPredecessor(timers.nowMillis())) {
-        predecessor.follow(previous);
+        predecessorLink.follow(predecessor);
       }
       if (draining) {
         begun.release();
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/AdviceSharingTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/AdviceSharingTest.java
@@ -90,7 +90,7 @@
     otherJobs.forEach((j, at) -> waits.put(j + " waiting", simulation.time().now() - at));
   }
 
-  /** Submits more quick work than fits, and more calls of the other service than callers make. */
+  /** Submits more quick work than fits, beside work of both services that needs long calls. */
   private void flood(int seconds) {
     for (int i = 0; i < 100 * seconds; i++) {
       IntStream.range(0, i % 5 == 0 ? 3 : 0).forEach(n -> submit(QUICK, 1));
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/TakeoverChainTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/TakeoverChainTest.java
@@ -24,6 +24,14 @@
   private static final long LEASE_MILLIS =
       Math.round(SchedulerSettings.builder().build().leaseMillis() / 0.98);
 
+  /** Time after the last run from which a task may not be idle for long. */
+  private static final long RESTART_MILLIS = 6_000;
+
+  /** Time without a disturbance from which on that holds. */
+  private static final long CALM_MILLIS = 4_000;
+
+  private static final long MAX_IDLE_MILLIS = 3_000;
+
   private static final JobSpec JOB =
       new JobSpec(
           "j1",
@@ -106,9 +114,9 @@
     assertThat(simulation.oracle().violations()).isEmpty();
   }
 
-  /** Returns until when a task has to run again, in the users' words on tasks that last. */
+  /** Returns until when a long-running task has to run again after its last run was lost. */
   private static long latestRunAt(long lostAt, long disturbedAt) {
-    return Math.max(lostAt + 6_000, disturbedAt + 4_000) + 3_000;
+    return Math.max(lostAt + RESTART_MILLIS, disturbedAt + CALM_MILLIS) + MAX_IDLE_MILLIS;
   }
 
   /**
