Log each failed run with the failures that count after it

Callers saw jobs with a gang shown as failed although attempts were left.

Cause of this change: the log showed the end of each run and "3 of 3 attempts failed", but not which ends had been counted, for which run, nor what a new owner found in the store. The hypotheses of the incident differ in just that.

Change: the decisions RUN_FAILED (failures after the end, attempts, failures by task, last run, tasks that still have a run, started by an earlier owner) and FAILURES_RESTORED (what the store holds at a takeover). No decision changes.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/DecisionListener.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/DecisionListener.java
@@ -17,6 +17,8 @@
     RUN_IN_DOUBT,
     RUN_ENDED,
     RUN_LOST,
+    RUN_FAILED,
+    FAILURES_RESTORED,
     RUN_STOPPED,
     RUN_PREEMPTED,
     RUN_MOVED,
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
@@ -183,6 +183,7 @@
     job.markAdopted();
     state.addJob(job);
     entry.progress().ifPresent(p -> p.steps().forEach(s -> adoptRuns(job, s, now)));
+    job.steps().forEach(this::logRestoredFailures);
     job.steps().forEach(s -> runs.restartIncompleteGang(s, now));
     schedule(job, wallMillis, now);
     if (entry.cancelled()) {
@@ -190,6 +191,16 @@
     }
   }
 
+  private void logRestoredFailures(LiveStep step) {
+    if (step.tasks().stream().anyMatch(t -> t.failures() > 0)) {
+      state.decisionListener.decisionMade(
+          DecisionListener.Kind.FAILURES_RESTORED,
+          step.job().id(),
+          step.tasks().get(0).id().stepId().toString(),
+          step.describeFailures());
+    }
+  }
+
   private void adoptRunsOfEndedJob(JobEntry entry, long wallMillis, long now) {
     List<StepProgress> steps = entry.progress().map(JobProgress::steps).orElse(List.of());
     if (!steps.isEmpty()) {
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveStep.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveStep.java
@@ -225,6 +225,16 @@
     expensiveSearchNotBefore = when;
   }
 
+  /** Returns the failures of the tasks and the number of the last run, for the log. */
+  String describeFailures() {
+    return "failures by task "
+        + tasks.stream().map(LiveTask::failures).toList()
+        + ", last run "
+        + tasks.stream().mapToInt(LiveTask::lastRun).max().orElse(0)
+        + ", tasks with a run "
+        + runningTasks();
+  }
+
   /** Returns the progress to store while the step is not done. */
   StepProgress progress() {
     return new StepProgress(
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/RunLifecycle.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/RunLifecycle.java
@@ -188,6 +188,18 @@
         step.spec().gang()
             ? step.tasks().stream().mapToInt(LiveTask::failures).sum()
             : task.failures();
+    state.decisionListener.decisionMade(
+        Kind.RUN_FAILED,
+        step.job().id(),
+        run.key().toString(),
+        "failure "
+            + failures
+            + " of "
+            + queue.maxAttempts()
+            + " on "
+            + executor.id()
+            + (run.isInherited() ? ", started by an earlier owner" : "")
+            + (step.spec().gang() ? "; " + step.describeFailures() : ""));
     if (!step.spec().longRunning() && queue.maxAttempts() > 0 && failures >= queue.maxAttempts()) {
       state.decisionListener.decisionMade(
           Kind.JOB_FAILED,
