--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Attempts.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Attempts.java
@@ -66,10 +66,9 @@
     List<TaskProgress> over =
         members.stream().filter(m -> m.run() == lastRun && m.executor().isEmpty()).toList();
     boolean mayHaveFailed = over.stream().anyMatch(m -> m.failures() > 0);
-    boolean allOver = members.stream().allMatch(m -> m.executor().isEmpty());
     int least = members.stream().mapToInt(TaskProgress::failures).max().orElse(0);
     int most = Math.min(failures, mayHaveFailed ? lastRun : lastRun - 1);
     failures = Math.min(lastRun, Math.max(least, most));
-    failedRun = allOver || failures >= lastRun ? lastRun : lastRun - 1;
+    failedRun = failures >= lastRun ? lastRun : lastRun - 1;
   }
 }
