--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/ledger/LedgerCodecTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/ledger/LedgerCodecTest.java
@@ -145,6 +145,39 @@
         .isEqualTo("160a1506112606" + "00");
   }
 
+  private static JobProgress progressOfAStep(int failedRun) {
+    List<TaskProgress> tasks =
+        List.of(new TaskProgress(false, 1, 1, "", 0, ""), new TaskProgress(false, 1, 0, "", 0, ""));
+    StepProgress step = new StepProgress(0, 0, false, tasks, failedRun);
+    return new JobProgress(5, 3, JobState.RUNNING, true, List.of(step), "", "");
+  }
+
+  private static String hexOf(JobProgress progress) {
+    return HexFormat.of().formatHex(LedgerCodec.progress("id", progress).value());
+  }
+
+  /** Guards against records of jobs without gangs that become longer than before. */
+  @Test
+  void progressWithoutAFailedRunOfAGangIsEncodedAsByEarlierVersions() {
+    String step = "49" + "2c" + "2502" + "1502" + "00" + "2502" + "00" + "00";
+    assertThat(hexOf(progressOfAStep(0)))
+        .isEqualTo("160a" + "1504" + "11" + "180e" + "191c" + step + "00" + "1606" + "00");
+  }
+
+  @Test
+  void failedRunOfAGangFollowsTheFieldsOfEarlierVersions() {
+    String step = "49" + "2c" + "2502" + "1502" + "00" + "2502" + "00" + "1502" + "00";
+    assertThat(hexOf(progressOfAStep(1)))
+        .isEqualTo("160a" + "1504" + "11" + "1810" + "191c" + step + "00" + "1606" + "00");
+  }
+
+  @Test
+  void decodedFailedRunEqualsEncodedOne() {
+    for (int run : List.of(0, 1, 70, 100_000)) {
+      assertThat(read(progressOfAStep(run))).hasValue(progressOfAStep(run));
+    }
+  }
+
   @Test
   void recordThatCannotBeDecodedIsIgnored() {
     byte[] complete =
