Count one crash for each run of a gang, also over takeovers and returns

A gang could be given up too early: two members of one run whose executors crashed before and after a takeover counted as two crashes, and three or five end the job. After a crash was taken back (the executor was only cut off), a run with another crash counted as none, or a later run counted anew.

Cause: the last run that was counted as crashed was in the memory of one owner only, and was set to 0 when any crash was taken back. The counts were kept for each member and added up.

Change: the crashes of what is judged as a whole are in Attempts (CrashCount, one object for all members). It knows which crashes were seen under which run: the first counts, and the next one if that is taken back. The last counted run is stored with the step (StepProgressRecord.crashedRun), and the counts of a gang in the record of its first member, so that a host of the earlier version, which adds up the members, reads the same number.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/ledger/ProgressRecordMapper.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/ledger/ProgressRecordMapper.java
@@ -77,6 +77,9 @@
     if (step.failedRun() > 0) {
       record.setFailedRun(step.failedRun());
     }
+    if (step.crashedRun() > 0) {
+      record.setCrashedRun(step.crashedRun());
+    }
     return record;
   }
 
@@ -88,7 +91,8 @@
         record.getStep(),
         record.isDone(),
         tasks.map(ProgressRecordMapper::toTaskProgress).toList(),
-        record.getFailedRun());
+        record.getFailedRun(),
+        record.getCrashedRun());
   }
 
   private static TaskProgressRecord toRecord(TaskProgress task) {
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Attempts.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Attempts.java
@@ -5,12 +5,13 @@
 import java.util.List;
 
 /**
- * The failed runs of what is judged as a whole: a task, or all members of a gang, which share the
- * number of a run.
+ * The failed runs and the crashes of what is judged as a whole: a task, or all members of a gang,
+ * which share the number of a run.
  */
 final class Attempts {
   private int failures;
   private int failedRun;
+  private final CrashCount crashes = new CrashCount();
 
   /** Returns the number of runs that have failed. */
   int failures() {
@@ -36,16 +37,23 @@
     return true;
   }
 
-  /** Restores the failures of a task that is not a member of a gang. */
+  /** Returns the crashes of executors under the runs. */
+  CrashCount crashes() {
+    return crashes;
+  }
+
+  /** Restores the attempts of a task that is not a member of a gang. */
   void restore(TaskProgress stored) {
     failures = stored.failures();
+    crashes.restore(List.of(stored), 0);
   }
 
-  /** Restores the failures of a gang. */
+  /** Restores the attempts of a gang. */
   void restoreGang(StepProgress stored) {
     List<TaskProgress> members = stored.tasks();
     failures = members.stream().mapToInt(TaskProgress::failures).sum();
     failedRun = stored.failedRun();
+    crashes.restore(members, stored.crashedRun());
     if (failures > 0 && failedRun == 0) {
       restoreCountsOfMembers(members);
     }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Crash.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Crash.java
@@ -1,9 +1,8 @@
 package io.cactusspring.jobs.schedule;
 
-import java.util.ArrayList;
 import java.util.Collections;
-import java.util.HashMap;
 import java.util.IdentityHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -38,9 +37,6 @@
     }
   }
 
-  /** A crash that was counted for a task. */
-  record Counted(LiveTask task, CrashCount.Weight weight) {}
-
   private final String executor;
   private final long bootMillis;
   private final long notBefore;
@@ -49,8 +45,8 @@
   private final Set<Run> unproven = Collections.newSetFromMap(new IdentityHashMap<>());
   private final Set<Run> early = Collections.newSetFromMap(new IdentityHashMap<>());
   private final Set<Run> confirmed = Collections.newSetFromMap(new IdentityHashMap<>());
-  private final Optional<Object> culprit;
-  private final List<Counted> counted = new ArrayList<>();
+  private final Optional<Attempts> culprit;
+  private final Set<LiveTask> seenBy = new LinkedHashSet<>();
   private Evidence evidence;
 
   /**
@@ -80,19 +76,19 @@
    * Returns the only task, or gang, that can have ended the executor shortly after its start. Of
    * several, or if there is none, it is that with more earlier crashes than each of the others.
    */
-  private Optional<Object> findCulprit() {
-    Map<Object, Integer> crashesByParty = new HashMap<>();
+  private Optional<Attempts> findCulprit() {
+    Map<Attempts, Integer> crashesByParty = new IdentityHashMap<>();
     (unproven.isEmpty() ? runs.keySet() : unproven)
         .forEach(
             r -> {
-              LiveTask task = runs.get(r);
-              crashesByParty.put(party(task), CrashAttribution.crashes(task));
+              Attempts party = runs.get(r).attempts();
+              crashesByParty.put(party, party.crashes().attributed());
             });
     if (crashesByParty.size() == 1) {
       return crashesByParty.keySet().stream().findFirst();
     }
     int most = crashesByParty.values().stream().mapToInt(n -> n).max().orElse(0);
-    List<Object> leading =
+    List<Attempts> leading =
         crashesByParty.entrySet().stream()
             .filter(e -> e.getValue() == most)
             .map(Map.Entry::getKey)
@@ -100,11 +96,6 @@
     return most > 0 && leading.size() == 1 ? Optional.of(leading.get(0)) : Optional.empty();
   }
 
-  /** Returns what is judged as a whole: a gang, or a task. */
-  private static Object party(LiveTask task) {
-    return task.step().spec().gang() ? task.step() : task;
-  }
-
   String executor() {
     return executor;
   }
@@ -126,7 +117,7 @@
 
   /** Returns whether a task, or its gang, is the most likely cause of the crash. */
   boolean isCulprit(LiveTask task) {
-    return culprit.filter(c -> c == party(task)).isPresent();
+    return culprit.filter(c -> c == task.attempts()).isPresent();
   }
 
   /** Returns how the crash counts for a run, if it has no cause outside. */
@@ -161,8 +152,9 @@
     return notBefore - run.phaseAt();
   }
 
-  List<Counted> counted() {
-    return counted;
+  /** Returns the tasks for which the crash was recorded when their runs were over. */
+  Set<LiveTask> seenBy() {
+    return seenBy;
   }
 
   Set<Run> runs() {
@@ -177,7 +169,7 @@
                 + (early.contains(r) ? " early" : unproven.contains(r) ? " unproven" : " proven")
                 + (confirmed.contains(r) ? "" : " without an answer")
                 + " after "
-                + CrashAttribution.crashes(runs.get(r))
+                + runs.get(r).attempts().crashes().attributed()
                 + " crashes";
     return runs.keySet().stream().map(describe).collect(Collectors.joining(", "));
   }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/CrashAttribution.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/CrashAttribution.java
@@ -3,11 +3,8 @@
 import io.cactusspring.jobs.schedule.DecisionListener.Kind;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.ToIntFunction;
-import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 /**
@@ -53,29 +50,6 @@
     this.state = state;
   }
 
-  /** Returns the number of crashes that a task, or its gang, may have caused. */
-  static int crashes(LiveTask task) {
-    return sum(task, t -> t.crashes().attributed());
-  }
-
-  /** Returns the number of all crashes under a task, or its gang, whatever their causes. */
-  static int allCrashes(LiveTask task) {
-    return sum(task, t -> t.crashes().attributed() + t.crashes().other());
-  }
-
-  /** Returns the number of crashes of a task, or of its gang, shortly after its start. */
-  static int earlyCrashes(LiveTask task) {
-    return sum(task, t -> t.crashes().early());
-  }
-
-  private static int sum(LiveTask task, ToIntFunction<LiveTask> number) {
-    return members(task).mapToInt(number).sum();
-  }
-
-  private static Stream<LiveTask> members(LiveTask task) {
-    return task.step().spec().gang() ? task.step().tasks().stream() : Stream.of(task);
-  }
-
   /**
    * Records that the present boot of an executor has crashed. A run that was on it counts as
    * crashed once it is over. An executor that was draining has ended as planned.
@@ -130,49 +104,56 @@
     executor.runs().stream()
         .filter(r -> r.crash().filter(crash::equals).isPresent())
         .forEach(r -> r.crash(Optional.empty()));
-    for (Crash.Counted counted : crash.counted()) {
-      LiveTask task = counted.task();
+    for (LiveTask task : crash.seenBy()) {
       if (state.task(task.id()) == task && !task.isDone()) {
-        task.crashes().takeBack(executor.id(), counted.weight());
-        task.step().crashedRun(0);
-        state.changed.add(task.step().job());
-        state.decisionListener.decisionMade(
-            Kind.CRASH_TAKEN_BACK,
-            task.step().job().id(),
-            task.id().toString(),
-            executor.id() + " was only cut off, and answers after " + (now - crash.notAfter()));
+        takeBack(crash, task, now);
       }
     }
   }
 
+  private void takeBack(Crash crash, LiveTask task, long now) {
+    CrashCount count = task.attempts().crashes();
+    int before = count.all();
+    if (count.takeBack(crash)) {
+      state.changed.add(task.step().job());
+      state.decisionListener.decisionMade(
+          Kind.CRASH_TAKEN_BACK,
+          task.step().job().id(),
+          task.id().toString(),
+          crash.executor()
+              + " was only cut off, and answers after "
+              + (now - crash.notAfter())
+              + (count.all() == before ? "; another crash of the run counts instead" : ""));
+    }
+  }
+
   /**
-   * Counts a run that is over and whose task is not done.
+   * Counts a run that is over and whose task is not done. Of a run of a gang one crash counts; the
+   * others are kept in case that one is taken back.
    *
    * @return why the task is given up, or empty if it may start again
    */
   Optional<String> endedUndone(LiveExecutor executor, Run run, LiveTask task, long now) {
-    if (!run.mayHaveRun() || isCounted(run, task)) {
+    if (!run.mayHaveRun()) {
       return Optional.empty();
     }
-    forgive(executor, run, task);
+    CrashCount count = task.attempts().crashes();
+    int number = run.key().number();
+    if (!count.isCounted(number)) {
+      forgive(executor, run, task);
+    }
     if (run.crash().isPresent()) {
       return crashed(run.crash().get(), run, task, now);
     }
     if (run.bootMillis() != 0 && run.bootMillis() < executor.bootMillis()) {
       // A previous owner saw the crash, and stored other runs of the executor since.
-      task.crashes().add(executor.id(), CrashCount.Weight.OTHER);
-    } else if (allCrashes(task) < CRASHES) {
+      count.add(number, executor.id(), CrashCount.Weight.OTHER, Optional.empty());
+    } else if (count.isCounted(number) || count.all() < CRASHES) {
       return Optional.empty();
     } else {
-      task.crashes().addStart();
+      count.addStart(number);
     }
-    task.step().crashedRun(run.key().number());
-    return allCrashes(task) >= MAX_CRASHES ? Optional.of(reason(task)) : Optional.empty();
-  }
-
-  /** Returns whether a member of the same run of a gang was counted already. */
-  private static boolean isCounted(Run run, LiveTask task) {
-    return task.step().spec().gang() && task.step().crashedRun() == run.key().number();
+    return count.all() >= MAX_CRASHES ? Optional.of(reason(task)) : Optional.empty();
   }
 
   private static void forgive(LiveExecutor executor, Run run, LiveTask task) {
@@ -181,16 +162,18 @@
             .map(c -> c.workedMillis(run))
             .orElseGet(() -> executor.answeredAt() - run.phaseAt());
     if (run.spec().longRunning() && worked >= FORGIVEN_MILLIS) {
-      members(task).forEach(t -> t.crashes().clear());
+      task.attempts().crashes().clear();
     }
   }
 
   private Optional<String> crashed(Crash crash, Run run, LiveTask task, long now) {
     boolean outside = isFromOutside(crash, now);
     CrashCount.Weight weight = outside ? CrashCount.Weight.OTHER : crash.weight(run);
-    task.crashes().add(crash.executor(), weight);
-    task.step().crashedRun(run.key().number());
-    crash.counted().add(new Crash.Counted(task, weight));
+    CrashCount count = task.attempts().crashes();
+    crash.seenBy().add(task);
+    if (!count.add(run.key().number(), crash.executor(), weight, Optional.of(crash))) {
+      return Optional.empty();
+    }
     state.decisionListener.decisionMade(
         Kind.TASK_SUSPECTED,
         task.step().job().id(),
@@ -203,21 +186,22 @@
             + (outside ? ", because others crashed at the same time" : "")
             + (crash.isCulprit(task) ? ", likely cause" : "")
             + "; crashes "
-            + allCrashes(task)
+            + count.all()
             + ", attributed "
-            + crashes(task)
+            + count.attributed()
             + ", early "
-            + earlyCrashes(task));
+            + count.early());
     return isGivenUp(crash, task, weight) ? Optional.of(reason(task)) : Optional.empty();
   }
 
   private static boolean isGivenUp(Crash crash, LiveTask task, CrashCount.Weight weight) {
-    if (allCrashes(task) >= MAX_CRASHES) {
+    CrashCount count = task.attempts().crashes();
+    if (count.all() >= MAX_CRASHES) {
       return true;
     }
     boolean suspicious = weight != CrashCount.Weight.OTHER && crash.isCulprit(task);
-    boolean early = earlyCrashes(task) >= EARLY_CRASHES && crash.evidence().isCertain();
-    return suspicious && (early || crashes(task) >= CRASHES);
+    boolean early = count.early() >= EARLY_CRASHES && crash.evidence().isCertain();
+    return suspicious && (early || count.attributed() >= CRASHES);
   }
 
   /** Returns whether others crashed or fell silent at the same time on which nothing was new. */
@@ -239,8 +223,8 @@
   }
 
   private static String reason(LiveTask task) {
-    List<String> executors = members(task).flatMap(t -> t.crashes().executors().stream()).toList();
-    String names = executors.stream().collect(Collectors.joining(", "));
-    return allCrashes(task) + " executors crashed under task " + task.id() + ", the last: " + names;
+    CrashCount count = task.attempts().crashes();
+    String names = String.join(", ", count.executors());
+    return count.all() + " executors crashed under task " + task.id() + ", the last: " + names;
   }
 }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveStep.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveStep.java
@@ -30,7 +30,6 @@
   private final Tickets tickets = new Tickets();
   private int doneTasks;
   private int begunTasks;
-  private int crashedRun;
   private boolean begun;
   private boolean ready;
   private long readySince;
@@ -162,15 +161,6 @@
     return runsByExecutor.getOrDefault(executor, 0);
   }
 
-  /** Returns the number of the gang's last run that was counted as crashed; 0 if none was. */
-  int crashedRun() {
-    return crashedRun;
-  }
-
-  void crashedRun(int number) {
-    crashedRun = number;
-  }
-
   boolean hasBegun() {
     return begun;
   }
@@ -270,15 +260,16 @@
         id.occurrence(),
         id.step(),
         false,
-        tasks.stream().map(t -> t.progress(storedFailures(t))).toList(),
-        gangAttempts.failedRun());
+        tasks.stream().map(t -> t.progress(storesCounts(t))).toList(),
+        gangAttempts.failedRun(),
+        gangAttempts.crashes().countedRun());
   }
 
   /**
-   * Returns the failures that the record of a task holds. Earlier versions add up those of the
-   * members of a gang, so the first member holds those of the gang.
+   * Returns whether the record of a task holds counts. Earlier versions add up those of the members
+   * of a gang, so the first member holds those of the gang.
    */
-  private int storedFailures(LiveTask task) {
-    return spec.gang() && task != tasks.get(0) ? 0 : task.attempts().failures();
+  private boolean storesCounts(LiveTask task) {
+    return !spec.gang() || task == tasks.get(0);
   }
 }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveTask.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveTask.java
@@ -11,7 +11,6 @@
   private boolean done;
   private int lastRun;
   private final Attempts attempts;
-  private final CrashCount crashes = new CrashCount();
   private String checkpoint = "";
   private Run run;
   private LiveExecutor executor;
@@ -71,16 +70,11 @@
     return lastRun > 0;
   }
 
-  /** Returns the failed runs of this task, or of its gang. */
+  /** Returns what this task, or its gang, is judged by. */
   Attempts attempts() {
     return attempts;
   }
 
-  /** Returns the crashes that were counted for this task, or for this member of a gang. */
-  CrashCount crashes() {
-    return crashes;
-  }
-
   String checkpoint() {
     return checkpoint;
   }
@@ -146,21 +140,23 @@
   /**
    * Returns the progress to store.
    *
-   * @param failures number of failed runs that the record holds
+   * @param withCounts whether the record holds the failures and crashes
    */
-  TaskProgress progress(int failures) {
+  TaskProgress progress(boolean withCounts) {
+    CrashCount crashes = attempts.crashes();
+    boolean withCrashes = withCounts && !done;
     String on = executor == null ? "" : executor.id();
     long boot = run == null ? 0 : run.bootMillis();
     return new TaskProgress(
         done,
         lastRun,
-        failures,
+        withCounts ? attempts.failures() : 0,
         on,
         boot,
         done ? "" : checkpoint,
-        done ? 0 : crashes.attributed(),
-        done ? 0 : crashes.early(),
-        done ? 0 : crashes.other());
+        withCrashes ? crashes.attributed() : 0,
+        withCrashes ? crashes.early() : 0,
+        withCrashes ? crashes.other() : 0);
   }
 
   void restore(TaskProgress stored) {
@@ -169,7 +165,6 @@
       step.taskBegun();
     }
     checkpoint = stored.checkpoint();
-    crashes.restore(stored.crashes(), stored.earlyCrashes(), stored.otherCrashes());
     // Earlier versions recorded a long-running task as done when a run of it had ended so.
     if (stored.done() && !step.spec().longRunning()) {
       complete();
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/SuspectPlacement.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/SuspectPlacement.java
@@ -49,9 +49,8 @@
 
   /** Returns whether a task must be placed apart from others. */
   static boolean isSuspect(LiveTask task) {
-    return CrashAttribution.earlyCrashes(task) > 0
-        || CrashAttribution.crashes(task) > 1
-        || CrashAttribution.allCrashes(task) > 2;
+    CrashCount crashes = task.attempts().crashes();
+    return crashes.early() > 0 || crashes.attributed() > 1 || crashes.all() > 2;
   }
 
   /** Releases what is not needed any more. */
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/GangCrashesTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/GangCrashesTest.java
@@ -8,7 +8,6 @@
 import io.cactusspring.jobs.port.ExecutorClient.StartRequest;
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Tests that of each run of a gang one crash counts, whichever members' executors crash. */
@@ -63,7 +62,6 @@
 
   /** Guards against a gang that is given up after two runs, of each of which two members crash. */
   @Test
-  @Tag("known-red")
   void crashesOfOneRunUnderTwoOwnersCountOnce() {
     for (int run = 1; run <= 2; run++) {
       crash(0);
@@ -109,7 +107,6 @@
 
   /** Guards against a run without a crash although two executors were lost and one returned. */
   @Test
-  @Tag("known-red")
   void anotherCrashOfTheRunCountsInsteadOfOneThatIsTakenBack() {
     String first = fleet.executorOf(0);
     String second = fleet.executorOf(1);
@@ -126,7 +123,6 @@
 
   /** Guards against a later run that counts anew because a crash of an earlier one was none. */
   @Test
-  @Tag("known-red")
   void laterRunDoesNotCountAgainWhenACrashOfAnEarlierOneIsTakenBack() {
     String first = cutOff(0);
     assertThat(fleet.runOn(fleet.executorOf(0))).isEqualTo(2);
--- a/cactusspring-protocol/src/main/java/io/cactusspring/protocol/gen/ledger/StepProgressRecord.java
+++ b/cactusspring-protocol/src/main/java/io/cactusspring/protocol/gen/ledger/StepProgressRecord.java
@@ -15,6 +15,7 @@
   private static final org.apache.thrift.protocol.TField DONE_FIELD_DESC = new org.apache.thrift.protocol.TField("done", org.apache.thrift.protocol.TType.BOOL, (short)3);
   private static final org.apache.thrift.protocol.TField TASKS_FIELD_DESC = new org.apache.thrift.protocol.TField("tasks", org.apache.thrift.protocol.TType.LIST, (short)4);
   private static final org.apache.thrift.protocol.TField FAILED_RUN_FIELD_DESC = new org.apache.thrift.protocol.TField("failedRun", org.apache.thrift.protocol.TType.I32, (short)5);
+  private static final org.apache.thrift.protocol.TField CRASHED_RUN_FIELD_DESC = new org.apache.thrift.protocol.TField("crashedRun", org.apache.thrift.protocol.TType.I32, (short)6);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new StepProgressRecordStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new StepProgressRecordTupleSchemeFactory();
@@ -24,6 +25,7 @@
   private boolean done; // optional
   private @org.apache.thrift.annotation.Nullable java.util.List<TaskProgressRecord> tasks; // optional
   private int failedRun; // optional
+  private int crashedRun; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -34,13 +36,17 @@
      */
     DONE((short)3, "done"),
     /**
-     * The failures of a gang are in the record of its first member.
+     * The failures and crashes of a gang are in the record of its first member.
      */
     TASKS((short)4, "tasks"),
     /**
      * Number of the gang's last run that was counted as failed; absent in earlier versions.
      */
-    FAILED_RUN((short)5, "failedRun");
+    FAILED_RUN((short)5, "failedRun"),
+    /**
+     * Number of the gang's last run that was counted as crashed; absent in earlier versions.
+     */
+    CRASHED_RUN((short)6, "crashedRun");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -66,6 +72,8 @@
           return TASKS;
         case 5: // FAILED_RUN
           return FAILED_RUN;
+        case 6: // CRASHED_RUN
+          return CRASHED_RUN;
         default:
           return null;
       }
@@ -113,8 +121,9 @@
   private static final int __STEP_ISSET_ID = 1;
   private static final int __DONE_ISSET_ID = 2;
   private static final int __FAILEDRUN_ISSET_ID = 3;
+  private static final int __CRASHEDRUN_ISSET_ID = 4;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.OCCURRENCE,_Fields.STEP,_Fields.DONE,_Fields.TASKS,_Fields.FAILED_RUN};
+  private static final _Fields optionals[] = {_Fields.OCCURRENCE,_Fields.STEP,_Fields.DONE,_Fields.TASKS,_Fields.FAILED_RUN,_Fields.CRASHED_RUN};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -129,6 +138,8 @@
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TaskProgressRecord.class))));
     tmpMap.put(_Fields.FAILED_RUN, new org.apache.thrift.meta_data.FieldMetaData("failedRun", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.CRASHED_RUN, new org.apache.thrift.meta_data.FieldMetaData("crashedRun", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(StepProgressRecord.class, metaDataMap);
   }
@@ -152,6 +163,7 @@
       this.tasks = __this__tasks;
     }
     this.failedRun = other.failedRun;
+    this.crashedRun = other.crashedRun;
   }
 
   @Override
@@ -170,6 +182,8 @@
     this.tasks = null;
     setFailedRunIsSet(false);
     this.failedRun = 0;
+    setCrashedRunIsSet(false);
+    this.crashedRun = 0;
   }
 
   public int getOccurrence() {
@@ -264,7 +278,7 @@
   }
 
   /**
-   * The failures of a gang are in the record of its first member.
+   * The failures and crashes of a gang are in the record of its first member.
    */
   @org.apache.thrift.annotation.Nullable
   public java.util.List<TaskProgressRecord> getTasks() {
@@ -272,7 +286,7 @@
   }
 
   /**
-   * The failures of a gang are in the record of its first member.
+   * The failures and crashes of a gang are in the record of its first member.
    */
   public StepProgressRecord setTasks(@org.apache.thrift.annotation.Nullable java.util.List<TaskProgressRecord> tasks) {
     this.tasks = tasks;
@@ -323,6 +337,35 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __FAILEDRUN_ISSET_ID, value);
   }
 
+  /**
+   * Number of the gang's last run that was counted as crashed; absent in earlier versions.
+   */
+  public int getCrashedRun() {
+    return this.crashedRun;
+  }
+
+  /**
+   * Number of the gang's last run that was counted as crashed; absent in earlier versions.
+   */
+  public StepProgressRecord setCrashedRun(int crashedRun) {
+    this.crashedRun = crashedRun;
+    setCrashedRunIsSet(true);
+    return this;
+  }
+
+  public void unsetCrashedRun() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __CRASHEDRUN_ISSET_ID);
+  }
+
+  /** Returns true if field crashedRun is set (has been assigned a value) and false otherwise */
+  public boolean isSetCrashedRun() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __CRASHEDRUN_ISSET_ID);
+  }
+
+  public void setCrashedRunIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CRASHEDRUN_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -366,6 +409,14 @@
       }
       break;
 
+    case CRASHED_RUN:
+      if (value == null) {
+        unsetCrashedRun();
+      } else {
+        setCrashedRun((java.lang.Integer)value);
+      }
+      break;
+
     }
   }
 
@@ -388,6 +439,9 @@
     case FAILED_RUN:
       return getFailedRun();
 
+    case CRASHED_RUN:
+      return getCrashedRun();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -410,6 +464,8 @@
       return isSetTasks();
     case FAILED_RUN:
       return isSetFailedRun();
+    case CRASHED_RUN:
+      return isSetCrashedRun();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -472,6 +528,15 @@
         return false;
     }
 
+    boolean this_present_crashedRun = true && this.isSetCrashedRun();
+    boolean that_present_crashedRun = true && that.isSetCrashedRun();
+    if (this_present_crashedRun || that_present_crashedRun) {
+      if (!(this_present_crashedRun && that_present_crashedRun))
+        return false;
+      if (this.crashedRun != that.crashedRun)
+        return false;
+    }
+
     return true;
   }
 
@@ -499,6 +564,10 @@
     if (isSetFailedRun())
       hashCode = hashCode * 8191 + failedRun;
 
+    hashCode = hashCode * 8191 + ((isSetCrashedRun()) ? 131071 : 524287);
+    if (isSetCrashedRun())
+      hashCode = hashCode * 8191 + crashedRun;
+
     return hashCode;
   }
 
@@ -560,6 +629,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetCrashedRun(), other.isSetCrashedRun());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetCrashedRun()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.crashedRun, other.crashedRun);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -617,6 +696,12 @@
       sb.append(this.failedRun);
       first = false;
     }
+    if (isSetCrashedRun()) {
+      if (!first) sb.append(", ");
+      sb.append("crashedRun:");
+      sb.append(this.crashedRun);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -715,6 +800,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 6: // CRASHED_RUN
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.crashedRun = iprot.readI32();
+              struct.setCrashedRunIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -765,6 +858,11 @@
         oprot.writeI32(struct.failedRun);
         oprot.writeFieldEnd();
       }
+      if (struct.isSetCrashedRun()) {
+        oprot.writeFieldBegin(CRASHED_RUN_FIELD_DESC);
+        oprot.writeI32(struct.crashedRun);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -799,7 +897,10 @@
       if (struct.isSetFailedRun()) {
         optionals.set(4);
       }
-      oprot.writeBitSet(optionals, 5);
+      if (struct.isSetCrashedRun()) {
+        optionals.set(5);
+      }
+      oprot.writeBitSet(optionals, 6);
       if (struct.isSetOccurrence()) {
         oprot.writeI32(struct.occurrence);
       }
@@ -821,12 +922,15 @@
       if (struct.isSetFailedRun()) {
         oprot.writeI32(struct.failedRun);
       }
+      if (struct.isSetCrashedRun()) {
+        oprot.writeI32(struct.crashedRun);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, StepProgressRecord struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(5);
+      java.util.BitSet incoming = iprot.readBitSet(6);
       if (incoming.get(0)) {
         struct.occurrence = iprot.readI32();
         struct.setOccurrenceIsSet(true);
@@ -857,6 +961,10 @@
         struct.failedRun = iprot.readI32();
         struct.setFailedRunIsSet(true);
       }
+      if (incoming.get(5)) {
+        struct.crashedRun = iprot.readI32();
+        struct.setCrashedRunIsSet(true);
+      }
     }
   }
 
--- a/cactusspring-protocol/src/main/thrift/ledger.thrift
+++ b/cactusspring-protocol/src/main/thrift/ledger.thrift
@@ -91,10 +91,12 @@
   2: optional i32 step
   /** The tasks are left out then. */
   3: optional bool done
-  /** The failures of a gang are in the record of its first member. */
+  /** The failures and crashes of a gang are in the record of its first member. */
   4: optional list<TaskProgressRecord> tasks
   /** Number of the gang's last run that was counted as failed; absent in earlier versions. */
   5: optional i32 failedRun
+  /** Number of the gang's last run that was counted as crashed; absent in earlier versions. */
+  6: optional i32 crashedRun
 }
 
 struct StepsProgressRecord {
