--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/GangFleet.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/GangFleet.java
@@ -220,18 +220,18 @@
   private Optional<StartRequest> start(Action.Start start) {
     Optional<StartRequest> request = owner.startRequest(start.executor(), start.run(), now);
     boolean answers = !cutOff.contains(start.executor());
-    request
-        .filter(r -> answers)
-        .ifPresent(
-            r ->
-                running.put(
-                    start.executor(), new ActiveRun(r.task(), r.run(), r.checkpoint(), 1, 0)));
+    request.filter(r -> answers).ifPresent(r -> carryOut(start.executor(), r));
     CommandResult result =
         answers ? new CommandResult.Done(now) : new CommandResult.Unknown("no answer");
     request.ifPresent(r -> owner.startAnswered(start.executor(), start.run(), result, now));
     return request;
   }
 
+  /** Lets an executor list the run that a start requests. */
+  void carryOut(String executor, StartRequest start) {
+    running.put(executor, new ActiveRun(start.task(), start.run(), start.checkpoint(), 1, 0));
+  }
+
   private void stop(Action.Stop stop) {
     if (!cutOff.contains(stop.executor())) {
       end(
