Share the latest checkpoint among the members of a gang

Work of a gang was done again: a run resumed from the value of its first member that had any, which may be older than what another member reported, also after a takeover. A start that was sent again could carry a value that the other starts of its run had not.

Cause: each member kept the value that it had reported itself, and a start took the value of the moment at which it was sent.

Change: the checkpoint belongs to Attempts, one object for all members. The last value that a current run of any member lists or ends with counts; a value that was replaced does not return when another member reports it late. Each member's record holds the gang's value; the earlier version takes the first that is not empty. A run keeps the value that it was decided with, and all its starts carry that.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Attempts.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Attempts.java
@@ -5,14 +5,30 @@
 import java.util.List;
 
 /**
- * The failed runs and the crashes of what is judged as a whole: a task, or all members of a gang,
- * which share the number of a run.
+ * The failed runs, the crashes and the checkpoint of what is judged as a whole: a task, or all
+ * members of a gang, which share the number of a run.
  */
 final class Attempts {
+  // Members report within seconds of each other, so few values are replaced before all have.
+  private static final int CHECKPOINTS_OF_A_GANG = 32;
+
+  private final Checkpoint checkpoint;
   private int failures;
   private int failedRun;
   private final CrashCount crashes = new CrashCount();
 
+  private Attempts(Checkpoint checkpoint) {
+    this.checkpoint = checkpoint;
+  }
+
+  static Attempts ofTask() {
+    return new Attempts(new Checkpoint(0));
+  }
+
+  static Attempts ofGang() {
+    return new Attempts(new Checkpoint(CHECKPOINTS_OF_A_GANG));
+  }
+
   /** Returns the number of runs that have failed. */
   int failures() {
     return failures;
@@ -42,10 +58,16 @@
     return crashes;
   }
 
+  /** Returns the checkpoint from which the next run resumes. */
+  Checkpoint checkpoint() {
+    return checkpoint;
+  }
+
   /** Restores the attempts of a task that is not a member of a gang. */
   void restore(TaskProgress stored) {
     failures = stored.failures();
     crashes.restore(List.of(stored), 0);
+    checkpoint.reported(stored.checkpoint());
   }
 
   /** Restores the attempts of a gang. */
@@ -54,6 +76,12 @@
     failures = members.stream().mapToInt(TaskProgress::failures).sum();
     failedRun = stored.failedRun();
     crashes.restore(members, stored.crashedRun());
+    // The value is in the record of each member; earlier versions stored what each has reported.
+    members.stream()
+        .map(TaskProgress::checkpoint)
+        .filter(c -> !c.isEmpty())
+        .findFirst()
+        .ifPresent(checkpoint::reported);
     if (failures > 0 && failedRun == 0) {
       restoreCountsOfMembers(members);
     }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
@@ -683,7 +683,7 @@
             task.step().job().spec().payload(),
             executor.grantLease(state.zones.startLeaseMillis(zone(executor), lease, now), now),
             state.term,
-            task.checkpoint(),
+            run.checkpoint(),
             ticket.get()));
   }
 
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveStep.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveStep.java
@@ -23,7 +23,7 @@
   private final LiveJob job;
   private final WaitingSteps waitingSteps;
   private final List<LiveTask> tasks;
-  private final Attempts gangAttempts = new Attempts();
+  private final Attempts gangAttempts = Attempts.ofGang();
   private final Set<LiveTask> waiting;
   private final Map<LiveExecutor, Integer> runsByExecutor = new IdentityHashMap<>();
   private final Set<LiveExecutor> failedOn = Collections.newSetFromMap(new IdentityHashMap<>());
@@ -50,7 +50,7 @@
                     new LiveTask(
                         new TaskId(id.job(), id.occurrence(), id.step(), i),
                         this,
-                        spec.gang() ? gangAttempts : new Attempts(),
+                        spec.gang() ? gangAttempts : Attempts.ofTask(),
                         now))
             .toList();
     waiting = new LinkedHashSet<>(tasks);
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveTask.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveTask.java
@@ -11,7 +11,6 @@
   private boolean done;
   private int lastRun;
   private final Attempts attempts;
-  private String checkpoint = "";
   private Run run;
   private LiveExecutor executor;
   private long waitingSince;
@@ -75,14 +74,14 @@
     return attempts;
   }
 
+  /** Returns the checkpoint of this task, or of its gang; empty if there is none. */
   String checkpoint() {
-    return checkpoint;
+    return attempts.checkpoint().value();
   }
 
+  /** Records the checkpoint that the current run lists, or has ended with; empty if none. */
   void checkpoint(String value) {
-    if (!value.isEmpty()) {
-      checkpoint = value;
-    }
+    attempts.checkpoint().reported(value);
   }
 
   Run run() {
@@ -153,7 +152,7 @@
         withCounts ? attempts.failures() : 0,
         on,
         boot,
-        done ? "" : checkpoint,
+        done ? "" : checkpoint(),
         withCrashes ? crashes.attributed() : 0,
         withCrashes ? crashes.early() : 0,
         withCrashes ? crashes.other() : 0);
@@ -164,7 +163,6 @@
     if (hasBegun()) {
       step.taskBegun();
     }
-    checkpoint = stored.checkpoint();
     // Earlier versions recorded a long-running task as done when a run of it had ended so.
     if (stored.done() && !step.spec().longRunning()) {
       complete();
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Placement.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Placement.java
@@ -211,10 +211,7 @@
 
   private void startGang(List<LiveTask> members, List<LiveExecutor> chosen, long now) {
     int number = members.stream().mapToInt(LiveTask::lastRun).max().orElse(0) + 1;
-    String checkpoint =
-        members.stream().map(LiveTask::checkpoint).filter(c -> !c.isEmpty()).findFirst().orElse("");
     for (int i = 0; i < members.size(); i++) {
-      members.get(i).checkpoint(checkpoint);
       runs.decide(members.get(i), number, chosen.get(i), now);
     }
   }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Run.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Run.java
@@ -37,7 +37,7 @@
   private final boolean inherited;
   private long bootMillis;
   private boolean contained;
-  private boolean resumed;
+  private String checkpoint = "";
   private boolean refused;
   private Optional<Crash> crash = Optional.empty();
   private boolean measured;
@@ -172,9 +172,14 @@
     contained = true;
   }
 
-  /** Records that the run begins with a checkpoint, so that it does only a part of the work. */
-  void resumes() {
-    resumed = true;
+  /** Returns the checkpoint that each start of the run carries; empty if there is none. */
+  String checkpoint() {
+    return checkpoint;
+  }
+
+  /** Sets the checkpoint of the run, which then does only a part of the work. */
+  void resumeFrom(String value) {
+    checkpoint = value;
   }
 
   /** Records that the executor refused the start, so that the run never existed there. */
@@ -303,7 +308,7 @@
       return now + Math.round(expectedMillis);
     }
     double millis =
-        percent >= MIN_TELLING_PERCENT && !resumed
+        percent >= MIN_TELLING_PERCENT && checkpoint.isEmpty()
             ? (percentAt - phaseAt) * 100.0 / percent
             : expectedMillis;
     return Math.max(now, phaseAt + Math.round(millis));
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/RunLifecycle.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/RunLifecycle.java
@@ -26,9 +26,7 @@
         new Run(
             new RunKey(task.id(), number), task.step().spec(), job.spec(), Run.Phase.DECIDED, now);
     run.bootMillis(executor.bootMillis());
-    if (!task.checkpoint().isEmpty()) {
-      run.resumes();
-    }
+    run.resumeFrom(task.checkpoint());
     if (!isComparable(task, executor)) {
       run.doNotMeasure();
     }
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/GangCheckpointTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/GangCheckpointTest.java
@@ -7,7 +7,6 @@
 import io.cactusspring.jobs.port.ExecutorClient.StartRequest;
 import java.util.List;
 import java.util.Optional;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Tests that the members of a gang share the latest checkpoint that any of them has reported. */
@@ -38,7 +37,6 @@
 
   /** Guards against a run that repeats work because a member's older value comes first. */
   @Test
-  @Tag("known-red")
   void nextRunResumesFromTheValueThatAnyMemberReportedLast() {
     startFirstRun();
     report(0, "c1");
@@ -61,7 +59,6 @@
 
   /** Guards against a value of an earlier owner's record that hides what members report later. */
   @Test
-  @Tag("known-red")
   void valueThatIsReportedAfterATakeoverReplacesTheStoredOne() {
     startFirstRun();
     report(0, "c1");
@@ -76,7 +73,6 @@
 
   /** Guards against a value that only the record of one member holds. */
   @Test
-  @Tag("known-red")
   void valueOfTheGangIsStoredForEachMember() {
     startFirstRun();
     report(2, "c1");
@@ -92,7 +88,6 @@
    * again, after the first one was carried out late and the gang has saved its progress.
    */
   @Test
-  @Tag("known-red")
   void startThatIsSentAgainCarriesTheValueOfItsRun() {
     fleet.submit(GangFleet.gangs(JOB, 1));
     fleet.cutOff("x3");
