--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/GangFleet.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/GangFleet.java
@@ -146,6 +146,12 @@
     now += millis;
   }
 
+  /** Cancels a job and waits until its runs are over on the executors that answer. */
+  void cancel(String job) {
+    owner.cancelled(job, now);
+    run(500);
+  }
+
   void cutOff(String executor) {
     cutOff.add(executor);
   }
