Take an end done of any member of a gang as evidence for its executor

An executor was excluded for failures in a row although a gang was done on it in between: only the executor of the member that was read first was credited.

Cause: an end of a run for which no task waits was dropped before it was taken as evidence, and the members of a gang are completed together.

Change: each end done counts for the executor that reports it, also if its task is done or its job has ended, unless the owner has no record of the run.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/RunLifecycle.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/RunLifecycle.java
@@ -61,6 +61,10 @@
         run.key().task().job(),
         run.key().toString(),
         reason + " on " + executor.id());
+    if (reason == EndReason.DONE && run.phase() != Run.Phase.ORPHANED) {
+      // The task may be done already, as a member of a gang is once another member is.
+      noticeSuccess(executor, run, now);
+    }
     LiveTask task = state.task(run.key().task());
     if (task == null || task.run() != run) {
       return;
@@ -69,8 +73,6 @@
     switch (reason) {
       case DONE -> {
         state.learned.observe(task, executor, run, now);
-        executor.quarantine().runSucceeded(run);
-        state.failureRates.runEnded(executor, false, now);
         if (task.step().spec().longRunning()) {
           restart(executor, run, task, now);
         } else {
@@ -217,6 +219,11 @@
     task.retryAt(now + RESTART_PAUSE_MILLIS);
   }
 
+  private void noticeSuccess(LiveExecutor executor, Run run, long now) {
+    executor.quarantine().runSucceeded(run);
+    state.failureRates.runEnded(executor, false, now);
+  }
+
   /** Takes a failed run as evidence that its executor may be at fault. */
   void noticeFailure(LiveExecutor executor, Run run, long now) {
     int maxFailures = state.failureRates.maxFailures(executor, now);
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/GangEvidenceTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/GangEvidenceTest.java
@@ -4,7 +4,6 @@
 
 import io.cactusspring.jobs.port.ExecutorClient.EndReason;
 import java.util.List;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Tests what the runs of a gang say about the executors of its members. */
@@ -30,7 +29,6 @@
 
   /** Guards against an executor that is excluded although a gang was done on it in between. */
   @Test
-  @Tag("known-red")
   void gangThatIsDoneSpeaksForTheExecutorsOfAllMembers() {
     failOn("x1", "j1");
     failOn("x1", "j2");
