Run gangs in the emulator as the platform does, and count their runs

Callers saw jobs with a gang shown as failed although they had attempts left. No simulation could show it: each member of a gang ended for itself, `broken` and `alone` never came, one member could be done while another failed, and the oracle added up the failures of the members as the code did.

RunHistory holds what the oracle knows of the runs of a task or of a gang: a failed attempt is a run number with an end `failed`. The oracle reports as violations, besides what it did: - a job shown as failed without as many failed runs, or two runs with crashes, of one gang; - a start after as many known failed runs as attempts. A failed run whose ends were all lost is left out only if no stored progress contains it, and a lapse of a lease is seen when it happens, not at the next renewal; - a start whose checkpoint differs from that of other members of the run, or that no executor has reported; - an end `alone` without a fault, and a start of a member while a member of an earlier run still runs; - a start of any member after an acknowledged end `done` of one of them. The end `done` of a gang is in doubt only once all members' ends are lost.

--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/ClusterSimulation.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/ClusterSimulation.java
@@ -8,7 +8,9 @@
 import io.cactusspring.jobs.control.HostSettings;
 import io.cactusspring.jobs.control.Outcome;
 import io.cactusspring.jobs.control.Resolution;
+import io.cactusspring.jobs.ledger.JobEntry;
 import io.cactusspring.jobs.ledger.LedgerSnapshot;
+import io.cactusspring.jobs.ledger.StepProgress;
 import io.cactusspring.jobs.log.JobLog;
 import io.cactusspring.jobs.model.AdviceSettings;
 import io.cactusspring.jobs.model.ExecutorInfo;
@@ -20,10 +22,12 @@
 import io.cactusspring.jobs.model.ServiceDefinition;
 import io.cactusspring.jobs.model.SiteConfiguration;
 import io.cactusspring.jobs.model.StepId;
+import io.cactusspring.jobs.model.StepSpec;
 import io.cactusspring.jobs.model.TaskId;
 import io.cactusspring.jobs.model.ZoneRecord;
 import io.cactusspring.jobs.port.AdviceService;
 import io.cactusspring.jobs.port.ExecutorClient;
+import io.cactusspring.jobs.port.ExecutorClient.EndedRun;
 import io.cactusspring.jobs.port.ExecutorClient.Refusal;
 import io.cactusspring.jobs.port.KeyedTopic;
 import io.cactusspring.jobs.port.KeyedTopic.Entry;
@@ -228,6 +232,7 @@
 
   private final VirtualTime time = new VirtualTime();
   private final Random random;
+  private final GangRuns gangRuns;
   private final Oracle oracle = new Oracle(this);
   private final FakeNetwork network = new FakeNetwork(time);
   private final FakeLog ownership = new FakeLog();
@@ -258,7 +263,10 @@
   private BiPredicate<Host, Long> ignoredVersions = (host, version) -> false;
   private ConfigurationBounds configurationBounds = new ConfigurationBounds(2_000, 5_000);
   private LongConsumer crashByTaskListener = millis -> {};
+  private Consumer<EndedRun> endListener = end -> {};
+  private Consumer<EndedRun> acknowledgementListener = end -> {};
   private boolean faultFree = true;
+  private long faultFreeSince;
   private Function<TaskId, Long> taskWorkMillis = id -> 500L;
   private Function<TaskId, ExecutorClient.EndReason> taskEnd = id -> ExecutorClient.EndReason.DONE;
   private Function<TaskId, OptionalLong> lifeMillis = id -> OptionalLong.empty();
@@ -270,6 +278,7 @@
 
   public ClusterSimulation(long seed) {
     random = new Random(seed);
+    gangRuns = new GangRuns(this, seed);
     publish(1);
   }
 
@@ -390,12 +399,24 @@
 
   /** Returns whether an owner has stored that a job has failed. */
   boolean isStoredAsFailed(String job) {
+    return stored(job).filter(j -> j.state() == JobState.FAILED).isPresent();
+  }
+
+  private Optional<JobEntry> stored(String job) {
     LedgerSnapshot snapshot = new LedgerSnapshot();
     for (int i = 0; i < lanes.size(); i++) {
       int lane = i;
       lanes.get(i).newest().forEach(e -> snapshot.applyLane(lane, e));
     }
-    return snapshot.job(job).filter(j -> j.state() == JobState.FAILED).isPresent();
+    return snapshot.job(job);
+  }
+
+  /** Returns the stored progress of the step of a task, unless none is stored. */
+  Optional<StepProgress> storedProgress(TaskId task) {
+    return stored(task.job()).flatMap(JobEntry::progress).stream()
+        .flatMap(p -> p.steps().stream())
+        .filter(s -> s.occurrence() == task.occurrence() && s.step() == task.step())
+        .findFirst();
   }
 
   /** Returns all partitions of the ledger. */
@@ -415,6 +436,39 @@
     return hosts;
   }
 
+  GangRuns gangRuns() {
+    return gangRuns;
+  }
+
+  /** Sets the fraction of the runs of gangs that fail before their work is done. */
+  public void earlyGangFailureRate(double rate) {
+    gangRuns.earlyFailureRate(rate);
+  }
+
+  /** Sets what is called when an executor lists the end of a run. */
+  public void onRunEnded(Consumer<EndedRun> listener) {
+    endListener = listener;
+  }
+
+  void runEnded(EndedRun end) {
+    endListener.accept(end);
+  }
+
+  /** Sets what is called when an owner has acknowledged the end of a run. */
+  public void onEndAcknowledged(Consumer<EndedRun> listener) {
+    acknowledgementListener = listener;
+  }
+
+  void endAcknowledged(EndedRun end) {
+    oracle.acknowledged(end);
+    acknowledgementListener.accept(end);
+  }
+
+  /** Returns the specification of the step of a task. */
+  public StepSpec step(TaskId task) {
+    return oracle.spec(task.job()).steps().get(task.step());
+  }
+
   public List<FakeExecutor> executors() {
     return List.copyOf(executors.values());
   }
@@ -436,7 +490,15 @@
     return faultFree;
   }
 
+  /** Returns whether no fault has been active since a time. */
+  boolean isFaultFreeSince(long millis) {
+    return faultFree && faultFreeSince <= millis;
+  }
+
   public void faultFree(boolean value) {
+    if (value && !faultFree) {
+      faultFreeSince = time.now();
+    }
     faultFree = value;
   }
 
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/FakeExecutor.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/FakeExecutor.java
@@ -13,6 +13,7 @@
 import io.cactusspring.jobs.port.ExecutorClient.LeaseRenewalResult;
 import io.cactusspring.jobs.port.ExecutorClient.Refusal;
 import io.cactusspring.jobs.port.ExecutorClient.StartRequest;
+import io.cactusspring.jobs.schedule.RunKey;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import java.util.ArrayList;
@@ -34,20 +35,97 @@
   private static final long STOP_MILLIS = 100;
   private static final int MAX_LISTED_ENDS = 500;
 
-  private static final class Task {
+  private final class Task implements GangRuns.Member {
     private final TaskId id;
     private final int run;
     private final StepSpec spec;
-    private final long startedAt;
-    private final long checkpointMillis;
+    private final long startedAt = time.now();
+    private final String carried;
+    private final boolean stalled = stallNewTasks;
     private boolean ended;
 
-    Task(TaskId id, int run, StepSpec spec, long startedAt, long checkpointMillis) {
-      this.id = id;
-      this.run = run;
+    Task(StartRequest request, StepSpec spec) {
+      id = request.task();
+      run = request.run();
+      carried = request.checkpoint();
       this.spec = spec;
-      this.startedAt = startedAt;
-      this.checkpointMillis = checkpointMillis;
+    }
+
+    @Override
+    public TaskId id() {
+      return id;
+    }
+
+    @Override
+    public StepSpec spec() {
+      return spec;
+    }
+
+    @Override
+    public int run() {
+      return run;
+    }
+
+    @Override
+    public String carried() {
+      return carried;
+    }
+
+    @Override
+    public boolean isStalled() {
+      return stalled;
+    }
+
+    @Override
+    public long workMillis() {
+      return simulation.workMillis(id) * slowdownFactor;
+    }
+
+    @Override
+    public EndReason ownEnd() {
+      EndReason reason = simulation.endOf(id, run);
+      return failsTasks ? EndReason.FAILED : reason;
+    }
+
+    @Override
+    public void end(EndReason reason) {
+      FakeExecutor.this.end(this, reason);
+    }
+
+    private GangRuns gangRuns() {
+      return simulation.gangRuns();
+    }
+
+    private long workedMillis() {
+      if (spec.gang()) {
+        return gangRuns().workedMillis(this);
+      }
+      return carriedMillis() + time.now() - startedAt;
+    }
+
+    private long carriedMillis() {
+      return carried.isEmpty() ? 0 : Long.parseLong(carried);
+    }
+
+    /**
+     * Returns the checkpoint: the completed work in milliseconds; empty without checkpoints, or if
+     * a gang has none yet.
+     */
+    private String checkpoint() {
+      if (!spec.checkpoints()) {
+        return "";
+      }
+      return spec.gang() ? gangRuns().checkpoint(this) : String.valueOf(workedMillis());
+    }
+
+    private int percent() {
+      if (stallNewTasks) {
+        return 0;
+      }
+      if (spec.longRunning()) {
+        return 100;
+      }
+      return (int) Math.min(99, workedMillis() * 100 / workMillis());
     }
   }
 
@@ -152,6 +230,18 @@
     return labels;
   }
 
+  /** Returns whether a member of a gang runs here that belongs to an earlier run than the given. */
+  boolean runsEarlierMember(TaskId member, int run) {
+    return running.values().stream()
+        .filter(t -> t.spec.gang() && t.run < run)
+        .map(t -> t.id)
+        .anyMatch(
+            t ->
+                t.job().equals(member.job())
+                    && t.occurrence() == member.occurrence()
+                    && t.step() == member.step());
+  }
+
   public Set<TaskId> tasks() {
     return Set.copyOf(running.keySet());
   }
@@ -225,11 +315,14 @@
   /** Stops the executor: all state is lost, and calls get no answer until it boots. */
   public void crash() {
     if (up && !draining) {
-      simulation.oracle().crashed(tasks());
+      simulation
+          .oracle()
+          .crashed(running.values().stream().map(t -> new RunKey(t.id, t.run)).toList());
     }
     up = false;
-    running.values().forEach(t -> t.ended = true);
+    List<Task> lost = List.copyOf(running.values());
     running.clear();
+    lost.forEach(FakeExecutor::loseTask);
     ended.stream()
         .filter(e -> !endsBeforeLapse.contains(e.number()))
         .forEach(simulation.oracle()::lost);
@@ -241,6 +334,13 @@
     lastEndNumber = 0;
   }
 
+  private static void loseTask(Task task) {
+    task.ended = true;
+    if (task.spec.gang()) {
+      task.gangRuns().ended(task, EndReason.LAPSED);
+    }
+  }
+
   /** Stops the executor as a task of it does: open calls end at once. */
   private void crashBy(Task task) {
     if (!task.ended) {
@@ -306,9 +406,7 @@
     }
     JobSpec job = simulation.oracle().started(this, request);
     StepSpec spec = job.steps().get(request.task().step());
-    long checkpointMillis =
-        request.checkpoint().isEmpty() ? 0 : Long.parseLong(request.checkpoint());
-    Task task = new Task(request.task(), request.run(), spec, time.now(), checkpointMillis);
+    Task task = new Task(request, spec);
     running.put(task.id, task);
     simulation.oracle().checkCapacity(this, committed(), capacitiesWithin(Oracle.SHRINK_MILLIS));
     OptionalLong crashDelay = simulation.crashDelayMillis(task.id);
@@ -317,35 +415,18 @@
       return Future.succeededFuture(new CommandResult.Unknown("connection was closed"));
     }
     crashDelay.ifPresent(millis -> time.after(millis, () -> crashBy(task)));
-    if (!stallNewTasks && !spec.longRunning()) {
-      time.after(workMillis(task) - checkpointMillis, () -> end(task, endOf(task)));
+    if (spec.gang()) {
+      task.gangRuns().started(task);
     } else if (spec.longRunning()) {
       simulation
           .lifeMillis(task.id)
           .ifPresent(m -> time.after(m, () -> end(task, EndReason.FAILED)));
+    } else if (!stallNewTasks) {
+      time.after(task.workMillis() - task.carriedMillis(), () -> end(task, task.ownEnd()));
     }
     return done();
   }
 
-  private EndReason endOf(Task task) {
-    EndReason reason = simulation.endOf(task.id, task.run);
-    return failsTasks ? EndReason.FAILED : reason;
-  }
-
-  private long workMillis(Task task) {
-    return simulation.workMillis(task.id) * slowdownFactor;
-  }
-
-  /**
-   * Returns the checkpoint of a task: its completed work in milliseconds; empty without
-   * checkpoints.
-   */
-  private String checkpoint(Task task) {
-    return task.spec.checkpoints()
-        ? String.valueOf(task.checkpointMillis + time.now() - task.startedAt)
-        : "";
-  }
-
   /** Returns the resources that the running tasks occupy. */
   public Resources committed() {
     return running.values().stream()
@@ -360,8 +441,13 @@
     task.ended = true;
     running.remove(task.id);
     highestEndedRun.merge(task.id, task.run, Math::max);
-    ended.add(new EndedRun(++lastEndNumber, task.id, task.run, reason, checkpoint(task)));
-    simulation.oracle().ended(task.id, task.run, reason);
+    EndedRun end = new EndedRun(++lastEndNumber, task.id, task.run, reason, task.checkpoint());
+    ended.add(end);
+    simulation.oracle().ended(end, task.startedAt);
+    if (task.spec.gang()) {
+      task.gangRuns().ended(task, reason);
+    }
+    simulation.runEnded(end);
     List<Runnable> reports = List.copyOf(pendingReports);
     pendingReports.clear();
     reports.forEach(Runnable::run);
@@ -398,7 +484,7 @@
     ended.stream()
         .filter(
             e -> e.number() <= request.acknowledgedEnd() && !endsBeforeLapse.contains(e.number()))
-        .forEach(e -> simulation.oracle().acknowledged(e));
+        .forEach(simulation::endAcknowledged);
     ended.removeIf(e -> e.number() <= request.acknowledgedEnd());
     if (!ended.isEmpty() || request.waitMillis() == 0) {
       return Future.succeededFuture(report());
@@ -416,31 +502,25 @@
     }
     List<ActiveRun> runs =
         running.values().stream()
-            .map(t -> new ActiveRun(t.id, t.run, checkpoint(t), percent(t), 0))
+            .map(t -> new ActiveRun(t.id, t.run, t.checkpoint(), t.percent(), 0))
             .toList();
+    runs.forEach(r -> simulation.oracle().reported(r.task(), r.checkpoint()));
     List<EndedRun> oldest = ended.stream().limit(MAX_LISTED_ENDS).toList();
     return new LeaseRenewalResult.Report(
         uptimeMillis(), bootedAt, runs, oldest, oldest.size() == MAX_LISTED_ENDS);
   }
 
-  private int percent(Task task) {
-    if (stallNewTasks) {
-      return 0;
-    }
-    if (task.spec.longRunning()) {
-      return 100;
-    }
-    return (int)
-        Math.min(
-            99, (task.checkpointMillis + time.now() - task.startedAt) * 100 / workMillis(task));
-  }
-
-  private void extendLease(long end) {
-    if (uptimeMillis() > leaseEnd) {
+  /** Takes note that the lease has lapsed, if it has: ends before that are not acknowledged. */
+  void noteLapse() {
+    if (up && uptimeMillis() > leaseEnd) {
       ended.stream()
           .filter(e -> endsBeforeLapse.add(e.number()))
           .forEach(simulation.oracle()::lost);
     }
+  }
+
+  private void extendLease(long end) {
+    noteLapse();
     leaseEnd = Math.max(leaseEnd, Math.min(end, uptimeMillis() + MAX_LEASE_MILLIS));
   }
 
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/Oracle.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/Oracle.java
@@ -2,12 +2,15 @@
 
 import io.cactusspring.core.model.Resources;
 import io.cactusspring.jobs.control.Outcome;
+import io.cactusspring.jobs.ledger.StepProgress;
+import io.cactusspring.jobs.ledger.TaskProgress;
 import io.cactusspring.jobs.model.JobSpec;
 import io.cactusspring.jobs.model.StepSpec;
 import io.cactusspring.jobs.model.TaskId;
 import io.cactusspring.jobs.port.ExecutorClient.EndReason;
 import io.cactusspring.jobs.port.ExecutorClient.EndedRun;
 import io.cactusspring.jobs.port.ExecutorClient.StartRequest;
+import io.cactusspring.jobs.schedule.RunKey;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -47,18 +50,9 @@
   private final Set<String> rejected = new HashSet<>();
   private final Set<String> begun = new HashSet<>();
   private final Map<String, Long> cancelledAtMillis = new HashMap<>();
-  private final Set<TaskId> done = new HashSet<>();
-  private final Set<TaskId> acknowledgedDone = new HashSet<>();
-  private final Map<TaskId, Integer> failures = new HashMap<>();
 
-  /** Failed runs whose executor crashed, or whose lease lapsed, before the acknowledgement. */
-  private final Map<TaskId, Integer> doubtfulFailures = new HashMap<>();
-
-  /** Tasks that were done when their executor crashed, or its lease lapsed, unacknowledged. */
-  private final Set<TaskId> doubtfulDone = new HashSet<>();
-
-  /** Tasks that were started again although a run of them was done. */
-  private final Set<TaskId> reopened = new HashSet<>();
+  /** The runs of each task, or of each gang under its first member. */
+  private final Map<TaskId, RunHistory> histories = new HashMap<>();
 
   private final List<String> violations = new ArrayList<>();
   private final Map<String, Long> evacuatedAtMillis = new HashMap<>();
@@ -108,10 +102,11 @@
     evacuatedAtMillis.remove(zone);
   }
 
-  /** Records that an executor crashed while these tasks were running on it. */
-  void crashed(Set<TaskId> tasks) {
-    tasks.forEach(t -> crashes.merge(t, 1, Integer::sum));
-    if (!tasks.isEmpty()) {
+  /** Records that an executor crashed while these runs were on it. */
+  void crashed(List<RunKey> runs) {
+    runs.forEach(r -> crashes.merge(r.task(), 1, Integer::sum));
+    runs.forEach(r -> history(r.task()).crashed(r.number()));
+    if (!runs.isEmpty()) {
       crashCount++;
     }
   }
@@ -126,21 +121,22 @@
     return crashes.getOrDefault(task, 0);
   }
 
-  /** Returns whether a job may be shown as failed: because of failures, or of two crashes. */
+  /**
+   * Returns whether a job may be shown as failed: because as many runs of a task, or of a gang, as
+   * there are attempts have failed, or because of two crashes. A run of a gang counts once,
+   * whichever of its members fail.
+   */
   public boolean mayFail(JobSpec job) {
-    Map<String, Integer> failuresByParty = new HashMap<>();
-    failures.forEach(
-        (t, n) -> {
-          if (t.job().equals(job.id())) {
-            failuresByParty.merge(members(t).toString(), n, Integer::sum);
-          }
-        });
-    boolean failed =
-        failuresByParty.values().stream().anyMatch(n -> n >= ClusterSimulation.MAX_ATTEMPTS);
-    return failed
-        || crashes.keySet().stream()
-            .filter(t -> t.job().equals(job.id()))
-            .anyMatch(t -> members(t).stream().mapToInt(this::crashes).sum() >= MIN_CRASHES);
+    return histories.keySet().stream()
+        .filter(t -> t.job().equals(job.id()))
+        .anyMatch(
+            t ->
+                histories.get(t).failures() >= ClusterSimulation.MAX_ATTEMPTS
+                    || crashesOfParty(t) >= MIN_CRASHES);
+  }
+
+  private int crashesOfParty(TaskId task) {
+    return isOfGang(task) ? history(task).crashedRuns() : crashes(task);
   }
 
   private void checkCrashes(TaskId task) {
@@ -157,11 +153,7 @@
 
   private void checkService(FakeExecutor executor, JobSpec spec) {
     Routed submission = routed.get(spec.id());
-    boolean ownerSettled =
-        simulation.hosts().stream()
-            .filter(ClusterSimulation.Host::isOwner)
-            .allMatch(ClusterSimulation.Host::isSettled);
-    if (submission == null || !ownerSettled) {
+    if (submission == null || !isOwnerSettled()) {
       return;
     }
     Set<String> allowed =
@@ -191,8 +183,15 @@
     }
     begun.add(task.job());
     checkService(executor, spec);
-    if (doubtfulDone.remove(task)) {
-      reopened.add(task);
+    boolean doneForGood = history(task).isDoneForGood();
+    history(task)
+        .started(request)
+        .ifPresent(
+            p ->
+                recordViolation(
+                    "checkpoint", task + " starts run " + request.run() + " with " + p));
+    if (isOfGang(task)) {
+      checkGang(executor, request);
     }
     if (rejected.contains(task.job())) {
       recordViolation("rejected job", task + " starts after its job was rejected");
@@ -203,7 +202,7 @@
             e ->
                 recordViolation(
                     "duplicate run", task + " runs on " + e.id() + " and " + executor.id()));
-    if (acknowledgedDone.contains(task)) {
+    if (doneForGood) {
       recordViolation("duplicate run", task + " starts after its successful end was acknowledged");
     }
     spec.steps().get(task.step()).after().stream()
@@ -219,14 +218,54 @@
     if (evacuated != null && simulation.time().now() >= evacuated + EVACUATE_MILLIS) {
       recordViolation("evacuation", task + " starts on " + executor.id() + " in an evacuated zone");
     }
-    boolean lasts = spec.steps().get(task.step()).longRunning();
-    int known = failures.getOrDefault(task, 0) - doubtfulFailures.getOrDefault(task, 0);
-    if (!lasts && known >= ClusterSimulation.MAX_ATTEMPTS) {
-      recordViolation("attempt limit", task + " starts after " + failures.get(task) + " failures");
+    if (!spec.steps().get(task.step()).longRunning()) {
+      checkAttempts(task);
     }
     return spec;
   }
 
+  /**
+   * Checks that nothing starts after as many failed runs as attempts. A run whose failed ends were
+   * all lost counts only if an owner had stored it.
+   */
+  private void checkAttempts(TaskId task) {
+    int failures = history(task).failures();
+    if (failures < ClusterSimulation.MAX_ATTEMPTS) {
+      return;
+    }
+    simulation.executors().forEach(FakeExecutor::noteLapse);
+    int known = history(task).knownFailures();
+    if (known >= ClusterSimulation.MAX_ATTEMPTS
+        || Math.min(failures, storedFailures(task)) >= ClusterSimulation.MAX_ATTEMPTS) {
+      recordViolation(
+          "attempt limit",
+          "%s starts after %d failures, %d of them known".formatted(task, failures, known));
+    }
+  }
+
+  private int storedFailures(TaskId task) {
+    if (simulation.isStoredAsFailed(task.job())) {
+      return Integer.MAX_VALUE;
+    }
+    List<TaskProgress> stored =
+        simulation.storedProgress(task).map(StepProgress::tasks).orElse(List.of());
+    return members(task).stream()
+        .filter(m -> m.index() < stored.size())
+        .mapToInt(m -> stored.get(m.index()).failures())
+        .sum();
+  }
+
+  private void checkGang(FakeExecutor executor, StartRequest request) {
+    simulation.executors().stream()
+        .filter(e -> e.isUp() && e.runsEarlierMember(request.task(), request.run()))
+        .forEach(
+            e ->
+                recordViolation(
+                    "gang",
+                    "%s starts run %d on %s while a member of an earlier run is on %s"
+                        .formatted(request.task(), request.run(), executor.id(), e.id())));
+  }
+
   /** Returns a job that was submitted. */
   JobSpec spec(String job) {
     return submitted.get(job);
@@ -242,7 +281,7 @@
   private boolean isDoneForGood(JobSpec spec, int occurrence, int step) {
     return IntStream.range(0, spec.steps().get(step).tasks())
         .mapToObj(i -> new TaskId(spec.id(), occurrence, step, i))
-        .allMatch(acknowledgedDone::contains);
+        .allMatch(t -> history(t).isDoneForGood());
   }
 
   /** Returns whether a zone is evacuated. */
@@ -256,19 +295,17 @@
    * @param doubtful the answer for a task of which no owner may have stored that it is done
    */
   boolean isDone(TaskId task, boolean doubtful) {
-    return done.contains(task)
-        && !reopened.contains(task)
-        && (doubtful || !doubtfulDone.contains(task));
+    return history(task).isDone(doubtful);
   }
 
-  /** Returns the failed runs of a task, or of all members of its gang. */
+  /** Returns the number of failed runs of a task, or of its gang. */
   int failures(TaskId task) {
-    return members(task).stream().mapToInt(t -> failures.getOrDefault(t, 0)).sum();
+    return history(task).failures();
   }
 
   private boolean allDone(JobSpec spec, TaskId task, int step) {
     for (int i = 0; i < spec.steps().get(step).tasks(); i++) {
-      if (!done.contains(new TaskId(task.job(), task.occurrence(), step, i))) {
+      if (!history(new TaskId(task.job(), task.occurrence(), step, i)).isDone()) {
         return false;
       }
     }
@@ -285,17 +322,39 @@
     }
   }
 
-  void ended(TaskId task, int run, EndReason reason) {
-    if (reason == EndReason.DONE) {
-      members(task).forEach(done::add);
-      members(task).forEach(doubtfulDone::remove);
-      members(task).forEach(reopened::remove);
-    } else if (reason == EndReason.FAILED) {
-      failures.merge(task, 1, Integer::sum);
+  /** Records the end of a run that was started at a time. */
+  void ended(EndedRun end, long startedAt) {
+    history(end.task()).ended(end);
+    if (end.reason() == EndReason.ALONE
+        && simulation.isFaultFreeSince(startedAt)
+        && isOwnerSettled()
+        && !cancelledAtMillis.containsKey(end.task().job())) {
+      recordViolation("alone", end.task() + " waited for the others of run " + end.run());
     }
   }
 
-  /** Returns the task, or all tasks of its gang: one member that is done completes the gang. */
+  /** Records that an executor has reported a checkpoint of a task. */
+  void reported(TaskId task, String checkpoint) {
+    history(task).reported(checkpoint);
+  }
+
+  private RunHistory history(TaskId task) {
+    TaskId party =
+        isOfGang(task) ? new TaskId(task.job(), task.occurrence(), task.step(), 0) : task;
+    return histories.computeIfAbsent(party, t -> new RunHistory());
+  }
+
+  private boolean isOfGang(TaskId task) {
+    return submitted.get(task.job()).steps().get(task.step()).gang();
+  }
+
+  private boolean isOwnerSettled() {
+    return simulation.hosts().stream()
+        .filter(ClusterSimulation.Host::isOwner)
+        .allMatch(ClusterSimulation.Host::isSettled);
+  }
+
+  /** Returns the task, or all tasks of its gang. */
   private List<TaskId> members(TaskId task) {
     StepSpec step = submitted.get(task.job()).steps().get(task.step());
     if (!step.gang()) {
@@ -311,17 +370,11 @@
    * may or may not have stored the end; the platform does not count it.
    */
   void lost(EndedRun end) {
-    if (end.reason() == EndReason.DONE) {
-      doubtfulDone.addAll(members(end.task()));
-    } else if (end.reason() == EndReason.FAILED) {
-      doubtfulFailures.merge(end.task(), 1, Integer::sum);
-    }
+    history(end.task()).lost(end);
   }
 
   void acknowledged(EndedRun end) {
-    if (end.reason() == EndReason.DONE) {
-      acknowledgedDone.add(end.task());
-    }
+    history(end.task()).acknowledged(end);
   }
 
   /** Returns whether all tasks of the first occurrence of a job have completed successfully. */
