--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/CallerChecks.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/CallerChecks.java
@@ -135,7 +135,7 @@
       case PENDING, RUNNING -> false;
       case COMPLETED -> !job.isDone();
       case CANCELLED -> !job.cancelSent;
-      case FAILED -> !job.mayHaveFailed(settings.maxAttempts());
+      case FAILED -> !job.mayHaveFailed();
     };
   }
 
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/Callers.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/Callers.java
@@ -107,7 +107,7 @@
             recorder.record(
                 at ->
                     new Observation.Submitted(
-                        at, job.id(), job.organisation(), job.queue().needsAdvice(), job.steps()));
+                        at, job.id(), job.organisation(), job.queue(), job.steps()));
             return client.submit(
                 target.host().callerAddress(),
                 job.queue(),
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/JobFacts.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/JobFacts.java
@@ -1,6 +1,7 @@
 package io.cactusspring.soak;
 
 import io.cactusspring.jobs.model.JobState;
+import io.cactusspring.jobs.model.Queue;
 import io.cactusspring.jobs.model.StepSpec;
 import io.cactusspring.jobs.model.TaskId;
 import io.cactusspring.platform.standin.CallerClient.Verdict;
@@ -21,16 +22,16 @@
 
   final String id;
   final String organisation;
-  final boolean needsAdvice;
+  final Queue queue;
   final List<StepSpec> steps;
   final long firstSentAt;
   final Set<TaskId> done = new HashSet<>();
   final Set<TaskId> acknowledgedDone = new HashSet<>();
-  final Map<TaskId, Integer> failures = new HashMap<>();
   final Map<TaskId, Integer> crashes = new HashMap<>();
   final Set<TaskId> crashingTasks = new HashSet<>();
   final Map<TaskId, Integer> startsAfterCrashes = new HashMap<>();
   final Map<TaskId, Long> lastEnds = new HashMap<>();
+  private final Map<TaskId, FailedRuns> failedRuns = new HashMap<>();
   private final List<Answered> states = new ArrayList<>();
   long acceptedAt = -1;
   long cancelledAt = -1;
@@ -40,11 +41,10 @@
   private boolean perhapsStored;
   private boolean keyRefused;
 
-  JobFacts(
-      String id, String organisation, boolean needsAdvice, List<StepSpec> steps, long firstSentAt) {
+  JobFacts(String id, String organisation, Queue queue, List<StepSpec> steps, long firstSentAt) {
     this.id = id;
     this.organisation = organisation;
-    this.needsAdvice = needsAdvice;
+    this.queue = queue;
     this.steps = steps;
     this.firstSentAt = firstSentAt;
   }
@@ -94,14 +94,23 @@
    * Returns whether the job may be given up: a task, or a gang, has failed as often as it may, or
    * two executors have crashed under a task.
    */
-  boolean mayHaveFailed(int maxAttempts) {
+  boolean mayHaveFailed() {
     return crashes.values().stream().anyMatch(n -> n >= 2)
-        || IntStream.range(0, steps.size()).anyMatch(s -> failuresOf(s) >= maxAttempts);
+        || failedRuns.values().stream().anyMatch(r -> r.count() >= queue.maxAttempts());
   }
 
-  private int failuresOf(int step) {
-    IntStream failuresOfTasks = tasksOf(step).mapToInt(t -> failures.getOrDefault(t, 0));
-    return steps.get(step).gang() ? failuresOfTasks.sum() : failuresOfTasks.max().orElse(0);
+  /** Returns the failed runs of a task, or of its gang. */
+  FailedRuns failedRuns(TaskId task) {
+    boolean gang = steps.get(task.step()).gang();
+    TaskId first = new TaskId(task.job(), task.occurrence(), task.step(), 0);
+    return failedRuns.computeIfAbsent(gang ? first : task, t -> new FailedRuns());
+  }
+
+  /** Returns the failed runs of each gang of which a member has started. */
+  Stream<FailedRuns> failedRunsOfGangs() {
+    return failedRuns.entrySet().stream()
+        .filter(e -> steps.get(e.getKey().step()).gang())
+        .map(Map.Entry::getValue);
   }
 
   /** Returns the tasks of a step that are not done, or none before the step's turn. */
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/Observation.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/Observation.java
@@ -26,10 +26,9 @@
   /**
    * A caller sends a submission; repeated for each attempt.
    *
-   * @param needsAdvice whether the tasks run only where the advice service allows it
+   * @param queue the queue without differences by later configurations
    */
-  record Submitted(
-      long at, String job, String organisation, boolean needsAdvice, List<StepSpec> steps)
+  record Submitted(long at, String job, String organisation, Queue queue, List<StepSpec> steps)
       implements Observation {}
 
   /** A caller sends a cancellation. */
@@ -53,15 +52,20 @@
       long retryAfterMillis)
       implements Observation {}
 
-  /** An executor starts a run. */
-  record Started(long at, String executor, TaskId task, int run) implements Observation {}
+  /**
+   * An executor starts a run.
+   *
+   * @param checkpoint empty if it starts from the beginning
+   */
+  record Started(long at, String executor, TaskId task, int run, String checkpoint)
+      implements Observation {}
 
   /** A run ends on an executor. */
   record Ended(long at, String executor, TaskId task, int run, EndReason reason)
       implements Observation {}
 
   /** A host acknowledges the end of a run to its executor. */
-  record Acknowledged(long at, TaskId task, EndReason reason) implements Observation {}
+  record Acknowledged(long at, TaskId task, int run, EndReason reason) implements Observation {}
 
   /**
    * An executor loses all its runs.
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/RunChecks.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/RunChecks.java
@@ -2,14 +2,12 @@
 
 import io.cactusspring.core.model.Resources;
 import io.cactusspring.jobs.model.Organisation;
-import io.cactusspring.jobs.model.StepSpec;
 import io.cactusspring.jobs.model.TaskId;
 import io.cactusspring.jobs.port.ExecutorClient.EndReason;
 import io.cactusspring.soak.Observation.Ended;
 import io.cactusspring.soak.Observation.ExecutorLost;
 import io.cactusspring.soak.Observation.Started;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.BiFunction;
@@ -21,9 +19,6 @@
   /** Time after an acknowledged cancellation in which its runs are found and stopped. */
   static final long CANCEL_MILLIS = 5_000;
 
-  /** Time in which all members of a gang start; a refused start is tried again elsewhere. */
-  static final long GANG_MILLIS = 4_000;
-
   /** Number of crashes under a task from which on its further starts are counted. */
   private static final int CRASHES = 3;
 
@@ -67,11 +62,6 @@
     checkZone(start);
     active.put(new Active(start.executor(), task, start.run()), job);
     checkResources(start, job);
-    StepSpec step = job.steps.get(task.step());
-    if (step.gang()) {
-      findings.checkAfterCalm(
-          start.at(), GANG_MILLIS, Rule.GANG_INCOMPLETE, () -> incompleteGang(job, task.step()));
-    }
     if (job.firstStartAt < 0) {
       job.firstStartAt = start.at();
     }
@@ -165,20 +155,6 @@
         .reduce(Resources.NONE, Resources::plus);
   }
 
-  private Optional<String> incompleteGang(JobFacts job, int step) {
-    List<TaskId> running =
-        active.keySet().stream()
-            .map(Active::task)
-            .filter(t -> t.job().equals(job.id) && t.step() == step)
-            .toList();
-    long missing =
-        job.tasksOf(step).filter(t -> !running.contains(t) && !job.done.contains(t)).count();
-    return running.isEmpty() || missing == 0
-        ? Optional.empty()
-        : Optional.of(
-            "step %d of %s runs with %d of its tasks missing".formatted(step, job.id, missing));
-  }
-
   void ended(Ended end) {
     active.remove(new Active(end.executor(), end.task(), end.run()));
     JobFacts job = jobs.get(end.task().job());
@@ -188,13 +164,11 @@
     job.lastEnds.put(end.task(), end.at());
     if (end.reason() == EndReason.DONE) {
       members(job, end.task()).forEach(job.done::add);
-    } else if (end.reason() == EndReason.FAILED) {
-      job.failures.merge(end.task(), 1, Integer::sum);
     }
   }
 
   /** Returns the task, or all tasks of its gang: one member that is done completes the gang. */
-  private static Stream<TaskId> members(JobFacts job, TaskId task) {
+  static Stream<TaskId> members(JobFacts job, TaskId task) {
     return job.steps.get(task.step()).gang() ? job.tasksOf(task.step()) : Stream.of(task);
   }
 
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakExecutor.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakExecutor.java
@@ -189,7 +189,8 @@
     if (!work.permits(request.ticket(), id, id())) {
       return new CommandResult.Refused(Refusal.TICKET);
     }
-    recorder.record(at -> new Observation.Started(at, id(), id, request.run()));
+    recorder.record(
+        at -> new Observation.Started(at, id(), id, request.run(), request.checkpoint()));
     StepSpec step = work.step(id);
     if (step == null) {
       return new CommandResult.Refused(Refusal.INVALID);
@@ -280,7 +281,9 @@
         .filter(e -> e.number() <= request.acknowledgedEnd())
         .filter(e -> !endsBeforeLapse.contains(e.number()))
         .forEach(
-            e -> recorder.record(at -> new Observation.Acknowledged(at, e.task(), e.reason())));
+            e ->
+                recorder.record(
+                    at -> new Observation.Acknowledged(at, e.task(), e.run(), e.reason())));
     ended.removeIf(e -> e.number() <= request.acknowledgedEnd());
     if (!ended.isEmpty() || request.waitMillis() <= 0) {
       return Future.succeededFuture(report());
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakOracle.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakOracle.java
@@ -24,7 +24,6 @@
    *
    * @param executors the executors announced at first
    * @param adviceAllows decides by an executor's id whether the advice service allows it
-   * @param maxAttempts failed attempts of a task at which its job fails
    * @param evacuateMillis time after which nothing starts in an evacuated zone
    * @param checkEvacuation whether starts in an evacuated zone are violations
    * @param checkFairness whether a surge may not delay other organisations
@@ -33,7 +32,6 @@
       List<ExecutorInfo> executors,
       List<Organisation> organisations,
       Predicate<String> adviceAllows,
-      int maxAttempts,
       long keyRevokeMillis,
       long evacuateMillis,
       boolean checkEvacuation,
@@ -49,6 +47,8 @@
   private final Findings findings = new Findings(disturbances);
   private final Executors executors;
   private final RunChecks runChecks;
+  private final AttemptChecks attemptChecks;
+  private final GangChecks gangChecks;
   private final WaitingChecks waitingChecks;
   private final CallerChecks callerChecks;
   private final ConfigurationChecks configurationChecks;
@@ -57,6 +57,8 @@
     this.settings = settings;
     executors = new Executors(settings.executors());
     runChecks = new RunChecks(settings, jobs, executors, disturbances, findings);
+    attemptChecks = new AttemptChecks(jobs, findings);
+    gangChecks = new GangChecks(jobs, runChecks, disturbances, findings);
     waitingChecks = new WaitingChecks(settings, jobs, runChecks, executors, disturbances, findings);
     callerChecks = new CallerChecks(settings, jobs, disturbances, findings);
     configurationChecks = new ConfigurationChecks(settings, findings);
@@ -69,13 +71,20 @@
     switch (observation) {
       case Observation.Submitted s ->
           jobs.computeIfAbsent(
-                  s.job(),
-                  id -> new JobFacts(id, s.organisation(), s.needsAdvice(), s.steps(), s.at()))
+                  s.job(), id -> new JobFacts(id, s.organisation(), s.queue(), s.steps(), s.at()))
               .sent();
       case Observation.CancelSent c -> facts(c.job()).forEach(j -> j.cancelSent = true);
       case Answered a -> answered(a);
-      case Observation.Started s -> runChecks.started(s);
-      case Observation.Ended e -> runChecks.ended(e);
+      case Observation.Started s -> {
+        runChecks.started(s);
+        attemptChecks.started(s);
+        gangChecks.started(s);
+      }
+      case Observation.Ended e -> {
+        runChecks.ended(e);
+        attemptChecks.ended(e);
+        gangChecks.ended(e);
+      }
       case Observation.Acknowledged a -> acknowledged(a);
       case Observation.CrashCaused c ->
           facts(c.task().job()).forEach(j -> j.crashingTasks.add(c.task()));
@@ -91,7 +100,10 @@
       case Observation.LoadEnded e -> waitingChecks.loadEnded(e.at());
       case Observation.Disturbed d -> disturbances.add(d);
       case Observation.KeyWithdrawn k -> callerChecks.keyWithdrawn(k);
-      case Observation.Configured c -> configurationChecks.configured(c);
+      case Observation.Configured c -> {
+        configurationChecks.configured(c);
+        attemptChecks.configured(c);
+      }
       case Observation.Counted c -> configurationChecks.counted(c);
       case Observation.HostStarted s -> configurationChecks.hostStarted(s);
       case Observation.HostImpaired i -> configurationChecks.hostImpaired(i);
@@ -124,8 +136,10 @@
   }
 
   private void acknowledged(Observation.Acknowledged end) {
+    attemptChecks.acknowledged(end);
     if (end.reason() == EndReason.DONE) {
-      facts(end.task().job()).forEach(j -> j.acknowledgedDone.add(end.task()));
+      facts(end.task().job())
+          .forEach(j -> RunChecks.members(j, end.task()).forEach(j.acknowledgedDone::add));
     }
   }
 
@@ -189,11 +203,16 @@
 
   /** Returns a line that sums up what was seen. */
   public String summary() {
-    return "%d jobs, %d accepted, %d final, %d rejected throughout"
+    List<FailedRuns> gangs = jobs.values().stream().flatMap(JobFacts::failedRunsOfGangs).toList();
+    return ("%d jobs, %d accepted, %d final, %d rejected throughout; "
+            + "%d gangs started, %d runs of them failed, %d with several members")
         .formatted(
             jobs.size(),
             jobs.values().stream().filter(j -> j.acceptedAt >= 0).count(),
             jobs.values().stream().filter(JobFacts::isFinal).count(),
-            jobs.values().stream().filter(JobFacts::certainlyNotStored).count());
+            jobs.values().stream().filter(JobFacts::certainlyNotStored).count(),
+            gangs.size(),
+            gangs.stream().mapToInt(FailedRuns::count).sum(),
+            gangs.stream().mapToInt(FailedRuns::countOfSeveral).sum());
   }
 }
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakRun.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakRun.java
@@ -83,7 +83,6 @@
         executors,
         Site.organisations(),
         Site::adviceAllows,
-        Site.MAX_ATTEMPTS,
         Cluster.KEY_REVOKE_MILLIS,
         Cluster.EVACUATE_MILLIS,
         options.checkEvacuation(),
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/WaitingChecks.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/WaitingChecks.java
@@ -156,7 +156,7 @@
   private boolean hasRoomTwice(JobFacts job, StepSpec step, int dueTasks) {
     long slots =
         executors.open().stream()
-            .filter(e -> !job.needsAdvice || settings.adviceAllows().test(e.id()))
+            .filter(e -> !job.queue.needsAdvice() || settings.adviceAllows().test(e.id()))
             .filter(
                 e -> step.requiredLabel().isEmpty() || e.labels().contains(step.requiredLabel()))
             .mapToLong(e -> slots(e, step))
--- a/cactusspring-soak/src/test/java/io/cactusspring/soak/History.java
+++ b/cactusspring-soak/src/test/java/io/cactusspring/soak/History.java
@@ -4,6 +4,7 @@
 import io.cactusspring.jobs.model.ExecutorInfo;
 import io.cactusspring.jobs.model.JobState;
 import io.cactusspring.jobs.model.Organisation;
+import io.cactusspring.jobs.model.Queue;
 import io.cactusspring.jobs.model.StepSpec;
 import io.cactusspring.jobs.model.TaskId;
 import io.cactusspring.jobs.port.ExecutorClient.EndReason;
@@ -19,7 +20,9 @@
   static final String JOB = "000000000000000a";
   static final String HOST = "host0";
   private static final String KEY = "org-a";
-  private static final int MAX_ATTEMPTS = 2;
+  static final int MAX_ATTEMPTS = 2;
+  static final Queue QUEUE =
+      new Queue("queue", "", "/queue/", "s", 0, MAX_ATTEMPTS, 1.5, 250, null, false);
 
   private final SoakOracle oracle;
   private long now;
@@ -41,7 +44,6 @@
                 executors,
                 organisations,
                 id -> !id.equals("x1"),
-                MAX_ATTEMPTS,
                 5_000,
                 5_000,
                 optionalChecks,
@@ -77,7 +79,7 @@
   }
 
   History sent(String job, String organisation, StepSpec... steps) {
-    return observe(at -> new Observation.Submitted(at, job, organisation, false, List.of(steps)));
+    return observe(at -> new Observation.Submitted(at, job, organisation, QUEUE, List.of(steps)));
   }
 
   History sent(StepSpec... steps) {
@@ -102,7 +104,15 @@
   }
 
   History started(String executor, TaskId task, int run) {
-    return observe(at -> new Observation.Started(at, executor, task, run));
+    return started(executor, task, run, "");
+  }
+
+  History started(String executor, TaskId task, int run, String checkpoint) {
+    return observe(at -> new Observation.Started(at, executor, task, run, checkpoint));
+  }
+
+  History acknowledged(TaskId task, int run, EndReason reason) {
+    return observe(at -> new Observation.Acknowledged(at, task, run, reason));
   }
 
   History ended(String executor, TaskId task, int run, EndReason reason) {
--- a/cactusspring-soak/src/test/java/io/cactusspring/soak/SoakOracleTest.java
+++ b/cactusspring-soak/src/test/java/io/cactusspring/soak/SoakOracleTest.java
@@ -40,7 +40,7 @@
         .ended("x1", task(0, 1), 1, EndReason.FAILED)
         .started("x1", task(0, 1), 2)
         .ended("x1", task(0, 1), 2, EndReason.DONE)
-        .observe(at -> new Observation.Acknowledged(at, task(0, 1), EndReason.DONE))
+        .acknowledged(task(0, 1), 2, EndReason.DONE)
         .done("x0", task(1, 0))
         .seen(JobState.COMPLETED);
     assertThat(history.brokenAtTheEnd()).isEmpty();
@@ -73,7 +73,7 @@
     history
         .accepted(SMALL)
         .done("x0", task(0, 0))
-        .observe(at -> new Observation.Acknowledged(at, task(0, 0), EndReason.DONE))
+        .acknowledged(task(0, 0), 1, EndReason.DONE)
         .started("x1", task(0, 0), 2);
     assertThat(history.broken()).containsExactly(Rule.RUN_AFTER_ACKNOWLEDGED_END);
   }
@@ -110,7 +110,7 @@
     history
         .accepted(step(2, 1_000).gang(true).build())
         .started("x0", task(0, 0), 1)
-        .pass(RunChecks.GANG_MILLIS);
+        .pass(GangChecks.GANG_MILLIS);
     assertThat(history.broken()).containsExactly(Rule.GANG_INCOMPLETE);
   }
 
