--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/Cluster.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/Cluster.java
@@ -16,6 +16,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.function.Function;
@@ -65,8 +66,10 @@
   Future<Void> listen(int hostCount, LoadPlan load, Function<String, Arrival> jobs) {
     List<Future<?>> listening = new ArrayList<>();
     listening.add(advice.listen(() -> Treatment.NORMAL));
+    Tasks tasks = new Tasks(load, jobs);
+    GangRuns gangs = new GangRuns(Timers.of(vertx), tasks, seed + 5);
     for (ExecutorShape shape : Site.executors()) {
-      SoakExecutor executor = new SoakExecutor(shape, vertx, recorder, new Tasks(load, jobs));
+      SoakExecutor executor = new SoakExecutor(shape, vertx, recorder, tasks, gangs);
       FaultSwitch faults = new FaultSwitch(seed + 100 + executors.size());
       executors.add(executor);
       executorFaults.add(faults);
@@ -171,7 +174,7 @@
     return hosts;
   }
 
-  private final class Tasks implements SoakExecutor.Work {
+  private final class Tasks implements SoakExecutor.Work, GangRuns.Plan {
     private final LoadPlan load;
     private final Function<String, Arrival> jobs;
 
@@ -201,6 +204,21 @@
       return crashLoops ? load.crashMillis(task) : OptionalLong.empty();
     }
 
+    @Override
+    public boolean crashes(TaskId task) {
+      return crashMillis(task).isPresent();
+    }
+
+    @Override
+    public long millis(StepId gang, StepSpec step) {
+      return load.gangMillis(gang, step);
+    }
+
+    @Override
+    public Optional<GangFailure> failure(StepId gang, StepSpec step, int run) {
+      return load.gangFailure(gang, step, run);
+    }
+
     @Override
     public void crashed(SoakExecutor executor) {
       long untilCalm = REPLACEMENT_MILLIS + FaultInjector.RECOVERY_MILLIS;
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/LoadPlan.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/LoadPlan.java
@@ -2,14 +2,19 @@
 
 import io.cactusspring.core.model.Resources;
 import io.cactusspring.jobs.model.Queue;
+import io.cactusspring.jobs.model.StepId;
 import io.cactusspring.jobs.model.StepSpec;
 import io.cactusspring.jobs.model.TaskId;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 /** Draws the jobs of a run, and the durations of their tasks, from its seed. */
 final class LoadPlan {
@@ -43,19 +48,22 @@
   private final long seed;
   private final List<Fault> faults;
   private final int failurePermille;
+  private final GangPlan gangs;
   private final List<Arrival> arrivals = new ArrayList<>();
 
   /**
    * Creates a plan.
    *
    * @param failurePermille share of the runs that fail
+   * @param gangsPerMinute jobs with gangs beside the other jobs
    */
-  LoadPlan(long seed, List<Fault> faults, int failurePermille) {
+  LoadPlan(long seed, List<Fault> faults, int failurePermille, int gangsPerMinute) {
     // Differs from the seed of the faults, so that the two plans are independent.
     random = new Random(seed * 31 + 7);
     this.seed = seed;
     this.faults = faults;
     this.failurePermille = failurePermille;
+    gangs = new GangPlan(seed, gangsPerMinute);
   }
 
   /** Draws the arrivals of a duration, in the order of their times. */
@@ -67,6 +75,7 @@
       fill(durationMillis, Site.BATCH, i, BATCH_PER_SECOND * share);
       fill(durationMillis, Site.SERVING, i, SERVING_PER_SECOND * share);
     }
+    arrivals.addAll(gangs.draw(durationMillis));
     return arrivals.stream().sorted(Comparator.comparingLong(Arrival::at)).toList();
   }
 
@@ -163,4 +172,26 @@
     ofRun.nextInt();
     return ofRun.nextInt(1_000) < failurePermille;
   }
+
+  /** Returns how long a gang works on normal executors: as long as its slowest member. */
+  long gangMillis(StepId gang, StepSpec step) {
+    return members(gang, step).mapToLong(t -> taskMillis(t, step)).max().orElse(1);
+  }
+
+  /** Returns how a run of a gang fails, if it does. */
+  Optional<GangFailure> gangFailure(StepId gang, StepSpec step, int run) {
+    if (gangs.contains(gang.job())) {
+      return gangs.failure(gang, step.tasks(), run);
+    }
+    Map<Integer, Long> failing =
+        members(gang, step)
+            .filter(t -> fails(t, run))
+            .collect(Collectors.toMap(TaskId::index, t -> 0L));
+    return failing.isEmpty() ? Optional.empty() : Optional.of(new GangFailure(100, failing));
+  }
+
+  private static Stream<TaskId> members(StepId gang, StepSpec step) {
+    return IntStream.range(0, step.tasks())
+        .mapToObj(i -> new TaskId(gang.job(), gang.occurrence(), gang.step(), i));
+  }
 }
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/Site.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/Site.java
@@ -21,6 +21,12 @@
   static final Queue SERVING = queue("serving", 1, 2, 1_000, null);
   static final Queue BATCH = queue("batch", 2, 2.2, 1_200, null);
 
+  /**
+   * Jobs of this queue may fail in one run only; a run that counts twice uses up their attempts.
+   */
+  static final Queue FRAGILE =
+      new Queue("fragile", "soak.example", "/fragile/", SERVICE, 1, 2, 1.5, 400, null, false);
+
   /** Queues that operators add and remove again, and one that never exists. */
   static final Queue EXTRA = queue("extra", 0, 1.5, 250, null);
 
@@ -115,7 +121,7 @@
   static Deployment deployment() {
     return new Deployment(
         1,
-        List.of(QUICK, ADVISED, SERVING, BATCH),
+        List.of(QUICK, ADVISED, SERVING, BATCH, FRAGILE),
         List.of(new ServiceDefinition(SERVICE, false)),
         organisations());
   }
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/Soak.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/Soak.java
@@ -78,6 +78,11 @@
         .type(Integer.class)
         .setDefault(5)
         .help("failing runs of a thousand");
+    parser
+        .addArgument("--gangs")
+        .type(Integer.class)
+        .setDefault(0)
+        .help("jobs with gangs a minute, most of which fail at times, beside the other jobs");
     parser
         .addArgument("--keep")
         .action(Arguments.storeTrue())
@@ -103,6 +108,7 @@
             arguments.getBoolean("check_fairness"),
             arguments.getBoolean("crash_loops"),
             arguments.getInt("failures"),
+            arguments.getInt("gangs"),
             root,
             folder);
     String command = replayCommand(arguments);
@@ -140,13 +146,14 @@
   }
 
   private static String replayCommand(Namespace arguments) {
-    return "bin/soak --seed %s --minutes %s --hosts %s --faults %s --failures %s%s%s%s"
+    return "bin/soak --seed %s --minutes %s --hosts %s --faults %s --failures %s --gangs %s%s%s%s"
         .formatted(
             arguments.get("seed"),
             arguments.get("minutes"),
             arguments.get("hosts"),
             arguments.get("faults"),
             arguments.get("failures"),
+            arguments.get("gangs"),
             arguments.getBoolean("check_evacuation") ? " --check-evacuation" : "",
             arguments.getBoolean("check_fairness") ? " --check-fairness" : "",
             arguments.getBoolean("crash_loops") ? " --crash-loops" : "");
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakExecutor.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakExecutor.java
@@ -56,6 +56,7 @@
   private final Vertx vertx;
   private final Recorder recorder;
   private final Work work;
+  private final GangRuns gangs;
   private final Map<TaskId, SoakTask> running = new LinkedHashMap<>();
   private final List<EndedRun> ended = new ArrayList<>();
 
@@ -74,11 +75,12 @@
   private int capacityPercent = 100;
   private int generation;
 
-  SoakExecutor(ExecutorShape shape, Vertx vertx, Recorder recorder, Work work) {
+  SoakExecutor(ExecutorShape shape, Vertx vertx, Recorder recorder, Work work, GangRuns gangs) {
     this.shape = shape;
     this.vertx = vertx;
     this.recorder = recorder;
     this.work = work;
+    this.gangs = gangs;
     vertx.setPeriodic(LEASE_CHECK_MILLIS, id -> checkLease());
   }
 
@@ -131,7 +133,7 @@
   private void stop(boolean crashed) {
     up = false;
     recorder.record(at -> new Observation.ExecutorLost(at, id(), crashed));
-    running.values().forEach(t -> t.ended = true);
+    running.values().forEach(t -> t.ended(false));
     running.clear();
     ended.clear();
     endsBeforeLapse.clear();
@@ -196,17 +198,34 @@
       return new CommandResult.Refused(Refusal.INVALID);
     }
     extendLease(request.leaseEndMillis());
-    long total = Math.max(1, Math.round(work.millis(id) * shape.durationFactor()));
-    SoakTask task = new SoakTask(request, step, uptimeMillis(), total);
+    SoakTask task = step.gang() ? joinGang(request, step) : startAlone(request, step);
     running.put(id, task);
-    OptionalLong crash = work.crashMillis(id);
-    if (crash.isPresent()) {
-      vertx.setTimer(crash.getAsLong(), timer -> crashUnder(task));
-    } else if (!step.longRunning()) {
+    work.crashMillis(id).ifPresent(millis -> vertx.setTimer(millis, timer -> crashUnder(task)));
+    return done();
+  }
+
+  private SoakTask startAlone(StartRequest request, StepSpec step) {
+    TaskId id = request.task();
+    long total = Math.max(1, Math.round(work.millis(id) * shape.durationFactor()));
+    long saved = request.checkpoint().isEmpty() ? 0 : Long.parseLong(request.checkpoint());
+    SoakTask task =
+        new SoakTask(
+            id,
+            request.run(),
+            step,
+            new SoakTask.OwnProgress(this::uptimeMillis, uptimeMillis(), saved, total));
+    if (work.crashMillis(id).isEmpty() && !step.longRunning()) {
       EndReason reason = work.fails(id, task.run) ? EndReason.FAILED : EndReason.DONE;
-      vertx.setTimer(Math.max(1, total - task.doneMillis), timer -> end(task, reason));
+      vertx.setTimer(Math.max(1, total - saved), timer -> end(task, reason));
     }
-    return done();
+    return task;
+  }
+
+  private SoakTask joinGang(StartRequest request, StepSpec step) {
+    GangRun gang = gangs.run(request.task(), request.run(), step, request.checkpoint());
+    SoakTask task = new SoakTask(request.task(), request.run(), step, gang);
+    gang.join(new GangRun.Member(task.id, shape.durationFactor(), reason -> end(task, reason)));
+    return task;
   }
 
   private void crashUnder(SoakTask task) {
@@ -257,11 +276,10 @@
     if (task.ended) {
       return;
     }
-    task.ended = true;
+    task.ended(reason == EndReason.DONE);
     running.remove(task.id);
     highestEndedRun.merge(task.id, task.run, Math::max);
-    ended.add(
-        new EndedRun(++lastEndNumber, task.id, task.run, reason, task.checkpoint(uptimeMillis())));
+    ended.add(new EndedRun(++lastEndNumber, task.id, task.run, reason, task.checkpoint()));
     recorder.record(at -> new Observation.Ended(at, id(), task.id, task.run, reason));
     List<Runnable> reports = List.copyOf(pendingReports);
     pendingReports.clear();
@@ -304,7 +322,7 @@
     if (!up) {
       return new LeaseRenewalResult.Unknown("executor is down");
     }
-    List<ActiveRun> runs = running.values().stream().map(t -> t.active(uptimeMillis())).toList();
+    List<ActiveRun> runs = running.values().stream().map(t -> t.active()).toList();
     return new LeaseRenewalResult.Report(uptimeMillis(), bootMillis, runs, List.copyOf(ended));
   }
 
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakRun.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakRun.java
@@ -25,6 +25,7 @@
    *
    * @param crashLoops whether some tasks crash the executors on which they start
    * @param failurePermille share of the runs that fail
+   * @param gangsPerMinute jobs with gangs beside the other jobs
    * @param root directory of the repository
    * @param folder directory for the plan and the logs
    */
@@ -37,6 +38,7 @@
       boolean checkFairness,
       boolean crashLoops,
       int failurePermille,
+      int gangsPerMinute,
       Path root,
       Path folder) {}
 
@@ -120,7 +122,8 @@
     long faultMillis = options.durationMillis() - FaultInjector.RECOVERY_MILLIS;
     List<Fault> faults =
         FaultPlan.draw(options.seed(), faultMillis, options.hosts(), options.faults());
-    LoadPlan load = new LoadPlan(options.seed(), faults, options.failurePermille());
+    LoadPlan load =
+        new LoadPlan(options.seed(), faults, options.failurePermille(), options.gangsPerMinute());
     List<Arrival> arrivals = load.draw(options.durationMillis());
     return cluster
         .listen(options.hosts(), load, id -> callers.arrival(id).orElse(null))
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakTask.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakTask.java
@@ -3,48 +3,71 @@
 import io.cactusspring.jobs.model.StepSpec;
 import io.cactusspring.jobs.model.TaskId;
 import io.cactusspring.jobs.port.ExecutorClient.ActiveRun;
-import io.cactusspring.jobs.port.ExecutorClient.StartRequest;
+import java.util.Optional;
+import java.util.function.LongSupplier;
 
 /** A run of a task on a stand-in executor. */
 final class SoakTask {
   final TaskId id;
   final int run;
-  final long doneMillis;
   private final StepSpec step;
-  private final long startedAt;
-  private final long totalMillis;
+  private final Progress progress;
+  private final Optional<GangRun> gang;
   boolean ended;
 
+  /** Creates a run of a task that works by itself. */
+  SoakTask(TaskId id, int run, StepSpec step, Progress progress) {
+    this(id, run, step, progress, Optional.empty());
+  }
+
+  /** Creates a member of a run of a gang. */
+  SoakTask(TaskId id, int run, StepSpec step, GangRun gang) {
+    this(id, run, step, gang, Optional.of(gang));
+  }
+
+  private SoakTask(TaskId id, int run, StepSpec step, Progress progress, Optional<GangRun> gang) {
+    this.id = id;
+    this.run = run;
+    this.step = step;
+    this.progress = progress;
+    this.gang = gang;
+  }
+
   /**
-   * Creates a run that starts now.
+   * Progress of a run that works from its start on.
    *
-   * @param startedAt the executor's uptime in milliseconds
-   * @param totalMillis duration of the whole task on this executor
+   * @param uptime the executor's uptime in milliseconds
+   * @param savedMillis work that was done before the checkpoint of the start
    */
-  SoakTask(StartRequest request, StepSpec step, long startedAt, long totalMillis) {
-    id = request.task();
-    run = request.run();
-    this.step = step;
-    this.startedAt = startedAt;
-    this.totalMillis = totalMillis;
-    doneMillis = request.checkpoint().isEmpty() ? 0 : Long.parseLong(request.checkpoint());
+  record OwnProgress(LongSupplier uptime, long startedAt, long savedMillis, long totalMillis)
+      implements Progress {
+    @Override
+    public long doneMillis() {
+      return savedMillis + uptime.getAsLong() - startedAt;
+    }
   }
 
-  private long doneMillis(long uptimeMillis) {
-    return doneMillis + uptimeMillis - startedAt;
+  /** Ends the run, of which the other members of its gang take note. */
+  void ended(boolean done) {
+    ended = true;
+    if (!done) {
+      gang.ifPresent(GangRun::memberLeft);
+    }
   }
 
-  String checkpoint(long uptimeMillis) {
+  String checkpoint() {
     return step.checkpoints()
-        ? String.valueOf(Math.min(doneMillis(uptimeMillis), totalMillis))
+        ? String.valueOf(Math.min(progress.doneMillis(), progress.totalMillis()))
         : "";
   }
 
-  /** Returns what the executor reports of the run at a time. */
-  ActiveRun active(long uptimeMillis) {
+  /** Returns what the executor reports of the run. */
+  ActiveRun active() {
     int percent =
-        step.longRunning() ? 0 : (int) Math.min(99, doneMillis(uptimeMillis) * 100 / totalMillis);
+        step.longRunning()
+            ? 0
+            : (int) Math.min(99, progress.doneMillis() * 100 / progress.totalMillis());
     long usage = step.longRunning() ? 10 : step.resources().milliProcessors();
-    return new ActiveRun(id, run, checkpoint(uptimeMillis), percent, usage);
+    return new ActiveRun(id, run, checkpoint(), percent, usage);
   }
 }
--- a/cactusspring-soak/src/test/java/io/cactusspring/soak/PlanTest.java
+++ b/cactusspring-soak/src/test/java/io/cactusspring/soak/PlanTest.java
@@ -2,12 +2,15 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.cactusspring.jobs.model.StepId;
+import io.cactusspring.jobs.model.StepSpec;
 import io.cactusspring.soak.Fault.Group;
 import io.cactusspring.soak.Fault.Kind;
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 
@@ -23,8 +26,8 @@
   void seedDeterminesFaultsAndLoad() {
     assertThat(draw(5)).isEqualTo(draw(5));
     assertThat(draw(5)).isNotEqualTo(draw(6));
-    assertThat(new LoadPlan(5, draw(5), 0).draw(MINUTE))
-        .isEqualTo(new LoadPlan(5, draw(5), 0).draw(MINUTE));
+    assertThat(new LoadPlan(5, draw(5), 0, 30).draw(MINUTE))
+        .isEqualTo(new LoadPlan(5, draw(5), 0, 30).draw(MINUTE));
   }
 
   @Test
@@ -46,7 +49,7 @@
   @Test
   void runWithoutFaultsHasOnlyLoad() {
     assertThat(FaultPlan.draw(5, MINUTE, 4, EnumSet.noneOf(Group.class))).isEmpty();
-    assertThat(new LoadPlan(5, List.of(), 0).draw(MINUTE).size()).isGreaterThan(300);
+    assertThat(new LoadPlan(5, List.of(), 0, 0).draw(MINUTE).size()).isGreaterThan(300);
   }
 
   @Test
@@ -58,7 +61,41 @@
   }
 
   private static long jobsOf(String organisation, List<Fault> faults) {
-    return new LoadPlan(5, faults, 0)
+    return new LoadPlan(5, faults, 0, 0)
         .draw(MINUTE).stream().filter(a -> a.organisation().equals(organisation)).count();
   }
+
+  @Test
+  void gangsLeaveTheOtherJobsOfASeedAsTheyAre() {
+    List<Arrival> without = new LoadPlan(5, draw(5), 0, 0).draw(MINUTE);
+    List<Arrival> with = new LoadPlan(5, draw(5), 0, 30).draw(MINUTE);
+    assertThat(with).containsAtLeastElementsIn(without).inOrder();
+    assertThat(with.size()).isGreaterThan(without.size() + 15);
+  }
+
+  @Test
+  void gangsOfAllSizesFailWithOneAndWithSeveralMembers() {
+    GangPlan plan = new GangPlan(5, 60);
+    List<Arrival> jobs = plan.draw(2 * MINUTE);
+    Set<Integer> sizes =
+        jobs.stream()
+            .flatMap(a -> a.steps().stream())
+            .map(StepSpec::tasks)
+            .collect(Collectors.toSet());
+    assertThat(sizes).containsExactly(GangPlan.MIN_MEMBERS, 3, 4, 5, GangPlan.MAX_MEMBERS);
+    Set<Integer> failing =
+        jobs.stream().flatMap(a -> failingMembers(plan, a).stream()).collect(Collectors.toSet());
+    assertThat(failing).containsAtLeast(0, 1, 2, GangPlan.MAX_MEMBERS);
+  }
+
+  /** Returns how many members of the first run of each gang of a job fail. */
+  private static List<Integer> failingMembers(GangPlan plan, Arrival job) {
+    return IntStream.range(0, job.steps().size())
+        .mapToObj(
+            i ->
+                plan.failure(new StepId(job.id(), 0, i), job.steps().get(i).tasks(), 1)
+                    .map(f -> f.delays().size())
+                    .orElse(0))
+        .toList();
+  }
 }
