--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/ledger/LedgerCodecTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/ledger/LedgerCodecTest.java
@@ -145,10 +145,10 @@
         .isEqualTo("160a1506112606" + "00");
   }
 
-  private static JobProgress progressOfAStep(int failedRun) {
+  private static JobProgress progressOfAStep(int failedRun, int crashedRun) {
     List<TaskProgress> tasks =
         List.of(new TaskProgress(false, 1, 1, "", 0, ""), new TaskProgress(false, 1, 0, "", 0, ""));
-    StepProgress step = new StepProgress(0, 0, false, tasks, failedRun);
+    StepProgress step = new StepProgress(0, 0, false, tasks, failedRun, crashedRun);
     return new JobProgress(5, 3, JobState.RUNNING, true, List.of(step), "", "");
   }
 
@@ -160,21 +160,22 @@
   @Test
   void progressWithoutAFailedRunOfAGangIsEncodedAsByEarlierVersions() {
     String step = "49" + "2c" + "2502" + "1502" + "00" + "2502" + "00" + "00";
-    assertThat(hexOf(progressOfAStep(0)))
+    assertThat(hexOf(progressOfAStep(0, 0)))
         .isEqualTo("160a" + "1504" + "11" + "180e" + "191c" + step + "00" + "1606" + "00");
   }
 
   @Test
   void failedRunOfAGangFollowsTheFieldsOfEarlierVersions() {
     String step = "49" + "2c" + "2502" + "1502" + "00" + "2502" + "00" + "1502" + "00";
-    assertThat(hexOf(progressOfAStep(1)))
+    assertThat(hexOf(progressOfAStep(1, 0)))
         .isEqualTo("160a" + "1504" + "11" + "1810" + "191c" + step + "00" + "1606" + "00");
   }
 
   @Test
-  void decodedFailedRunEqualsEncodedOne() {
+  void decodedRunsThatWereCountedEqualEncodedOnes() {
     for (int run : List.of(0, 1, 70, 100_000)) {
-      assertThat(read(progressOfAStep(run))).hasValue(progressOfAStep(run));
+      assertThat(read(progressOfAStep(run, 0))).hasValue(progressOfAStep(run, 0));
+      assertThat(read(progressOfAStep(3, run))).hasValue(progressOfAStep(3, run));
     }
   }
 
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/ProgressRecordSizeTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/ProgressRecordSizeTest.java
@@ -31,6 +31,6 @@
     TaskProgress member =
         new TaskProgress(
             false, 20_000, 20_000, "x".repeat(48), 1_800_000_000_000L, "c".repeat(16), 4, 4, 4);
-    return new StepProgress(occurrence, 100, false, List.of(member), 20_000);
+    return new StepProgress(occurrence, 100, false, List.of(member), 20_000, 20_000);
   }
 }
