Restore the attempts of a single task with the task

WaitMonitorTest.suspectWithRoomIsPlacedApart failed: it restores one task from its progress, and the crashes were restored by the step since they belong to Attempts.

Change: a task restores its own attempts; a step restores those of a gang only.

Measured: all tests of cactusspring-jobs pass in one run.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveStep.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveStep.java
@@ -247,9 +247,6 @@
     int known = Math.min(tasks.size(), stored.tasks().size());
     if (spec.gang()) {
       gangAttempts.restoreGang(stored);
-    } else {
-      IntStream.range(0, known)
-          .forEach(i -> tasks.get(i).attempts().restore(stored.tasks().get(i)));
     }
     IntStream.range(0, known).forEach(i -> tasks.get(i).restore(stored.tasks().get(i)));
   }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveTask.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveTask.java
@@ -158,7 +158,11 @@
         withCrashes ? crashes.other() : 0);
   }
 
+  /** Restores stored progress; the attempts of a gang are restored by its step. */
   void restore(TaskProgress stored) {
+    if (!step.spec().gang()) {
+      attempts.restore(stored);
+    }
     lastRun = stored.run();
     if (hasBegun()) {
       step.taskBegun();
