Test how crashes that an earlier version stored by member are read

Guards against counts of a gang that are lost, or stay spread over the members, when a host of this version takes over from one of the earlier version.

Change: GangCrashesTest reads a record with a crash each of two members and no counted run; the sum is stored for the first member, and the third crash ends the job.

--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/GangCrashesTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/GangCrashesTest.java
@@ -3,10 +3,12 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import io.cactusspring.jobs.ledger.StepProgress;
+import io.cactusspring.jobs.ledger.TaskProgress;
 import io.cactusspring.jobs.model.JobState;
 import io.cactusspring.jobs.port.ExecutorClient.EndReason;
 import io.cactusspring.jobs.port.ExecutorClient.StartRequest;
 import java.util.List;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -152,6 +154,27 @@
     assertThat(storedCrashes()).isEqualTo(1);
   }
 
+  /** Guards against counts that are lost when the earlier version has stored them by member. */
+  @Test
+  void countsThatAreStoredByMemberAreAddedUp() {
+    List<TaskProgress> members =
+        IntStream.range(0, GangFleet.MEMBERS)
+            .mapToObj(i -> new TaskProgress(false, 3, 0, "", 0, "", i < 2 ? 1 : 0, 0, 0))
+            .toList();
+    fleet.store();
+    fleet.replaceStored(JOB, new StepProgress(0, 0, false, members));
+    fleet.takeOver();
+    assertThat(startRun()).isEqualTo(4);
+    StepProgress stored = fleet.stored(JOB);
+    assertThat(stored.tasks().stream().map(TaskProgress::crashes).toList())
+        .containsExactly(2, 0, 0, 0)
+        .inOrder();
+    crash(0);
+    assertThat(fleet.entry(JOB).state()).isEqualTo(JobState.RUNNING);
+    fleet.store();
+    assertThat(fleet.entry(JOB).state()).isEqualTo(JobState.FAILED);
+  }
+
   /** Guards against counts that an earlier version, which adds up the members, reads twice. */
   @Test
   void countsOfTheGangAreStoredOnce() {
@@ -162,6 +185,6 @@
     crash(2);
     List<Integer> crashes =
         fleet.stored(JOB).tasks().stream().map(t -> t.crashes() + t.otherCrashes()).toList();
-    assertThat(crashes.stream().mapToInt(n -> n).sum()).isEqualTo(2);
+    assertThat(crashes).containsExactly(2, 0, 0, 0).inOrder();
   }
 }
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/GangFleet.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/GangFleet.java
@@ -127,6 +127,14 @@
     return entry(job).progress().map(JobProgress::steps).orElseThrow().get(0);
   }
 
+  /** Replaces the stored progress of the only step of a job. */
+  void replaceStored(String job, StepProgress step) {
+    JobProgress last = entry(job).progress().orElseThrow();
+    JobProgress changed =
+        new JobProgress(last.term(), last.version() + 1, last.state(), true, List.of(step), "", "");
+    store.applyLane(0, LedgerCodec.progress(job, changed));
+  }
+
   JobScheduler owner() {
     return owner;
   }
