Kill the hosts between two failures of a gang in the soak on request

A new owner that counts a run again, of which the last owner had counted another member, is a fault of its own, which a count in memory does not mend.

--takeovers kills all hosts once a failure was acknowledged while further members of the run are about to fail.

--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/Cluster.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/Cluster.java
@@ -4,6 +4,8 @@
 import io.cactusspring.jobs.model.StepId;
 import io.cactusspring.jobs.model.StepSpec;
 import io.cactusspring.jobs.model.TaskId;
+import io.cactusspring.jobs.port.ExecutorClient.EndReason;
+import io.cactusspring.jobs.port.ExecutorClient.EndedRun;
 import io.cactusspring.platform.standin.AdviceServer;
 import io.cactusspring.platform.standin.ExecutorServer;
 import io.cactusspring.platform.standin.SettingsFile;
@@ -45,6 +47,7 @@
   private final List<String> executorAddresses = new ArrayList<>();
   private final List<LinkProxy> links = new ArrayList<>();
   private final List<HostProcess> hosts = new ArrayList<>();
+  private Runnable partialFailure = () -> {};
 
   /**
    * Creates the stand-ins.
@@ -67,9 +70,8 @@
     List<Future<?>> listening = new ArrayList<>();
     listening.add(advice.listen(() -> Treatment.NORMAL));
     Tasks tasks = new Tasks(load, jobs);
-    GangRuns gangs = new GangRuns(Timers.of(vertx), tasks, seed + 5);
     for (ExecutorShape shape : Site.executors()) {
-      SoakExecutor executor = new SoakExecutor(shape, vertx, recorder, tasks, gangs);
+      SoakExecutor executor = new SoakExecutor(shape, vertx, recorder, tasks, tasks.gangs);
       FaultSwitch faults = new FaultSwitch(seed + 100 + executors.size());
       executors.add(executor);
       executorFaults.add(faults);
@@ -150,6 +152,11 @@
     announce(index, true);
   }
 
+  /** Sets what is done when a failure is acknowledged and others of its run are to come. */
+  void onPartialFailure(Runnable action) {
+    partialFailure = action;
+  }
+
   StoreServer store() {
     return store;
   }
@@ -177,6 +184,7 @@
   private final class Tasks implements SoakExecutor.Work, GangRuns.Plan {
     private final LoadPlan load;
     private final Function<String, Arrival> jobs;
+    private final GangRuns gangs = new GangRuns(Timers.of(vertx), this, seed + 5);
 
     Tasks(LoadPlan load, Function<String, Arrival> jobs) {
       this.load = load;
@@ -219,6 +227,13 @@
       return load.gangFailure(gang, step, run);
     }
 
+    @Override
+    public void acknowledged(EndedRun end) {
+      if (end.reason() == EndReason.FAILED && gangs.failsFurther(end.task(), end.run())) {
+        partialFailure.run();
+      }
+    }
+
     @Override
     public void crashed(SoakExecutor executor) {
       long untilCalm = REPLACEMENT_MILLIS + FaultInjector.RECOVERY_MILLIS;
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/FaultInjector.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/FaultInjector.java
@@ -15,7 +15,7 @@
   private static final long DRAIN_MILLIS = 2_000;
 
   /** A signal has its effect within this time. */
-  private static final long SIGNAL_MILLIS = 300;
+  static final long SIGNAL_MILLIS = 300;
 
   private final Vertx vertx;
   private final Recorder recorder;
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/GangRun.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/GangRun.java
@@ -5,6 +5,7 @@
 import io.cactusspring.jobs.model.TaskId;
 import io.cactusspring.jobs.port.ExecutorClient.EndReason;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -47,6 +48,7 @@
   private long begunAt;
   private long workedMillis;
   private double durationFactor = 1;
+  private long lastFailureAt;
 
   /**
    * Creates a run that no member has joined.
@@ -107,12 +109,18 @@
   /** Ends members as failed. Those whose turn comes later may have ended in another way by then. */
   private void fail(Map<Integer, Long> delays) {
     if (phase == Phase.WORKING) {
+      lastFailureAt = timers.nowMillis() + Collections.max(delays.values());
       members.stream()
           .filter(m -> delays.containsKey(m.task().index()))
           .forEach(m -> endFailed(m, delays.get(m.task().index())));
     }
   }
 
+  /** Returns whether members have failed and others are to, unless they end otherwise before. */
+  boolean failsFurther() {
+    return timers.nowMillis() < lastFailureAt;
+  }
+
   private void endFailed(Member member, long delay) {
     if (delay == 0) {
       member.end().accept(EndReason.FAILED);
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/GangRuns.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/GangRuns.java
@@ -35,6 +35,12 @@
     this.seed = seed;
   }
 
+  /** Returns whether a run of a gang has begun to fail and further members are to fail. */
+  boolean failsFurther(TaskId member, int run) {
+    GangRun known = runs.get(new Key(member.stepId(), run));
+    return known != null && known.failsFurther();
+  }
+
   /**
    * Returns a run of a gang; the same one for all its members, also after it has ended.
    *
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/HostProcess.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/HostProcess.java
@@ -24,6 +24,7 @@
   private long startedNanos;
   private volatile boolean endExpected;
   private volatile boolean closed;
+  private boolean stopping;
 
   /**
    * Creates a host that is not started yet.
@@ -79,6 +80,7 @@
       process = started;
       Files.writeString(folder.resolve(name() + ".pid"), started.pid() + "\n");
       endExpected = false;
+      stopping = false;
       var unused =
           started.onExit().thenAccept(p -> vertx.runOnContext(v -> ended(started, p.exitValue())));
     } catch (IOException e) {
@@ -115,12 +117,18 @@
       return;
     }
     endExpected = true;
+    stopping = true;
     recorder.record(at -> new Observation.PlannedStop(at, name()));
     Process stopping = process;
     stopping.destroy();
     vertx.setTimer(settings.graceSeconds() * 1_000, id -> stopping.destroyForcibly());
   }
 
+  /** Returns whether the process has been asked to end and was not started again. */
+  boolean isStopping() {
+    return stopping;
+  }
+
   /** Sends SIGHUP, on which the host reads its settings again, unless it is starting. */
   void reload() {
     if (System.nanoTime() - startedNanos > STARTING_NANOS) {
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/Soak.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/Soak.java
@@ -83,6 +83,10 @@
         .type(Integer.class)
         .setDefault(0)
         .help("jobs with gangs a minute, most of which fail at times, beside the other jobs");
+    parser
+        .addArgument("--takeovers")
+        .action(Arguments.storeTrue())
+        .help("kill all hosts at times between the failures of two members of a gang");
     parser
         .addArgument("--keep")
         .action(Arguments.storeTrue())
@@ -109,6 +113,7 @@
             arguments.getBoolean("crash_loops"),
             arguments.getInt("failures"),
             arguments.getInt("gangs"),
+            arguments.getBoolean("takeovers"),
             root,
             folder);
     String command = replayCommand(arguments);
@@ -146,7 +151,7 @@
   }
 
   private static String replayCommand(Namespace arguments) {
-    return "bin/soak --seed %s --minutes %s --hosts %s --faults %s --failures %s --gangs %s%s%s%s"
+    return "bin/soak --seed %s --minutes %s --hosts %s --faults %s --failures %s --gangs %s%s%s%s%s"
         .formatted(
             arguments.get("seed"),
             arguments.get("minutes"),
@@ -156,7 +161,8 @@
             arguments.get("gangs"),
             arguments.getBoolean("check_evacuation") ? " --check-evacuation" : "",
             arguments.getBoolean("check_fairness") ? " --check-fairness" : "",
-            arguments.getBoolean("crash_loops") ? " --crash-loops" : "");
+            arguments.getBoolean("crash_loops") ? " --crash-loops" : "",
+            arguments.getBoolean("takeovers") ? " --takeovers" : "");
   }
 
   private static void delete(Path folder) throws IOException {
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakExecutor.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakExecutor.java
@@ -45,6 +45,9 @@
     /** Returns the time from the start of a task until it crashes its executor, if it does. */
     OptionalLong crashMillis(TaskId task);
 
+    /** Takes note that a host has acknowledged an end. */
+    void acknowledged(EndedRun end);
+
     /** Takes note that an executor crashed because of a task. */
     void crashed(SoakExecutor executor);
 
@@ -298,10 +301,7 @@
     ended.stream()
         .filter(e -> e.number() <= request.acknowledgedEnd())
         .filter(e -> !endsBeforeLapse.contains(e.number()))
-        .forEach(
-            e ->
-                recorder.record(
-                    at -> new Observation.Acknowledged(at, e.task(), e.run(), e.reason())));
+        .forEach(this::acknowledged);
     ended.removeIf(e -> e.number() <= request.acknowledgedEnd());
     if (!ended.isEmpty() || request.waitMillis() <= 0) {
       return Future.succeededFuture(report());
@@ -318,6 +318,11 @@
     return promise.future();
   }
 
+  private void acknowledged(EndedRun end) {
+    recorder.record(at -> new Observation.Acknowledged(at, end.task(), end.run(), end.reason()));
+    work.acknowledged(end);
+  }
+
   private LeaseRenewalResult report() {
     if (!up) {
       return new LeaseRenewalResult.Unknown("executor is down");
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakRun.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakRun.java
@@ -26,6 +26,7 @@
    * @param crashLoops whether some tasks crash the executors on which they start
    * @param failurePermille share of the runs that fail
    * @param gangsPerMinute jobs with gangs beside the other jobs
+   * @param takeovers whether all hosts are killed between two ends of a gang at times
    * @param root directory of the repository
    * @param folder directory for the plan and the logs
    */
@@ -39,6 +40,7 @@
       boolean crashLoops,
       int failurePermille,
       int gangsPerMinute,
+      boolean takeovers,
       Path root,
       Path folder) {}
 
@@ -172,6 +174,10 @@
     operators.publish();
     new DirectCallers(vertx, recorder, client, cluster.hosts(), operators, options.seed() + 4)
         .run(options.durationMillis());
+    if (options.takeovers()) {
+      long until = options.durationMillis() - FaultInjector.RECOVERY_MILLIS;
+      cluster.onPartialFailure(new Takeovers(vertx, recorder, cluster, until)::partialFailure);
+    }
     new FaultInjector(vertx, recorder, cluster, operators).schedule(faults);
     return vertx.timer(options.durationMillis(), TimeUnit.MILLISECONDS).mapEmpty();
   }
--- a/cactusspring-soak/src/test/java/io/cactusspring/soak/GangRunTest.java
+++ b/cactusspring-soak/src/test/java/io/cactusspring/soak/GangRunTest.java
@@ -167,4 +167,16 @@
     timers.pass(10_000);
     assertThat(ends).containsExactly(0, EndReason.FAILED, 1, EndReason.BROKEN, 2, EndReason.BROKEN);
   }
+
+  @Test
+  void furtherFailuresAreToComeUntilTheLastMemberHasHadItsTurn() {
+    failure = Optional.of(new GangFailure(50, Map.of(0, 0L, 2, 100L)));
+    joinAll();
+    timers.pass(499);
+    assertThat(runs.failsFurther(History.task(0, 0), 1)).isFalse();
+    timers.pass(1);
+    assertThat(runs.failsFurther(History.task(0, 0), 1)).isTrue();
+    timers.pass(100);
+    assertThat(runs.failsFurther(History.task(0, 0), 1)).isFalse();
+  }
 }
