Let the planted fault of the stored attempts forget the counted run

Fault that the test guards against: a simulation or an oracle that doesn't notice a run of a gang that two owners count.

Cause: the planted fault left the number of the counted run out of the record. Such a record is read as one of the earlier version, and since the reading of those became exact where one run is over, the plant no longer changed a decision.

Change: the plant stores a number below every run, so that the next owner counts the run again.

--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/StoredAttempts.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/StoredAttempts.java
@@ -11,8 +11,11 @@
 
 /** Faults of the stored attempts of gangs, by which a test shows that its checks notice them. */
 public enum StoredAttempts {
-  /** The last counted run is not stored: a new owner counts it again for its other members. */
-  WITHOUT_COUNTED_RUN(StepProgressRecord::unsetFailedRun),
+  /**
+   * The last counted run is stored as an earlier one: a new owner counts it again for its other
+   * members. A record without the field would be read as one of the earlier version, exactly.
+   */
+  WITHOUT_COUNTED_RUN(StoredAttempts::forgetCountedRun),
 
   /** A run that is active counts as counted once an earlier one has failed. */
   WITH_ACTIVE_RUN_COUNTED(StoredAttempts::countLastRun);
@@ -25,6 +28,12 @@
     this.change = change;
   }
 
+  private static void forgetCountedRun(StepProgressRecord step) {
+    if (step.isSetFailedRun()) {
+      step.setFailedRun(-1);
+    }
+  }
+
   private static void countLastRun(StepProgressRecord step) {
     if (step.getFailedRun() > 0) {
       step.setFailedRun(
