Let gangs fail in the cluster fuzz test, and owners die between two ends

Callers saw jobs with a gang shown as failed although they had attempts left. The fuzz tests had few gangs, seldom more than one member of a run failed, and an owner was never replaced between the ends of two members.

Change: a variant of ClusterFuzzTest makes four of five steps gangs of 2 to 6 members, with and without checkpoints. A third of their runs fails early, often several members at once; executors fail all, are cut off, crash or carry out orders late; the owner is killed between the first and the second end of a run, and after the acknowledgement of one while others still run. wronglyStoredAttemptsOfGangsAreNoticed shows permanently that this is noticed: the records of the owner are stored without the last counted run, with none counted, or with the active run taken as counted.

--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/ClusterFuzzTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/ClusterFuzzTest.java
@@ -1,5 +1,6 @@
 package io.cactusspring.jobs.control;
 
+import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import io.cactusspring.core.model.Resources;
@@ -13,6 +14,7 @@
 import io.cactusspring.jobs.simulation.FakeExecutor;
 import io.cactusspring.jobs.simulation.FakeLog;
 import io.cactusspring.jobs.simulation.Oracle;
+import io.cactusspring.jobs.simulation.StoredAttempts;
 import io.cactusspring.jobs.simulation.WaitingWorkCheck;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -24,8 +26,10 @@
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -54,7 +58,8 @@
     PLAIN,
     EVACUATIONS,
     CRASHES,
-    CAPACITIES
+    CAPACITIES,
+    GANGS
   }
 
   private static final class Fuzz {
@@ -76,6 +81,9 @@
     /** Chooses the changes of capacity. The other choices of a seed do not depend on it. */
     private final Optional<Random> resizes;
 
+    /** Makes and disturbs the gangs. No other choice depends on it. */
+    private final Optional<GangDisturbances> gangs;
+
     Fuzz(long seed, Variant variant) {
       boolean evacuates = variant == Variant.EVACUATIONS;
       resizes =
@@ -85,6 +93,10 @@
       random = new Random(seed);
       simulation = new ClusterSimulation(seed);
       check = new WaitingWorkCheck(simulation);
+      gangs =
+          variant == Variant.GANGS
+              ? Optional.of(new GangDisturbances(simulation, check, new Random(17 * seed + 3)))
+              : Optional.empty();
       simulation.onCrashByTask(check::faultFor);
       simulation.allowedExecutorShare(0.6);
       simulation.taskWorkMillis(id -> 100L + Math.floorMod(id.hashCode(), 3_000));
@@ -111,6 +123,7 @@
         injectRandomFault();
         evacuations.ifPresent(this::evacuateOrReturnZone);
         resizes.ifPresent(this::resizeRandomExecutors);
+        gangs.ifPresent(GangDisturbances::inject);
         simulation.time().run(random.nextInt(1_500));
       }
       restoreCluster();
@@ -131,7 +144,7 @@
       int steps = 1 + random.nextInt(3);
       List<StepSpec> specs = new ArrayList<>();
       for (int i = 0; i < steps; i++) {
-        specs.add(
+        StepSpec.Builder step =
             StepSpec.builder()
                 .tasks(1 + random.nextInt(4))
                 .resources(new Resources(500 + random.nextInt(1_500), 100, 0))
@@ -139,8 +152,9 @@
                 .after(i == 0 ? List.of() : List.of(i - 1))
                 .gang(random.nextInt(6) == 0)
                 .maxPerExecutor(random.nextInt(5) == 0 ? 2 : 0)
-                .checkpoints(evacuations.map(r -> r.nextInt(2) == 0).orElse(false))
-                .build());
+                .checkpoints(evacuations.map(r -> r.nextInt(2) == 0).orElse(false));
+        gangs.ifPresent(g -> g.change(step));
+        specs.add(step.build());
       }
       AdviceSettings advice = random.nextBoolean() ? new AdviceSettings(20, 1, 2_000) : null;
       String queue = advice == null ? "quick" : "advised";
@@ -335,9 +349,9 @@
     }
 
     private void restoreCluster() {
+      gangs.ifPresent(GangDisturbances::end);
       // One zone stays evacuated to the end. The advice service allows every step on the executors
-      // of
-      // the others.
+      // of the others.
       ZONES.stream().limit(2).forEach(simulation::returnToUse);
       simulation.time().run(6_000);
       simulation.executors().forEach(this::boot);
@@ -349,6 +363,11 @@
     }
 
     void check(long seed) {
+      assertWithMessage("seed %s", seed).that(violations()).isEmpty();
+    }
+
+    /** Returns the violations, also those of the states in which the accepted jobs are shown. */
+    List<String> violations() {
       for (JobSpec job : accepted.values()) {
         var answer = simulation.state(randomRunningHost().orElseThrow(), job);
         simulation.time().run(20);
@@ -367,7 +386,7 @@
           simulation.oracle().recordViolation("shown", job.id() + " is shown as cancelled");
         }
       }
-      assertWithMessage("seed %s", seed).that(simulation.oracle().violations()).isEmpty();
+      return simulation.oracle().violations();
     }
   }
 
@@ -421,6 +440,43 @@
     }
   }
 
+  /**
+   * Most work is of gangs, whose members fail together or in turn, also on executors that fail all,
+   * are cut off or crash; the owner is killed between the ends of two members. Guards against a run
+   * that counts as several failed attempts, or as none.
+   */
+  @Test
+  void guaranteesHoldWhileGangsFail() {
+    for (long seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
+      run(seed, Variant.GANGS);
+    }
+  }
+
+  /**
+   * Guards against a simulation or an oracle that does not notice what an owner counts wrongly: the
+   * attempts are stored with a fault, and one of 60 seeds has to show it.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "WITHOUT_FIELD, 61, is shown as failed",
+    "WITHOUT_COUNTED_RUN, 1, is shown as failed",
+    "WITH_ACTIVE_RUN_COUNTED, 1, attempt limit"
+  })
+  void wronglyStoredAttemptsOfGangsAreNoticed(
+      StoredAttempts fault, long firstSeed, String violation) {
+    boolean noticed =
+        LongStream.range(firstSeed, firstSeed + 60)
+            .mapToObj(
+                seed -> {
+                  Fuzz fuzz = new Fuzz(seed, Variant.GANGS);
+                  fuzz.simulation.storeAttempts(fault);
+                  fuzz.run();
+                  return fuzz.violations();
+                })
+            .anyMatch(found -> found.stream().anyMatch(v -> v.contains(violation)));
+    assertThat(noticed).isTrue();
+  }
+
   /**
    * Seeds that once failed: cancellation that got no response (1), gang state reported too early
    * (3), start carried out late after a crash (45, 275), stall detected without reports (47), gang
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/ClusterSimulation.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/ClusterSimulation.java
@@ -392,6 +392,11 @@
     return lanes;
   }
 
+  /** Injects a fault of the code: attempts are stored wrongly from now on. */
+  public void storeAttempts(StoredAttempts fault) {
+    lanes.forEach(l -> l.change(fault::store));
+  }
+
   /** Returns the partitions to which hosts write that cannot reach the owner. */
   public List<FakeLog> inbox() {
     return inbox;
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/FakeLog.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/FakeLog.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.UnaryOperator;
 
 /**
  * In-memory state of a keyed topic in the store: its records, the newest record of each key, and
@@ -28,6 +29,7 @@
   private boolean unreadable;
   private long epoch = Long.MIN_VALUE;
   private LastAppend lastAppend;
+  private UnaryOperator<Entry> change = e -> e;
 
   /**
    * Appends records and returns the offset of the first one. A repeated append of a writer returns
@@ -46,7 +48,7 @@
     long offset = end();
     writer.ifPresent(w -> lastAppend = new LastAppend(w.sequence(), offset));
     for (Entry e : entries) {
-      Entry stored = new Entry(e.key(), e.value(), end());
+      Entry stored = new Entry(e.key(), change.apply(e).value(), end());
       records.add(stored);
       if (e.value() == null) {
         newest.remove(e.key());
@@ -133,6 +135,11 @@
     records.clear();
   }
 
+  /** Sets how records are changed before they are stored. */
+  void change(UnaryOperator<Entry> value) {
+    change = value;
+  }
+
   /** Sets whether reads from an offset fail. */
   public void unreadable(boolean value) {
     unreadable = value;
