Let the test of a truncated report tell a lost failure

Cause: a second member failed before the count was checked, so that a run which the truncated report wrongly took as lost was counted all the same.

Change: the count is checked before the second member fails, and after it.

--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/GangFailurePathsTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/GangFailurePathsTest.java
@@ -33,6 +33,8 @@
     gang.store();
     assertThat(gang.storedFailures()).isEqualTo(0);
     gang.report("x0");
+    gang.store();
+    assertThat(gang.storedFailures()).isEqualTo(1);
     gang.fail("x1");
     gang.store();
     assertThat(gang.storedFailures()).isEqualTo(1);
