Let the soak play hosts of two versions

Whether records of an earlier version are read rightly, and the other way round, showed in unit tests only.

--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/Cluster.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/Cluster.java
@@ -103,8 +103,12 @@
     return Future.all(listening).mapEmpty();
   }
 
-  /** Starts the hosts, each with its own link to the store. */
-  void startHosts(List<String> command, Path root, Path folder) throws IOException {
+  /**
+   * Starts the hosts, each with its own link to the store.
+   *
+   * @param roots directories of the programs, which the hosts take in turn
+   */
+  void startHosts(List<String> command, List<Path> roots, Path folder) throws IOException {
     int firstPort = FreePorts.consecutive(PORTS_PER_HOST * links.size());
     for (int i = 0; i < links.size(); i++) {
       int port = firstPort + PORTS_PER_HOST * i;
@@ -120,6 +124,7 @@
               KEY_REVOKE_MILLIS,
               GRACE_SECONDS,
               EVACUATE_MILLIS);
+      Path root = roots.get(i % roots.size());
       hosts.add(new HostProcess(vertx, recorder, settings, command, root, folder));
     }
     hosts.forEach(HostProcess::start);
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/Soak.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/Soak.java
@@ -9,6 +9,7 @@
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.logging.Level;
@@ -87,6 +88,10 @@
         .addArgument("--takeovers")
         .action(Arguments.storeTrue())
         .help("kill all hosts at times between the failures of two members of a gang");
+    parser
+        .addArgument("--earlier")
+        .setDefault("")
+        .help("directory of a build of an earlier version, which every second host runs");
     parser
         .addArgument("--keep")
         .action(Arguments.storeTrue())
@@ -115,6 +120,9 @@
             arguments.getInt("gangs"),
             arguments.getBoolean("takeovers"),
             root,
+            Optional.of(arguments.getString("earlier"))
+                .filter(d -> !d.isEmpty())
+                .map(d -> Path.of(d).toAbsolutePath()),
             folder);
     String command = replayCommand(arguments);
     System.out.println("soak: " + command);
@@ -151,7 +159,7 @@
   }
 
   private static String replayCommand(Namespace arguments) {
-    return "bin/soak --seed %s --minutes %s --hosts %s --faults %s --failures %s --gangs %s%s%s%s%s"
+    return "bin/soak --seed %s --minutes %s --hosts %s --faults %s --failures %s --gangs %s%s%s%s%s%s"
         .formatted(
             arguments.get("seed"),
             arguments.get("minutes"),
@@ -162,7 +170,10 @@
             arguments.getBoolean("check_evacuation") ? " --check-evacuation" : "",
             arguments.getBoolean("check_fairness") ? " --check-fairness" : "",
             arguments.getBoolean("crash_loops") ? " --crash-loops" : "",
-            arguments.getBoolean("takeovers") ? " --takeovers" : "");
+            arguments.getBoolean("takeovers") ? " --takeovers" : "",
+            arguments.getString("earlier").isEmpty()
+                ? ""
+                : " --earlier " + arguments.getString("earlier"));
   }
 
   private static void delete(Path folder) throws IOException {
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakRun.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakRun.java
@@ -28,6 +28,8 @@
    * @param gangsPerMinute jobs with gangs beside the other jobs
    * @param takeovers whether all hosts are killed between two ends of a gang at times
    * @param root directory of the repository
+   * @param earlier directory of the repository with an earlier version, which every second host
+   *     runs
    * @param folder directory for the plan and the logs
    */
   record Options(
@@ -42,6 +44,7 @@
       int gangsPerMinute,
       boolean takeovers,
       Path root,
+      Optional<Path> earlier,
       Path folder) {}
 
   private static final long READY_MILLIS = 30_000;
@@ -158,7 +161,11 @@
       if (!line.find()) {
         return Future.failedFuture("deploy/system.toml has no run line");
       }
-      cluster.startHosts(List.of(line.group(1).split(" ")), options.root(), options.folder());
+      Path root = options.root();
+      cluster.startHosts(
+          List.of(line.group(1).split(" ")),
+          List.of(root, options.earlier().orElse(root)),
+          options.folder());
       return Future.succeededFuture();
     } catch (IOException e) {
       return Future.failedFuture(e);
