Search again for a step whose crash was taken back

Cause: a suspect is not searched for among all executors, while its step is marked as searched. Once its crash is taken back it is no suspect any more, and only executors that change later were looked at.

Change: taking a crash back requests a search among all executors.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/CrashAttribution.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/CrashAttribution.java
@@ -115,6 +115,8 @@
     CrashCount count = task.attempts().crashes();
     int before = count.all();
     if (count.takeBack(crash)) {
+      // A task that is no suspect any more starts like others, on executors that have not changed.
+      task.step().retry();
       state.changed.add(task.step().job());
       state.decisionListener.decisionMade(
           Kind.CRASH_TAKEN_BACK,
