--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/GangDisturbances.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/GangDisturbances.java
@@ -36,7 +36,6 @@
 
   private boolean active = true;
   private long lastKillAt;
-  private int kills;
 
   GangDisturbances(ClusterSimulation simulation, WaitingWorkCheck check, Random random) {
     this.simulation = simulation;
@@ -99,11 +98,6 @@
     simulation.executors().forEach(e -> e.silent(false));
   }
 
-  /** Returns how often the owner was killed between the ends of two members. */
-  int kills() {
-    return kills;
-  }
-
   private void ended(EndedRun end) {
     if (isFailedMember(end)
         && failedRuns.add(new RunKey(firstMember(end.task()), end.run()))
@@ -150,7 +144,6 @@
 
   private void kill(Host owner) {
     lastKillAt = simulation.time().now();
-    kills++;
     owner.kill();
     during(
         OWNER_DOWN_MILLIS,
