--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/GangChecks.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/GangChecks.java
@@ -11,12 +11,16 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 
 /** Checks that the members of a gang start together and from the same checkpoint. */
 final class GangChecks {
   /** Time in which all members of a gang start; a refused start is tried again elsewhere. */
   static final long GANG_MILLIS = 4_000;
 
+  /** Time in which the other members end when one has. */
+  static final long BREAK_MILLIS = 1_000;
+
   /** Time that a member waits for the others before it ends alone. */
   static final long ALONE_MILLIS = 3_000;
 
@@ -63,16 +67,34 @@
           "%s run %d starts with '%s', another member with '%s'"
               .formatted(start.task(), start.run(), start.checkpoint(), facts.checkpoint()));
     }
+    Set<TaskId> gone = new HashSet<>();
+    findings.checkAfterCalm(
+        start.at(),
+        GANG_MILLIS,
+        Rule.GANG_INCOMPLETE,
+        () -> {
+          members(start, facts, true).filter(t -> !isActive(t, start.run())).forEach(gone::add);
+          return incomplete(start, members(start, facts, false).count());
+        });
     findings.checkAfterCalm(
-        start.at(), GANG_MILLIS, Rule.GANG_INCOMPLETE, () -> incomplete(start, facts));
+        start.at(),
+        GANG_MILLIS + BREAK_MILLIS,
+        Rule.GANG_INCOMPLETE,
+        () -> incomplete(start, gone.size()));
   }
 
-  private Optional<String> incomplete(Started start, RunFacts facts) {
+  /** Returns the members that are not done and have, or have not, been started in a run. */
+  private Stream<TaskId> members(Started start, RunFacts facts, boolean started) {
     JobFacts job = jobs.get(start.task().job());
-    long missing =
-        job.tasksOf(start.task().step())
-            .filter(t -> !facts.started().contains(t) && !job.done.contains(t))
-            .count();
+    return job.tasksOf(start.task().step())
+        .filter(t -> facts.started().contains(t) == started && !job.done.contains(t));
+  }
+
+  private boolean isActive(TaskId task, int run) {
+    return runs.active().keySet().stream().anyMatch(a -> a.task().equals(task) && a.run() == run);
+  }
+
+  private Optional<String> incomplete(Started start, long missing) {
     Active run = new Active(start.executor(), start.task(), start.run());
     return missing > 0 && runs.active().containsKey(run)
         ? Optional.of("%s runs with %d members missing".formatted(run, missing))
--- a/cactusspring-soak/src/test/java/io/cactusspring/soak/GangOracleTest.java
+++ b/cactusspring-soak/src/test/java/io/cactusspring/soak/GangOracleTest.java
@@ -69,6 +69,16 @@
     assertThat(history.broken()).containsExactly(Rule.ATTEMPTS_EXCEEDED);
   }
 
+  @Test
+  void gangThatGoesOnWithoutAMemberThatHasEndedIsFound() {
+    history.accepted(GANG);
+    IntStream.range(0, 3).forEach(i -> history.started("x0", task(0, i), 1));
+    history.ended("x0", task(0, 1), 1, EndReason.STOPPED).pass(GangChecks.GANG_MILLIS);
+    assertThat(history.broken()).isEmpty();
+    history.pass(GangChecks.BREAK_MILLIS);
+    assertThat(history.broken()).contains(Rule.GANG_INCOMPLETE);
+  }
+
   @Test
   void secondRunOfAGangWhoseMembersHaveAllFailedIsNoViolation() {
     history.accepted(GANG);
