--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/GangAttemptsTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/GangAttemptsTest.java
@@ -14,6 +14,7 @@
     super(ATTEMPTS);
   }
 
+  /** Guards against a job that fails in the first run, as each member of it counts. */
   @Test
   void runOfWhichAllMembersFailIsOneAttempt() {
     submit();
@@ -23,6 +24,7 @@
     assertThat(startRun()).isEqualTo(2);
   }
 
+  /** Guards against runs that count more than once, and against runs that do not count. */
   @Test
   void jobFailsOnceAsManyRunsAsAttemptsHaveFailed() {
     submit();
@@ -34,6 +36,7 @@
     assertThat(state()).isEqualTo(JobState.FAILED);
   }
 
+  /** Guards against a run that each owner counts that reads an end of it. */
   @Test
   void membersOfOneRunThatFailUnderSeveralOwnersAreOneAttempt() {
     submit();
@@ -47,6 +50,7 @@
     assertThat(startRun()).isEqualTo(2);
   }
 
+  /** Guards against members that count one by one when a new owner reads all their ends. */
   @Test
   void failuresThatTheLastOwnerDidNotStoreAreOneAttemptToo() {
     submit();
@@ -57,6 +61,7 @@
     assertThat(startRun()).isEqualTo(2);
   }
 
+  /** Guards against failed runs that a new owner forgets. */
   @Test
   void runsOfWhichOneMemberFailsCountThroughTakeovers() {
     submit();
