--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/GangKnownFaultsTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/GangKnownFaultsTest.java
@@ -17,7 +17,7 @@
 final class GangKnownFaultsTest {
   private static final String JOB = "j1";
 
-  /** Three hosts and a gang, for cases that are about the attempts alone. */
+  /** A gang with three attempts, for cases without crashes. */
   private static final class Owners extends GangFixture {
     Owners() {
       super(3);
