--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveExecutor.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveExecutor.java
@@ -36,6 +36,7 @@
   private Resources used = Resources.NONE;
   private long clockMillis;
   private long clockAt = NEVER;
+  private long grantedAt = NEVER;
   private long leaseLapsesAt = NEVER;
   private long inheritedLeaseLapsesAt = NEVER;
   private long silentSince = NEVER;
@@ -159,12 +160,22 @@
     return runs.values();
   }
 
-  /** Returns the last answer's age and each run with its phase and age, for the log. */
+  /** Returns the last answer's age, the lease and each run with its phase and age, for the log. */
   String describeRuns(long now) {
     String answer = hasClock() ? "last answer " + (now - clockAt) + " ms ago" : "no answer yet";
     return runs.values().stream()
         .map(r -> r.key() + " " + r.phase() + " for " + (now - r.decidedAt()) + " ms")
-        .collect(Collectors.joining(", ", answer + "; " + runs.size() + " runs: ", ""));
+        .collect(
+            Collectors.joining(
+                ", ", answer + "; " + describeLease(now) + "; " + runs.size() + " runs: ", ""));
+  }
+
+  private String describeLease(long now) {
+    String granted =
+        grantedAt == NEVER ? "none granted" : "last granted " + (now - grantedAt) + " ms ago";
+    return leaseLapsesAt() == NEVER
+        ? "lease " + granted
+        : "lease " + granted + ", lapses in " + (leaseLapsesAt() - now) + " ms";
   }
 
   Run run(RunKey key) {
@@ -380,6 +391,7 @@
     if (!hasClock()) {
       return 0;
     }
+    grantedAt = now;
     long end = clockMillis + (now - clockAt) + leaseMillis;
     double lapse = clockAt + (end - clockMillis) / SchedulerSettings.MIN_CLOCK_RATE;
     leaseLapsesAt = Math.max(leaseLapsesAt, (long) Math.ceil(lapse));
