Show that an executor back under its id keeps a longer lease than expected

Callers would see a task run twice at the same time: an executor starts again under its id, takes calls that were meant for its earlier boot, and is cut off. The ends of leases in these calls are times on the earlier boot's clock.

Emulated executors accept leases of 10 s, as the pages say, and not only the 6 s that owners grant: they had hidden the fault.

--- /dev/null
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/RebootedExecutorsFuzzTest.java
@@ -0,0 +1,159 @@
+package io.cactusspring.jobs.control;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import io.cactusspring.core.model.Resources;
+import io.cactusspring.jobs.model.JobSpec;
+import io.cactusspring.jobs.model.StepSpec;
+import io.cactusspring.jobs.simulation.ClusterSimulation;
+import io.cactusspring.jobs.simulation.FakeExecutor;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Starts executors of one zone again under their ids and cuts them off soon afterwards, while tasks
+ * of up to 12 s run, and checks that no task runs twice at the same time.
+ */
+@Tag("known-red")
+final class RebootedExecutorsFuzzTest {
+  private static final int SEEDS = Integer.getInteger("cactusspring.fuzz", 60);
+  private static final long FIRST_SEED = Long.getLong("cactusspring.fuzz.first", 1);
+  private static final boolean PRINT_LOG = Boolean.getBoolean("cactusspring.fuzz.log");
+
+  private static final int EXECUTORS = 4;
+  private static final int CYCLES = 3;
+  private static final long CYCLE_MILLIS = 20_000;
+  private static final long SUBMIT_MILLIS = 700;
+  private static final Resources CAPACITY = new Resources(6_000, 6_000, 0);
+
+  /** What happens besides. */
+  private enum Variant {
+    /** The owner stays. */
+    ONE_OWNER,
+    /** The owner is killed between the restart and the cut. */
+    TAKEOVERS
+  }
+
+  private final class Play {
+    private final Random random;
+    private final Variant variant;
+    private final ClusterSimulation simulation;
+    private final List<FakeExecutor> rebooting = new ArrayList<>();
+    private final List<JobSpec> jobs = new ArrayList<>();
+
+    Play(long seed, Variant variant) {
+      random = new Random(seed);
+      this.variant = variant;
+      simulation = new ClusterSimulation(seed);
+      simulation.taskWorkMillis(id -> 200L + Math.floorMod(id.hashCode(), 12_000));
+      List.of("a", "b", "c").forEach(simulation::addHost);
+      for (int i = 0; i < EXECUTORS; i++) {
+        rebooting.add(simulation.addExecutor("x" + i, "p", CAPACITY));
+        simulation.addExecutor("y" + i, "q", CAPACITY);
+      }
+    }
+
+    void run() {
+      simulation.time().run(10_000);
+      simulation.faultFree(false);
+      submitRepeatedly();
+      for (int i = 0; i < CYCLES; i++) {
+        disturb();
+        simulation.time().run(CYCLE_MILLIS);
+      }
+      simulation.time().run(40_000);
+      simulation.recordInternalErrors();
+    }
+
+    private void submitRepeatedly() {
+      if (simulation.time().now() < 10_000 + (CYCLES - 1) * CYCLE_MILLIS) {
+        submit();
+        simulation.time().after(SUBMIT_MILLIS, this::submitRepeatedly);
+      }
+    }
+
+    private void submit() {
+      StepSpec step =
+          StepSpec.builder()
+              .tasks(1 + random.nextInt(3))
+              .resources(new Resources(400 + random.nextInt(1_200), 100, 0))
+              .build();
+      JobSpec job =
+          new JobSpec(
+              "job" + jobs.size(),
+              ClusterSimulation.queue("quick", random.nextInt(3), null),
+              "team",
+              "payload",
+              List.of(step),
+              0,
+              0,
+              0,
+              simulation.time().now());
+      jobs.add(job);
+      simulation.hosts().stream()
+          .filter(h -> h.entry().isPresent() && !h.isOwner())
+          .findFirst()
+          .ifPresent(h -> simulation.submit(h, job));
+    }
+
+    private void disturb() {
+      long down = 50 + random.nextInt(900);
+      long untilCut = down + random.nextInt(4_000);
+      long cut = 6_000 + random.nextInt(4_000);
+      rebooting.forEach(FakeExecutor::crash);
+      simulation.time().after(down, () -> rebooting.forEach(this::boot));
+      simulation.time().after(untilCut, () -> rebooting.forEach(e -> e.silent(true)));
+      simulation.time().after(untilCut + cut, () -> rebooting.forEach(e -> e.silent(false)));
+      if (variant == Variant.TAKEOVERS) {
+        simulation.time().after(random.nextLong(untilCut + 500), this::killOwner);
+      }
+    }
+
+    private void boot(FakeExecutor executor) {
+      executor.boot();
+      simulation.time().after(random.nextInt(150), () -> simulation.announce(executor));
+    }
+
+    private void killOwner() {
+      simulation.hosts().stream()
+          .filter(ClusterSimulation.Host::isOwner)
+          .forEach(
+              h -> {
+                h.kill();
+                simulation.time().after(900, h::start);
+              });
+    }
+
+    void check(long seed) {
+      if (PRINT_LOG) {
+        simulation.logLines().forEach(System.out::println);
+      }
+      assertWithMessage("seed %s", seed).that(simulation.oracle().violations()).isEmpty();
+    }
+  }
+
+  private void play(Variant variant) {
+    for (long seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
+      Play play = new Play(seed, variant);
+      play.run();
+      play.check(seed);
+    }
+  }
+
+  /**
+   * Guards against a second run beside one on a boot that took a lease meant for the one before.
+   */
+  @Test
+  void noTaskRunsTwiceWhileExecutorsRebootAndAreCutOff() {
+    play(Variant.ONE_OWNER);
+  }
+
+  /** Guards against a new owner that expects shorter leases than an executor took in this way. */
+  @Test
+  void noTaskRunsTwiceWhenTheOwnerIsReplacedBetweenARebootAndACut() {
+    play(Variant.TAKEOVERS);
+  }
+}
--- /dev/null
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/RebootedExecutorFixture.java
@@ -0,0 +1,233 @@
+package io.cactusspring.jobs.schedule;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.cactusspring.core.model.Resources;
+import io.cactusspring.jobs.ledger.JobEntry;
+import io.cactusspring.jobs.ledger.LedgerCodec;
+import io.cactusspring.jobs.ledger.LedgerSnapshot;
+import io.cactusspring.jobs.model.ExecutorInfo;
+import io.cactusspring.jobs.model.JobSpec;
+import io.cactusspring.jobs.model.Organisation;
+import io.cactusspring.jobs.model.Queue;
+import io.cactusspring.jobs.model.SiteConfiguration;
+import io.cactusspring.jobs.model.StepSpec;
+import io.cactusspring.jobs.port.ExecutorClient.ActiveRun;
+import io.cactusspring.jobs.port.ExecutorClient.CommandResult;
+import io.cactusspring.jobs.port.ExecutorClient.LeaseRenewalRequest;
+import io.cactusspring.jobs.port.ExecutorClient.LeaseRenewalResult;
+import io.cactusspring.jobs.port.ExecutorClient.StartRequest;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * An owner with an executor that starts again under its id, and another one without room to begin
+ * with. The executor keeps its lease as the platform's pages say.
+ */
+abstract class RebootedExecutorFixture {
+  static final String REBOOTED = "x1";
+  static final String OTHER = "x2";
+  static final long OTHER_BOOT = 500;
+
+  /** The longest lease that an executor accepts. */
+  static final long MAX_LEASE_MILLIS = 10_000;
+
+  /** The clock of an executor may be so slow. */
+  static final double CLOCK_RATE = 0.98;
+
+  private static final Organisation TEAM =
+      new Organisation("team", Set.of(), 1, new Resources(0, 0, 0));
+  private static final Queue QUEUE =
+      new Queue("quick", "host", "/q/", "svc", 0, 3, 1.5, 250, null, false);
+
+  private final JobSpec job =
+      new JobSpec(
+          "j1",
+          QUEUE,
+          "team",
+          "p",
+          List.of(StepSpec.builder().resources(new Resources(1_000, 100, 0)).build()),
+          0,
+          0,
+          0,
+          1);
+  private final LedgerSnapshot store = new LedgerSnapshot();
+  private final List<String> decisions = new ArrayList<>();
+  private final List<ActiveRun> running = new ArrayList<>();
+  private JobScheduler owner;
+  private long term;
+  private long bootedAt;
+  private long boot = 77;
+  private double leaseEnd;
+  long now = 100_000;
+
+  final JobScheduler owner() {
+    return owner;
+  }
+
+  final List<String> decisions() {
+    return decisions;
+  }
+
+  /** Begins the term of an owner that knows what was stored. */
+  final void begin(InheritedLeases leases) {
+    owner =
+        new JobScheduler(
+            SchedulerSettings.builder().maxLeaseMillis(MAX_LEASE_MILLIS).build(),
+            ++term,
+            store.jobs(),
+            id -> Optional.of(job),
+            (kind, id, subject, reason) -> decisions.add(kind + " " + subject + " " + reason),
+            leases,
+            now,
+            now);
+    owner.configure(new SiteConfiguration(1, List.of(QUEUE), List.of(), List.of(TEAM)));
+  }
+
+  /** Begins the first term, in which the executor answers and gets a lease. */
+  final void beginWithExecutor() {
+    begin(InheritedLeases.until(now));
+    announceRebooted();
+    renew();
+    renew();
+  }
+
+  final void submit() {
+    store.applyLane(0, LedgerCodec.job(job));
+    owner.submitted(store.jobs().iterator().next(), now, now);
+  }
+
+  final void store() {
+    Optional.ofNullable(owner.takeChanges(10, id -> true).jobs().get("j1"))
+        .ifPresent(p -> store.applyLane(0, LedgerCodec.progress("j1", p)));
+  }
+
+  final JobEntry stored() {
+    return store.jobs().iterator().next();
+  }
+
+  /** Announces the present boot of the executor. */
+  final void announceRebooted() {
+    announce(REBOOTED, boot);
+  }
+
+  /** Adds the other executor, which has room and answers. */
+  final void addOther() {
+    announce(OTHER, OTHER_BOOT);
+    LeaseRenewalRequest request = owner.leaseRenewalRequest(OTHER, true, now);
+    owner.leaseRenewalAnswered(
+        OTHER,
+        request,
+        now,
+        new LeaseRenewalResult.Report(now, OTHER_BOOT, List.of(), List.of()),
+        now);
+  }
+
+  private void announce(String id, long bootMillis) {
+    owner.executorListed(
+        new ExecutorInfo(
+            id,
+            "place-of-" + id,
+            "svc",
+            "z",
+            false,
+            -1,
+            new Resources(1_000, 1_000, 0),
+            Set.of(),
+            bootMillis),
+        now);
+  }
+
+  /** Starts the executor again: its clock and all else begin anew. */
+  final void reboot() {
+    boot++;
+    bootedAt = now;
+    leaseEnd = 0;
+    running.clear();
+  }
+
+  /** Returns the executor's clock, which began when the present boot did. */
+  final long clock() {
+    return Math.round((now - bootedAt) * CLOCK_RATE);
+  }
+
+  /** Lets the executor take the end of a lease that a call names. */
+  final void take(long leaseEndMillis) {
+    leaseEnd = Math.max(leaseEnd, Math.min(leaseEndMillis, clock() + MAX_LEASE_MILLIS));
+  }
+
+  /** Lets the executor carry out a start. */
+  final void carryOut(StartRequest start) {
+    take(start.leaseEndMillis());
+    running.add(new ActiveRun(start.task(), start.run(), "", 10, 0));
+  }
+
+  final LeaseRenewalResult report() {
+    return new LeaseRenewalResult.Report(clock(), boot, List.copyOf(running), List.of());
+  }
+
+  /** Renews the lease of the executor, which answers at once. */
+  final void renew() {
+    LeaseRenewalRequest request = owner.leaseRenewalRequest(REBOOTED, true, now);
+    take(request.leaseEndMillis());
+    owner.leaseRenewalAnswered(REBOOTED, request, now, report(), now);
+  }
+
+  /** Lets the next lease renewals of the executor get no answer. */
+  final void loseRenewal() {
+    LeaseRenewalRequest request = owner.leaseRenewalRequest(REBOOTED, true, now);
+    now += 1_600;
+    LeaseRenewalResult none = new LeaseRenewalResult.Unknown("no answer");
+    owner.leaseRenewalAnswered(REBOOTED, request, now - 1_600, none, now);
+  }
+
+  /** Returns the starts that the owner decides now. */
+  final List<Action.Start> decide() {
+    return owner.decide(millis -> true, now, now).stream()
+        .filter(a -> a instanceof Action.Start)
+        .map(a -> (Action.Start) a)
+        .toList();
+  }
+
+  /** Decides the start of the task on the executor, and stores and sends it. */
+  final StartRequest sendStart() {
+    List<Action.Start> starts = decide();
+    assertThat(starts.stream().map(Action.Start::executor).toList()).containsExactly(REBOOTED);
+    store();
+    return owner.startRequest(REBOOTED, starts.get(0).run(), now).orElseThrow();
+  }
+
+  final void answered(StartRequest start, CommandResult result) {
+    owner.startAnswered(REBOOTED, new RunKey(start.task(), start.run()), result, now);
+  }
+
+  /** Starts the task on the executor, which carries it out and answers at once. */
+  final void start() {
+    StartRequest start = sendStart();
+    carryOut(start);
+    answered(start, new CommandResult.Done(clock()));
+  }
+
+  /** Returns whether the executor still runs tasks if nothing reaches it any more. */
+  final boolean holdsLease() {
+    return !running.isEmpty() && clock() <= leaseEnd;
+  }
+
+  /**
+   * Lets time pass until the task starts on the other executor, and checks that its run is over on
+   * the first one by then.
+   *
+   * @return the time that passed
+   */
+  final long waitForStartElsewhere() {
+    long from = now;
+    while (decide().stream().noneMatch(a -> a.executor().equals(OTHER))) {
+      now += 10;
+      assertThat(now - from).isLessThan(60_000);
+    }
+    assertThat(holdsLease()).isFalse();
+    return now - from;
+  }
+}
--- /dev/null
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/RebootedExecutorTest.java
@@ -0,0 +1,159 @@
+package io.cactusspring.jobs.schedule;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.cactusspring.jobs.port.ExecutorClient.CommandResult;
+import io.cactusspring.jobs.port.ExecutorClient.LeaseRenewalRequest;
+import io.cactusspring.jobs.port.ExecutorClient.Refusal;
+import io.cactusspring.jobs.port.ExecutorClient.StartRequest;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Tests until when a task may run on an executor that started again under its id and then does not
+ * answer. Calls that were meant for the earlier boot may reach the later one, which takes the end
+ * of a lease from them although it is a time on the clock of the earlier boot.
+ */
+final class RebootedExecutorTest extends RebootedExecutorFixture {
+  /** Guards against a log that does not tell until when an executor may run tasks, and why. */
+  @Test
+  void linesOfAnExecutorTellItsLease() {
+    beginWithExecutor();
+    now += 400;
+    reboot();
+    announceRebooted();
+    assertThat(decisions().toString())
+        .containsMatch("EXECUTOR_REBOOTED x1 .*lease last granted 400 ms ago, lapses in \\d+ ms");
+  }
+
+  /** Guards against a second run beside one on a boot that took a start for the boot before. */
+  @Tag("known-red")
+  @Test
+  void startThatTheLaterBootTookExtendsItsLease() {
+    beginWithExecutor();
+    now += 20_000;
+    renew();
+    submit();
+    StartRequest start = sendStart();
+    reboot();
+    now += 100;
+    take(start.leaseEndMillis());
+    answered(start, new CommandResult.Refused(Refusal.TICKET));
+    announceRebooted();
+    renew();
+    start();
+    loseRenewal();
+    addOther();
+    waitForStartElsewhere();
+  }
+
+  /** Guards against a second run beside one on a boot that took a renewal for the boot before. */
+  @Tag("known-red")
+  @Test
+  void renewalThatTheLaterBootTookExtendsItsLease() {
+    beginWithExecutor();
+    now += 20_000;
+    renew();
+    LeaseRenewalRequest renewal = owner().leaseRenewalRequest(REBOOTED, true, now);
+    reboot();
+    now += 100;
+    take(renewal.leaseEndMillis());
+    owner().leaseRenewalAnswered(REBOOTED, renewal, now - 100, report(), now);
+    announceRebooted();
+    submit();
+    start();
+    loseRenewal();
+    addOther();
+    waitForStartElsewhere();
+  }
+
+  /** Guards against a call that arrives when the owner knows the later boot already. */
+  @Tag("known-red")
+  @Test
+  void callThatIsInFlightWhenTheRebootIsKnownExtendsTheLease() {
+    beginWithExecutor();
+    now += 20_000;
+    renew();
+    submit();
+    StartRequest start = sendStart();
+    reboot();
+    announceRebooted();
+    now += 450;
+    take(start.leaseEndMillis());
+    answered(start, new CommandResult.Refused(Refusal.TICKET));
+    renew();
+    start();
+    loseRenewal();
+    addOther();
+    waitForStartElsewhere();
+  }
+
+  /** Guards against a start that the later boot carries out unnoticed before it is cut off. */
+  @Tag("known-red")
+  @Test
+  void answerOfTheLaterBootToAStartShowsItsLeaseBeforeTheRebootIsKnown() {
+    beginWithExecutor();
+    now += 20_000;
+    renew();
+    submit();
+    StartRequest start = sendStart();
+    reboot();
+    now += 100;
+    carryOut(start);
+    answered(start, new CommandResult.Done(clock()));
+    loseRenewal();
+    addOther();
+    waitForStartElsewhere();
+  }
+
+  /** Guards against leases by the clock of the earlier boot, which answers late. */
+  @Tag("known-red")
+  @Test
+  void lateAnswerOfTheEarlierBootDoesNotSetTheClockOfTheLaterOne() {
+    beginWithExecutor();
+    now += 20_000;
+    renew();
+    submit();
+    StartRequest start = sendStart();
+    carryOut(start);
+    CommandResult late = new CommandResult.Done(clock());
+    reboot();
+    announceRebooted();
+    renew();
+    answered(start, late);
+    assertThat(owner().leaseRenewalRequest(REBOOTED, true, now).leaseEndMillis())
+        .isAtMost(clock() + MAX_LEASE_MILLIS);
+  }
+
+  /** Guards against a wait for the longest lease where no call can have reached a later boot. */
+  @Test
+  void taskOfAnExecutorThatIsCutOffStartsElsewhereAfterItsLease() {
+    beginWithExecutor();
+    now += 20_000;
+    renew();
+    submit();
+    start();
+    loseRenewal();
+    addOther();
+    assertThat(waitForStartElsewhere()).isLessThan(6_200);
+  }
+
+  /** Guards against a wait for runs that a still later boot of the executor does not have. */
+  @Test
+  void taskOfAnExecutorThatRebootedAgainStartsAtOnce() {
+    beginWithExecutor();
+    now += 20_000;
+    renew();
+    reboot();
+    announceRebooted();
+    renew();
+    submit();
+    start();
+    now += 1_000;
+    reboot();
+    now += 500;
+    announceRebooted();
+    renew();
+    assertThat(decide()).hasSize(1);
+  }
+}
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/ClusterSimulation.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/ClusterSimulation.java
@@ -748,7 +748,7 @@
 
   private SchedulerSettings schedulerSettings() {
     return SchedulerSettings.builder()
-        .maxLeaseMillis(6_000)
+        .maxLeaseMillis(FakeExecutor.MAX_LEASE_MILLIS)
         .stopMillis(100)
         .evacuateMillis(evacuateMillis)
         .build();
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/FakeExecutor.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/FakeExecutor.java
@@ -31,7 +31,9 @@
  * simulation sets.
  */
 public final class FakeExecutor {
-  private static final long MAX_LEASE_MILLIS = 6_000;
+  /** The longest lease; the owner grants shorter ones. */
+  static final long MAX_LEASE_MILLIS = 10_000;
+
   private static final long STOP_MILLIS = 100;
   private static final int MAX_LISTED_ENDS = 500;
 
