Count a lease from the earliest reading of a slow clock

Callers could have seen a task run twice after a takeover: an executor that had been idle for 20 s and whose clock is 2% slow held a lease of 6.5 s, and later owners expect 6.1 s.

Cause: the end of a lease was counted from the last answer by this host's own clock, which may be ahead of the executor's by 2% of the time since.

Change: the lease begins at the earliest reading, and loses no more than half of its length by that. Where the clock was not read for minutes, the answer to the call shows the longer lease, which the owner then records.

Measured: RebootedExecutorTakeoverTest.executorThatWasIdleForLongHoldsALease... fails before ("expected to be at most: 6122 but was: 6531") and passes after. All tests of cactusspring-jobs pass on this commit.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ExecutorLease.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ExecutorLease.java
@@ -11,8 +11,8 @@
 final class ExecutorLease {
   private static final long NEVER = Long.MIN_VALUE / 2;
 
-  // A slow clock falls behind so far in 100 s without an answer.
-  private static final long MAX_DRIFT_MILLIS = 2_000;
+  // Above the error of clocks that are read in whole milliseconds.
+  private static final long READING_ERROR_MILLIS = 100;
 
   private final SchedulerSettings settings;
   private long clockMillis;
@@ -45,7 +45,9 @@
   }
 
   /**
-   * Grants a lease that starts now.
+   * Grants a lease that starts now. The executor's clock may be slow, so that its reading now is
+   * the less certain the older the last answer is; the lease begins at the earliest one, but loses
+   * no more than half of its length by that.
    *
    * @return the end of the lease in milliseconds on the executor's clock; 0 if that clock is
    *     unknown
@@ -55,7 +57,9 @@
       return 0;
     }
     grantedAt = now;
-    long end = clockMillis + (now - clockAt) + millis;
+    long elapsed = now - clockAt;
+    long uncertain = elapsed - (long) (elapsed * SchedulerSettings.MIN_CLOCK_RATE);
+    long end = clockMillis + elapsed + millis - Math.min(uncertain, millis / 2);
     double lapse = clockAt + (end - clockMillis) / SchedulerSettings.MIN_CLOCK_RATE;
     lapsesAt = Math.max(lapsesAt, (long) Math.ceil(lapse));
     return end;
@@ -72,8 +76,8 @@
     }
     long lapse = now + slowest(Math.min(end - clock, settings.maxLeaseMillis()));
     lapsesAt = Math.max(lapsesAt, lapse);
-    if (end - clock > settings.leaseMillis() + MAX_DRIFT_MILLIS) {
-      // The end is not a time on the clock of the boot that has answered.
+    if (end - clock > settings.leaseMillis() + READING_ERROR_MILLIS) {
+      // The end is a time on the clock of another boot, or the clock was not read for minutes.
       foreignLapsesAt = Math.max(foreignLapsesAt, lapse);
     }
   }
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/RebootedExecutorFixture.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/RebootedExecutorFixture.java
@@ -215,6 +215,11 @@
     answered(start, new CommandResult.Done(clock()));
   }
 
+  /** Returns for how many milliseconds the executor holds its lease. */
+  final long leaseMillis() {
+    return Math.round((leaseEnd - clock()) / CLOCK_RATE);
+  }
+
   /** Returns whether the executor still runs tasks if nothing reaches it any more. */
   final boolean holdsLease() {
     return !running.isEmpty() && clock() <= leaseEnd;
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/RebootedExecutorTakeoverTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/RebootedExecutorTakeoverTest.java
@@ -104,6 +104,28 @@
     assertThat(waitForStartElsewhere()).isAtMost(USUAL_MILLIS + 10);
   }
 
+  /** Guards against a lease whose end lies ahead on a slow clock that was last read long ago. */
+  @Test
+  void executorThatWasIdleForLongHoldsALeaseOfTheUsualLength() {
+    beginWithExecutor();
+    for (long idleMillis : List.of(20_000, 60_000, 140_000)) {
+      now += idleMillis;
+      renew();
+      assertThat(leaseMillis()).isAtMost(USUAL_MILLIS);
+      assertThat(leaseMillis()).isAtLeast(USUAL_MILLIS / 2);
+    }
+  }
+
+  /** As above, of a clock that was last read so long ago that the lease would have no length. */
+  @Test
+  void longerLeaseOfAnExecutorThatWasIdleForMinutesIsRecorded() {
+    beginWithExecutor();
+    now += 600_000;
+    renew();
+    assertThat(leaseMillis()).isGreaterThan(USUAL_MILLIS);
+    assertThat(owner().longLeaseMillis(REBOOTED, now)).isAtLeast(leaseMillis());
+  }
+
   /** Guards against a record of a size that grows with the executors that are back at once. */
   @Test
   void longerLeasesOfManyExecutorsAreRecordedAsOneBound() {
