Do not acknowledge ends to an executor that does not answer

Callers could have seen a task run twice: an acknowledgement for the earlier boot of an executor deletes ends of a later one that nobody has read, if the later boot gets it.

Change: while an executor is silent its renewals acknowledge nothing. A call that was sent before the silence was known can still carry a number.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
@@ -604,7 +604,9 @@
     boolean immediate = !executor.hasReported() || executor.isSilent() || executor.runs().isEmpty();
     long wait =
         immediate ? 0 : leaseRenewalIsUrgent(id) ? SHORT_LEASE_RENEWAL_WAIT_MILLIS : usualWait;
-    return new LeaseRenewalRequest(lease, state.term, executor.endToAcknowledge(), wait);
+    // A later boot may get the request, and would delete ends of its own.
+    long end = executor.isSilent() ? 0 : executor.endToAcknowledge();
+    return new LeaseRenewalRequest(lease, state.term, end, wait);
   }
 
   /**
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/RebootedExecutorFixture.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/RebootedExecutorFixture.java
@@ -14,6 +14,8 @@
 import io.cactusspring.jobs.model.StepSpec;
 import io.cactusspring.jobs.port.ExecutorClient.ActiveRun;
 import io.cactusspring.jobs.port.ExecutorClient.CommandResult;
+import io.cactusspring.jobs.port.ExecutorClient.EndReason;
+import io.cactusspring.jobs.port.ExecutorClient.EndedRun;
 import io.cactusspring.jobs.port.ExecutorClient.LeaseRenewalRequest;
 import io.cactusspring.jobs.port.ExecutorClient.LeaseRenewalResult;
 import io.cactusspring.jobs.port.ExecutorClient.StartRequest;
@@ -56,6 +58,7 @@
   private final LedgerSnapshot store = new LedgerSnapshot();
   private final List<String> decisions = new ArrayList<>();
   private final List<ActiveRun> running = new ArrayList<>();
+  private final List<EndedRun> ended = new ArrayList<>();
   private JobScheduler owner;
   private long term;
   private long bootedAt;
@@ -151,6 +154,7 @@
     bootedAt = now;
     leaseEnd = 0;
     running.clear();
+    ended.clear();
   }
 
   /** Returns the executor's clock, which began when the present boot did. */
@@ -169,8 +173,18 @@
     running.add(new ActiveRun(start.task(), start.run(), "", 10, 0));
   }
 
+  /** Lets the run on the executor end, as done. */
+  final void endRun() {
+    ActiveRun run = running.removeFirst();
+    ended.add(new EndedRun(ended.size() + 1, run.task(), run.run(), EndReason.DONE, ""));
+  }
+
+  final long boot() {
+    return boot;
+  }
+
   final LeaseRenewalResult report() {
-    return new LeaseRenewalResult.Report(clock(), boot, List.copyOf(running), List.of());
+    return new LeaseRenewalResult.Report(clock(), boot, List.copyOf(running), List.copyOf(ended));
   }
 
   /** Renews the lease of the executor, which answers at once. */
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/RebootedExecutorTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/RebootedExecutorTest.java
@@ -4,8 +4,11 @@
 
 import io.cactusspring.jobs.port.ExecutorClient.CommandResult;
 import io.cactusspring.jobs.port.ExecutorClient.LeaseRenewalRequest;
+import io.cactusspring.jobs.port.ExecutorClient.LeaseRenewalResult;
 import io.cactusspring.jobs.port.ExecutorClient.Refusal;
 import io.cactusspring.jobs.port.ExecutorClient.StartRequest;
+import io.cactusspring.jobs.schedule.JobScheduler.ReceivedEnds;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -119,6 +122,26 @@
         .isAtMost(clock() + MAX_LEASE_MILLIS);
   }
 
+  /** Guards against ends of a later boot that are deleted before they were read. */
+  @Test
+  void endsAreNotAcknowledgedToAnExecutorThatDoesNotAnswer() {
+    beginWithExecutor();
+    submit();
+    start();
+    endRun();
+    renew();
+    store();
+    owner().endsStored(List.of(new ReceivedEnds(REBOOTED, boot(), 1)));
+    LeaseRenewalRequest unanswered = owner().leaseRenewalRequest(REBOOTED, true, now);
+    assertThat(unanswered.acknowledgedEnd()).isEqualTo(1);
+    LeaseRenewalResult none = new LeaseRenewalResult.Unknown("no answer");
+    owner().leaseRenewalAnswered(REBOOTED, unanswered, now, none, now);
+    LeaseRenewalRequest next = owner().leaseRenewalRequest(REBOOTED, true, now);
+    assertThat(next.acknowledgedEnd()).isEqualTo(0);
+    owner().leaseRenewalAnswered(REBOOTED, next, now, report(), now);
+    assertThat(owner().leaseRenewalRequest(REBOOTED, true, now).acknowledgedEnd()).isEqualTo(1);
+  }
+
   /** Guards against a wait for the longest lease where no call can have reached a later boot. */
   @Test
   void taskOfAnExecutorThatIsCutOffStartsElsewhereAfterItsLease() {
