--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerController.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerController.java
@@ -573,7 +573,10 @@
     return heartbeats.millisSinceOwned() < storeGraceMillis;
   }
 
-  /** Returns whether a later owner will expect what an executor may hold after a grant. */
+  /**
+   * Returns whether a later owner will expect the lease that an executor may hold. If not, that is
+   * recorded at once, and the executor may get a lease afterwards.
+   */
   private boolean mayGrantLease(String executor, long now) {
     boolean covered = heartbeats.coversLease(executor, scheduler.longLeaseMillis(executor, now));
     if (!covered) {
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/FaultPlan.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/FaultPlan.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
+import java.util.stream.IntStream;
 
 /** Draws the faults of a run from its seed. */
 final class FaultPlan {
@@ -17,6 +18,11 @@
   private static final int MAX_GAP_MILLIS = 7_000;
   private static final int OVERLAP_PERCENT = 30;
 
+  private static final long RESTART_MILLIS = 600;
+  private static final long CUT_DELAY_MILLIS = 2_000;
+  private static final long CUT_MILLIS = 11_000;
+  private static final long RESTART_CYCLE_MILLIS = 15_000;
+
   private final Random random;
   private final int hosts;
   private final List<Kind> kinds;
@@ -37,6 +43,29 @@
     return List.copyOf(plan.faults);
   }
 
+  /**
+   * Returns faults that end within a duration: the executors of one zone after the other start
+   * again under their ids, and are cut off 2 s later for longer than any lease.
+   */
+  static List<Fault> restarts(long durationMillis) {
+    List<Fault> faults = new ArrayList<>();
+    long at = FIRST_MILLIS;
+    for (int i = 0; at + RESTART_CYCLE_MILLIS <= durationMillis; i++) {
+      long start = at;
+      String zone = Site.ZONES.get(i % Site.ZONES.size());
+      IntStream.range(0, Site.executors().size())
+          .filter(e -> Site.executors().get(e).zone().equals(zone))
+          .forEach(
+              e -> {
+                long cutAt = start + RESTART_MILLIS + CUT_DELAY_MILLIS;
+                faults.add(new Fault(start, RESTART_MILLIS, Kind.EXECUTOR_CRASHED, e, 0));
+                faults.add(new Fault(cutAt, CUT_MILLIS, Kind.EXECUTOR_SILENT, e, 0));
+              });
+      at += RESTART_CYCLE_MILLIS;
+    }
+    return List.copyOf(faults);
+  }
+
   private void fill(long durationMillis) {
     long at = FIRST_MILLIS;
     while (at < durationMillis) {
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/Soak.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/Soak.java
@@ -88,6 +88,12 @@
         .addArgument("--takeovers")
         .action(Arguments.storeTrue())
         .help("kill all hosts at times between the failures of two members of a gang");
+    parser
+        .addArgument("--restarts")
+        .action(Arguments.storeTrue())
+        .help(
+            "start the executors of a zone again under their ids and cut them off soon afterwards,"
+                + " one zone after the other; best without other faults of executors");
     parser
         .addArgument("--earlier")
         .setDefault("")
@@ -119,6 +125,7 @@
             arguments.getInt("failures"),
             arguments.getInt("gangs"),
             arguments.getBoolean("takeovers"),
+            arguments.getBoolean("restarts"),
             root,
             Optional.of(arguments.getString("earlier"))
                 .filter(d -> !d.isEmpty())
@@ -159,7 +166,7 @@
   }
 
   private static String replayCommand(Namespace arguments) {
-    return "bin/soak --seed %s --minutes %s --hosts %s --faults %s --failures %s --gangs %s%s%s%s%s%s"
+    return "bin/soak --seed %s --minutes %s --hosts %s --faults %s --failures %s --gangs %s%s%s%s%s%s%s"
         .formatted(
             arguments.get("seed"),
             arguments.get("minutes"),
@@ -171,6 +178,7 @@
             arguments.getBoolean("check_fairness") ? " --check-fairness" : "",
             arguments.getBoolean("crash_loops") ? " --crash-loops" : "",
             arguments.getBoolean("takeovers") ? " --takeovers" : "",
+            arguments.getBoolean("restarts") ? " --restarts" : "",
             arguments.getString("earlier").isEmpty()
                 ? ""
                 : " --earlier " + arguments.getString("earlier"));
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakExecutor.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakExecutor.java
@@ -28,7 +28,9 @@
 
 /** A stand-in executor with leases, fencing tokens, checkpoints and reboots, in real time. */
 final class SoakExecutor implements ExecutorServer.Model {
-  private static final long MAX_LEASE_MILLIS = 6_000;
+  /** The longest lease; hosts grant shorter ones. */
+  private static final long MAX_LEASE_MILLIS = 10_000;
+
   private static final long STOP_MILLIS = 100;
   private static final long LEASE_CHECK_MILLIS = 20;
 
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakRun.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakRun.java
@@ -10,6 +10,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -27,6 +28,7 @@
    * @param failurePermille share of the runs that fail
    * @param gangsPerMinute jobs with gangs beside the other jobs
    * @param takeovers whether all hosts are killed between two ends of a gang at times
+   * @param restarts whether executors start again under their ids and are cut off soon afterwards
    * @param root directory of the repository
    * @param earlier directory of the repository with an earlier version, which every second host
    *     runs
@@ -43,6 +45,7 @@
       int failurePermille,
       int gangsPerMinute,
       boolean takeovers,
+      boolean restarts,
       Path root,
       Optional<Path> earlier,
       Path folder) {}
@@ -126,7 +129,11 @@
     // The last disturbance has passed when the load ends.
     long faultMillis = options.durationMillis() - FaultInjector.RECOVERY_MILLIS;
     List<Fault> faults =
-        FaultPlan.draw(options.seed(), faultMillis, options.hosts(), options.faults());
+        new ArrayList<>(
+            FaultPlan.draw(options.seed(), faultMillis, options.hosts(), options.faults()));
+    if (options.restarts()) {
+      faults.addAll(FaultPlan.restarts(faultMillis));
+    }
     LoadPlan load =
         new LoadPlan(options.seed(), faults, options.failurePermille(), options.gangsPerMinute());
     List<Arrival> arrivals = load.draw(options.durationMillis());
