Name the bounds of a lease, and share the steps of its tests

Change: comments and two steps of the fixture; no logic.

Measured: RebootedExecutorTest, RebootedExecutorTakeoverTest and RebootedExecutorsFuzzTest pass.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ExecutorLease.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ExecutorLease.java
@@ -18,12 +18,28 @@
   private long clockMillis;
   private long clockAt = NEVER;
   private long grantedAt = NEVER;
+
+  /** When leases have lapsed that this owner has granted to the present boot. */
   private long lapsesAt = NEVER;
+
+  /**
+   * When a lease has lapsed that the present boot may have taken from a call for an earlier one.
+   */
   private long foreignLapsesAt = NEVER;
+
+  /** When a call that named the end of a lease was last given up. */
   private long unansweredAt = NEVER;
+
+  /** When a lease has lapsed that the present boot may take from such a call for an earlier one. */
   private long lateLapsesAt = NEVER;
+
+  /** When leases have lapsed that earlier owners have granted. */
   private long inheritedLapsesAt = NEVER;
+
+  /** When a lease has lapsed that is longer than those, as the last owner has recorded. */
   private long inheritedLongLapsesAt = NEVER;
+
+  /** Whether earlier owners may have granted their leases to an earlier boot. */
   private boolean inheritedByEarlierBoot;
 
   /** Creates a lease that was never granted. */
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/RebootedExecutorFixture.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/RebootedExecutorFixture.java
@@ -3,7 +3,6 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import io.cactusspring.core.model.Resources;
-import io.cactusspring.jobs.ledger.JobEntry;
 import io.cactusspring.jobs.ledger.LedgerCodec;
 import io.cactusspring.jobs.ledger.LedgerSnapshot;
 import io.cactusspring.jobs.model.ExecutorInfo;
@@ -25,8 +24,8 @@
 import java.util.Set;
 
 /**
- * An owner with an executor that starts again under its id, and another one without room to begin
- * with. The executor keeps its lease as the platform's pages say.
+ * An owner with an executor that starts again under its id and keeps its lease as the platform's
+ * pages say, and another executor that is added later.
  */
 abstract class RebootedExecutorFixture {
   static final String REBOOTED = "x1";
@@ -97,6 +96,16 @@
     renew();
   }
 
+  /**
+   * Begins the first term with an executor that has been up for so long that an end on its clock
+   * lies far ahead on that of a later boot.
+   */
+  final void beginWithExecutorThatIsUpForLong() {
+    beginWithExecutor();
+    now += 20_000;
+    renew();
+  }
+
   final void submit() {
     store.applyLane(0, LedgerCodec.job(job));
     owner.submitted(store.jobs().iterator().next(), now, now);
@@ -107,10 +116,6 @@
         .ifPresent(p -> store.applyLane(0, LedgerCodec.progress("j1", p)));
   }
 
-  final JobEntry stored() {
-    return store.jobs().iterator().next();
-  }
-
   /** Announces the present boot of the executor. */
   final void announceRebooted() {
     announce(REBOOTED, boot);
@@ -245,6 +250,13 @@
     return !running.isEmpty() && clock() <= leaseEnd;
   }
 
+  /** Cuts the executor off, adds the other one, and waits as {@link #waitForStartElsewhere}. */
+  final long cutOffAndWaitForStartElsewhere() {
+    loseRenewal();
+    addOther();
+    return waitForStartElsewhere();
+  }
+
   /**
    * Lets time pass until the task starts on the other executor, and checks that its run is over on
    * the first one by then.
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/RebootedExecutorTakeoverTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/RebootedExecutorTakeoverTest.java
@@ -34,9 +34,7 @@
   }
 
   private void startOnLaterBootThatTookAnEarlierStart() {
-    beginWithExecutor();
-    now += 20_000;
-    renew();
+    beginWithExecutorThatIsUpForLong();
     submit();
     StartRequest start = sendStart();
     reboot();
@@ -56,9 +54,7 @@
     assertThat(record.covers(REBOOTED, owner().longLeaseMillis(REBOOTED, now))).isTrue();
     begin(leasesOfEndedOwner(Optional.of(record)));
     announceRebooted();
-    loseRenewal();
-    addOther();
-    waitForStartElsewhere();
+    cutOffAndWaitForStartElsewhere();
   }
 
   /** Guards against a longer lease that is forgotten with the second of two takeovers. */
@@ -83,9 +79,7 @@
     startOnLaterBootThatTookAnEarlierStart();
     begin(leasesOfEndedOwner(Optional.empty()));
     announceRebooted();
-    loseRenewal();
-    addOther();
-    waitForStartElsewhere();
+    cutOffAndWaitForStartElsewhere();
   }
 
   /** Guards against a wait for the longest lease after each takeover. */
@@ -99,9 +93,7 @@
     assertThat(record.longLeaseMillis()).isEmpty();
     begin(leasesOfEndedOwner(Optional.of(record)));
     announceRebooted();
-    loseRenewal();
-    addOther();
-    assertThat(waitForStartElsewhere()).isAtMost(USUAL_MILLIS + 10);
+    assertThat(cutOffAndWaitForStartElsewhere()).isAtMost(USUAL_MILLIS + 10);
   }
 
   /** Guards against a lease whose end lies ahead on a slow clock that was last read long ago. */
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/RebootedExecutorTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/RebootedExecutorTest.java
@@ -31,9 +31,7 @@
   /** Guards against a second run beside one on a boot that took a start for the boot before. */
   @Test
   void startThatTheLaterBootTookExtendsItsLease() {
-    beginWithExecutor();
-    now += 20_000;
-    renew();
+    beginWithExecutorThatIsUpForLong();
     submit();
     StartRequest start = sendStart();
     reboot();
@@ -43,17 +41,13 @@
     announceRebooted();
     renew();
     start();
-    loseRenewal();
-    addOther();
-    waitForStartElsewhere();
+    cutOffAndWaitForStartElsewhere();
   }
 
   /** Guards against a second run beside one on a boot that took a renewal for the boot before. */
   @Test
   void renewalThatTheLaterBootTookExtendsItsLease() {
-    beginWithExecutor();
-    now += 20_000;
-    renew();
+    beginWithExecutorThatIsUpForLong();
     LeaseRenewalRequest renewal = owner().leaseRenewalRequest(REBOOTED, true, now);
     reboot();
     now += 100;
@@ -62,17 +56,13 @@
     announceRebooted();
     submit();
     start();
-    loseRenewal();
-    addOther();
-    waitForStartElsewhere();
+    cutOffAndWaitForStartElsewhere();
   }
 
   /** Guards against a call that arrives when the owner knows the later boot already. */
   @Test
   void callThatIsInFlightWhenTheRebootIsKnownExtendsTheLease() {
-    beginWithExecutor();
-    now += 20_000;
-    renew();
+    beginWithExecutorThatIsUpForLong();
     submit();
     StartRequest start = sendStart();
     reboot();
@@ -82,15 +72,11 @@
     answered(start, new CommandResult.Refused(Refusal.TICKET));
     renew();
     start();
-    loseRenewal();
-    addOther();
-    waitForStartElsewhere();
+    cutOffAndWaitForStartElsewhere();
   }
 
   private StartRequest leaveStartUnanswered() {
-    beginWithExecutor();
-    now += 20_000;
-    renew();
+    beginWithExecutorThatIsUpForLong();
     submit();
     StartRequest start = sendStart();
     now += 500;
@@ -114,9 +100,7 @@
     renew();
     now += 3_000;
     take(late.leaseEndMillis());
-    loseRenewal();
-    addOther();
-    assertThat(waitForStartElsewhere()).isLessThan(13_000 + MAX_LEASE_MILLIS);
+    assertThat(cutOffAndWaitForStartElsewhere()).isLessThan(13_000 + MAX_LEASE_MILLIS);
   }
 
   /** Guards against a wait for late calls to an executor that is gone. */
@@ -134,26 +118,20 @@
   /** Guards against a start that the later boot carries out unnoticed before it is cut off. */
   @Test
   void answerOfTheLaterBootToAStartShowsItsLeaseBeforeTheRebootIsKnown() {
-    beginWithExecutor();
-    now += 20_000;
-    renew();
+    beginWithExecutorThatIsUpForLong();
     submit();
     StartRequest start = sendStart();
     reboot();
     now += 100;
     carryOut(start);
     answered(start, new CommandResult.Done(clock()));
-    loseRenewal();
-    addOther();
-    waitForStartElsewhere();
+    cutOffAndWaitForStartElsewhere();
   }
 
   /** Guards against leases by the clock of the earlier boot, which answers late. */
   @Test
   void lateAnswerOfTheEarlierBootDoesNotSetTheClockOfTheLaterOne() {
-    beginWithExecutor();
-    now += 20_000;
-    renew();
+    beginWithExecutorThatIsUpForLong();
     submit();
     StartRequest start = sendStart();
     carryOut(start);
@@ -189,22 +167,16 @@
   /** Guards against a wait for the longest lease where no call can have reached a later boot. */
   @Test
   void taskOfAnExecutorThatIsCutOffStartsElsewhereAfterItsLease() {
-    beginWithExecutor();
-    now += 20_000;
-    renew();
+    beginWithExecutorThatIsUpForLong();
     submit();
     start();
-    loseRenewal();
-    addOther();
-    assertThat(waitForStartElsewhere()).isLessThan(6_200);
+    assertThat(cutOffAndWaitForStartElsewhere()).isLessThan(6_200);
   }
 
   /** Guards against a wait for runs that a still later boot of the executor does not have. */
   @Test
   void taskOfAnExecutorThatRebootedAgainStartsAtOnce() {
-    beginWithExecutor();
-    now += 20_000;
-    renew();
+    beginWithExecutorThatIsUpForLong();
     reboot();
     announceRebooted();
     renew();
