Show that ended jobs are deleted from the store while it is slow

Cause: OwnedJobs queues a tombstone for a lane while a newer final record of the job is on its way to that lane.

--- /dev/null
+++ b/review/12/run.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+set -u
+here=$(cd "$(dirname "$0")" && pwd)
+cd "$here/../.." || exit 2
+. bin/jdk.sh || exit 2
+exec "$JAVA_HOME/bin/java" -cp "target/review-3:target/platform/lib/*" review.CaseForgotten "$here"
