Log which records the owner deletes from the lanes

An ended job that is unknown after a takeover could not be traced: nothing told whether its records were deleted, by which append, and in which lane. Each append with tombstones now leaves one line (CS2207) with the term, the lane, the sequence number and the keys.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/LaneWriter.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/LaneWriter.java
@@ -132,6 +132,18 @@
    */
   Future<Void> write(int number, List<Entry> entries) {
     Lane lane = lanes.get(number);
+    if (!lane.deletions.isEmpty()) {
+      log.event(
+          JobEvent.RECORDS_DELETED,
+          "term",
+          term,
+          "lane",
+          number,
+          "sequence",
+          lane.sequence + 1,
+          "keys",
+          List.copyOf(lane.deletions.keySet()));
+    }
     // Deletions come first: a key may be written again.
     List<Entry> all = new ArrayList<>(lane.deletions.values());
     all.addAll(entries);
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/log/JobEvent.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/log/JobEvent.java
@@ -32,6 +32,7 @@
   APPEND_FAILED(2204, "the owner's records were not stored; they are sent again"),
   TAKING_OVER(2205, "this host has claimed ownership and reads the ledger"),
   EARLIER_LEASES_SHORTENED(2206, "the owner before has ended; its leases lapse sooner"),
+  RECORDS_DELETED(2207, "the owner deletes records of ended jobs from a lane of the ledger"),
   LINK_OPENED(2211, "the link to the owner is open"),
   LINK_CLOSED(2212, "the link to the owner has closed or is silent"),
   LINK_REFUSED(2213, "a link of another host was closed because of an invalid message"),
