Keep the newest record of an ended job while it is in flight

A second final record, which follows once leftover runs are over, could be in flight to one of these.

Change: a job is swept only once it has no runs, no change to be sent and nothing in flight, and a lane takes no deletion of a key that is in flight there. A location counts until its deletion is stored, and a job is forgotten only when nothing but its newest record is left: an owner that ended in between could leave a submission without its end, which would run again.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/LaneWriter.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/LaneWriter.java
@@ -9,11 +9,14 @@
 import io.cactusspring.jobs.port.Timers;
 import io.vertx.core.Future;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
 
 /**
  * Appends the owner's batches to the lanes, partitions of the ledger that only the owner writes.
@@ -26,9 +29,20 @@
   /** Time for which an append is in flight before the next batch goes to another lane. */
   private static final long MIN_OVERLAP_MILLIS = 20;
 
-  private final class Lane {
+  /**
+   * A deletion that waits for the next append to its lane.
+   *
+   * @param done called when the tombstone is stored
+   */
+  private record Deletion(Entry tombstone, Runnable done) {}
+
+  private static final class Lane {
     private final KeyedTopic topic;
-    private final Map<String, Entry> deletions = new LinkedHashMap<>();
+    private final Map<String, Deletion> deletions = new LinkedHashMap<>();
+
+    /** Keys of the records and tombstones that are being appended. */
+    private final Set<String> inFlight = new HashSet<>();
+
     private long sequence;
     private boolean busy;
 
@@ -132,7 +146,10 @@
    */
   Future<Void> write(int number, List<Entry> entries) {
     Lane lane = lanes.get(number);
-    if (!lane.deletions.isEmpty()) {
+    List<Deletion> deletions = List.copyOf(lane.deletions.values());
+    lane.deletions.clear();
+    List<Entry> tombstones = deletions.stream().map(Deletion::tombstone).toList();
+    if (!tombstones.isEmpty()) {
       log.event(
           JobEvent.RECORDS_DELETED,
           "term",
@@ -142,13 +159,23 @@
           "sequence",
           lane.sequence + 1,
           "keys",
-          List.copyOf(lane.deletions.keySet()));
+          tombstones.stream().map(Entry::key).toList());
     }
     // Deletions come first: a key may be written again.
-    List<Entry> all = new ArrayList<>(lane.deletions.values());
-    all.addAll(entries);
-    lane.deletions.clear();
-    return append(lane, all).mapEmpty();
+    List<Entry> all = Stream.concat(tombstones.stream(), entries.stream()).toList();
+    all.forEach(e -> lane.inFlight.add(e.key()));
+    return append(lane, all)
+        .onSuccess(
+            sentAt -> {
+              lane.inFlight.clear();
+              deletions.forEach(d -> d.done.run());
+            })
+        .mapEmpty();
+  }
+
+  /** Returns whether a record or tombstone of a key is being appended to any lane. */
+  boolean isInFlight(String key) {
+    return lanes.stream().anyMatch(l -> l.inFlight.contains(key));
   }
 
   private Future<Long> append(Lane lane, List<Entry> entries) {
@@ -190,9 +217,17 @@
                     JobEvent.APPEND_FAILED, "term", term, "sequence", sequence, "reason", problem));
   }
 
-  /** Deletes a key from a lane with one of the next appends to it. */
-  void deleteLater(int lane, Entry tombstone) {
-    lanes.get(lane).deletions.put(tombstone.key(), tombstone);
+  /**
+   * Deletes what a lane holds of a key, with one of the next appends to it. Has no effect while a
+   * record of the key is being appended to the lane: the tombstone would delete that record, too.
+   *
+   * @param done called when the deletion is stored
+   */
+  void delete(int number, Entry tombstone, Runnable done) {
+    Lane lane = lanes.get(number);
+    if (!lane.inFlight.contains(tombstone.key())) {
+      lane.deletions.put(tombstone.key(), new Deletion(tombstone, done));
+    }
   }
 
   /** Writes the deletions that wait for idle lanes. */
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnedJobs.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnedJobs.java
@@ -92,7 +92,7 @@
     }
     for (int lane = 0; lane < lanes.count(); lane++) {
       if (entry.locations().hasProgressInLane(lane)) {
-        lanes.deleteLater(lane, LedgerCodec.progressTombstone(entry.id()));
+        lanes.delete(lane, LedgerCodec.progressTombstone(entry.id()), () -> {});
       }
     }
   }
@@ -252,11 +252,6 @@
   /** Records that a lane holds a progress record of a known job. */
   void progressStored(String id, JobProgress progress, int lane, long now) {
     Job job = jobs.get(id);
-    if (job == null) {
-      // The job was forgotten while the record was being written.
-      lanes.deleteLater(lane, LedgerCodec.progressTombstone(id));
-      return;
-    }
     if (progress.version() <= job.version) {
       job.locations.progressInLane(lane);
       return;
@@ -267,19 +262,21 @@
   }
 
   /**
-   * Deletes records that nobody needs any more.
+   * Deletes records that nobody needs any more. Those of a job are deleted only once its newest
+   * record is stored and no other can follow, so that this record moves to another lane no more.
    *
-   * @param hasRuns whether a job may still have a run on an executor
+   * @param mayChange whether a job may get further records: it has a run on an executor, or a
+   *     change that was not sent to the store yet
    */
-  void sweep(Predicate<String> hasRuns, long now) {
+  void sweep(Predicate<String> mayChange, long now) {
     List<Job> expired = new ArrayList<>();
     for (Job job : ended) {
-      if (!hasRuns.test(job.id)) {
+      if (!mayChange.test(job.id) && !isInFlight(job)) {
         deleteAllButFinalState(job);
         if (now - job.finalSince >= SPEC_RETENTION_MILLIS) {
           job.spec = null;
         }
-        if (now - job.finalSince >= RETENTION_MILLIS && !isInInbox(job)) {
+        if (now - job.finalSince >= RETENTION_MILLIS && job.locations.isOnlyNewestProgress()) {
           expired.add(job);
         }
       }
@@ -294,18 +291,24 @@
     inbox.flushDeletions();
   }
 
+  private boolean isInFlight(Job job) {
+    return lanes.isInFlight(LedgerCodec.jobKey(job.id))
+        || lanes.isInFlight(LedgerCodec.progressKey(job.id));
+  }
+
   private void deleteAllButFinalState(Job job) {
     RecordLocations locations = job.locations;
-    for (int lane = 0; lane < lanes.count(); lane++) {
+    for (int i = 0; i < lanes.count(); i++) {
+      int lane = i;
       if (locations.hasSubmissionInLane(lane)) {
-        lanes.deleteLater(lane, LedgerCodec.jobTombstone(job.id));
+        Entry tombstone = LedgerCodec.jobTombstone(job.id);
+        lanes.delete(lane, tombstone, () -> locations.submissionDeleted(lane));
       }
       if (locations.hasProgressInLane(lane) && lane != locations.newestProgressLane()) {
-        lanes.deleteLater(lane, LedgerCodec.progressTombstone(job.id));
+        Entry tombstone = LedgerCodec.progressTombstone(job.id);
+        lanes.delete(lane, tombstone, () -> locations.progressDeleted(lane));
       }
     }
-    locations.submissionDeleted();
-    locations.olderProgressDeleted();
     if (locations.hasInboxSubmission()) {
       Entry tombstone = LedgerCodec.jobTombstone(job.id);
       inbox.delete(job.id, tombstone, () -> locations.inboxSubmission(false));
@@ -316,12 +319,9 @@
     }
   }
 
-  private static boolean isInInbox(Job job) {
-    return job.locations.hasInboxSubmission() || job.locations.hasInboxCancellation();
-  }
-
   private void forget(Job job) {
-    lanes.deleteLater(job.locations.newestProgressLane(), LedgerCodec.progressTombstone(job.id));
+    int lane = job.locations.newestProgressLane();
+    lanes.delete(lane, LedgerCodec.progressTombstone(job.id), () -> {});
     jobs.remove(job.id);
     ended.remove(job);
   }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerController.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerController.java
@@ -345,7 +345,8 @@
     renewLeases(now);
     if (now - lastSweepAt >= SWEEP_INTERVAL_MILLIS) {
       lastSweepAt = now;
-      jobs.sweep(scheduler::hasRuns, now);
+      Set<String> changed = scheduler.changedJobs();
+      jobs.sweep(id -> scheduler.hasRuns(id) || changed.contains(id), now);
     }
   }
 
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/ledger/LedgerCodec.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/ledger/LedgerCodec.java
@@ -83,9 +83,19 @@
     return new Entry(FENCE_KEY, Long.toString(term).getBytes(StandardCharsets.US_ASCII), 0);
   }
 
+  /** Returns the key of the submission of a job. */
+  public static String jobKey(String job) {
+    return JOB_PREFIX + job;
+  }
+
+  /** Returns the key of the progress of a job. */
+  public static String progressKey(String job) {
+    return PROGRESS_PREFIX + job;
+  }
+
   /** Returns the tombstone that deletes the submission of a job. */
   public static Entry jobTombstone(String job) {
-    return new Entry(JOB_PREFIX + job, null, 0);
+    return new Entry(jobKey(job), null, 0);
   }
 
   /** Returns the tombstone that deletes the cancellation of a job. */
@@ -95,7 +105,7 @@
 
   /** Returns the tombstone that deletes the progress of a job. */
   public static Entry progressTombstone(String job) {
-    return new Entry(PROGRESS_PREFIX + job, null, 0);
+    return new Entry(progressKey(job), null, 0);
   }
 
   /** Decodes a submission; empty if the record is of another kind, a tombstone or unreadable. */
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/ledger/RecordLocations.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/ledger/RecordLocations.java
@@ -59,13 +59,21 @@
     return inboxCancellation;
   }
 
-  /** Removes all lanes from the locations of the submission. */
-  public void submissionDeleted() {
-    submissionLanes = 0;
+  /** Removes a lane that no longer holds the job's submission. */
+  public void submissionDeleted(int lane) {
+    submissionLanes &= ~(1 << lane);
   }
 
-  /** Removes all lanes but that of the newest record from the locations of the progress. */
-  public void olderProgressDeleted() {
-    progressLanes &= 1 << newestProgressLane;
+  /** Removes a lane that no longer holds a progress record of the job. */
+  public void progressDeleted(int lane) {
+    progressLanes &= ~(1 << lane);
+  }
+
+  /** Returns whether nothing but the newest progress record is stored. */
+  public boolean isOnlyNewestProgress() {
+    return submissionLanes == 0
+        && progressLanes == 1 << newestProgressLane
+        && !inboxSubmission
+        && !inboxCancellation;
   }
 }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
@@ -27,8 +27,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.function.Function;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 /**
  * Makes the scheduling decisions of the entry host that owns the executors, for one term.
@@ -484,6 +486,11 @@
     return !state.changed.isEmpty();
   }
 
+  /** Returns the jobs with changes that {@link #takeChanges} has not returned yet. */
+  public Set<String> changedJobs() {
+    return state.changed.stream().map(LiveJob::id).collect(Collectors.toSet());
+  }
+
   /** Returns whether a job has changes that {@link #takeChanges} has not returned yet. */
   public boolean hasChanges(String job) {
     LiveJob live = state.jobs.get(job);
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/StoreWritesTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/StoreWritesTest.java
@@ -142,8 +142,8 @@
   @Test
   void deletionsAreWrittenWithTheNextBatchOfTheirLane() {
     LaneWriter lanes = lanes(2);
-    lanes.deleteLater(0, entry(7));
-    lanes.deleteLater(1, entry(8));
+    lanes.delete(0, entry(7), () -> {});
+    lanes.delete(1, entry(8), () -> {});
     lanes.write(0, List.of(entry(0)));
     time.run(20);
     assertThat(topic.appends).containsExactly(2);
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/ClusterSimulation.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/ClusterSimulation.java
@@ -74,6 +74,12 @@
   /** Time without a fault after which a host has to keep all bounds. */
   private static final long SETTLE_MILLIS = 3_000;
 
+  /** How often the owner deletes records that nobody needs any more. */
+  private static final long SWEEP_MILLIS = 5_000;
+
+  /** How long an append to a slow store is in flight. */
+  private static final long SWEPT_FLIGHT_MILLIS = 240;
+
   /** How long a request is on its way to a host. */
   private static final long REQUEST_MILLIS = 1;
 
@@ -401,6 +407,40 @@
     return inbox;
   }
 
+  /**
+   * Sets how fast the store is from now on, at all hosts and in all partitions of the ledger.
+   *
+   * @param answerMillis how long a call takes that has to wait for no other one
+   * @param appendMillis how long a partition takes for an append; it executes them one at a time
+   */
+  public void storeMillis(long answerMillis, long appendMillis) {
+    hosts.forEach(
+        h -> h.storeLink.extraLatencyMillis(Math.max(0, answerMillis - Link.USUAL_ANSWER_MILLIS)));
+    ledger().forEach(l -> l.appendMillis(appendMillis));
+  }
+
+  /**
+   * Injects a fault of the code: from time to time, a tombstone for an older record of an ended job
+   * follows the newest one, which has just been stored in the same lane. Another lane holds an
+   * older record, too, which the owner deletes afterwards.
+   */
+  public void deleteNewestRecords() {
+    for (FakeLog lane : lanes) {
+      lane.deleteIf(
+          e ->
+              time.now() % SWEEP_MILLIS < SWEPT_FLIGHT_MILLIS
+                  && isFinalProgress(e)
+                  && lanes.stream().filter(l -> l.contains(e.key())).count() > 1
+                  && lane.contains(e.key()));
+    }
+  }
+
+  private static boolean isFinalProgress(Entry entry) {
+    LedgerSnapshot snapshot = new LedgerSnapshot();
+    snapshot.applyLane(0, entry);
+    return snapshot.jobs().stream().anyMatch(JobEntry::isFinalStateStored);
+  }
+
   /** Returns whether an owner has stored that a job has failed. */
   boolean isStoredAsFailed(String job) {
     return stored(job).filter(j -> j.state() == JobState.FAILED).isPresent();
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/FakeLog.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/FakeLog.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 import java.util.function.UnaryOperator;
 
 /**
@@ -17,6 +18,9 @@
  * the fencing of its writer.
  */
 public final class FakeLog {
+  /** The log refuses an append if those before it take longer than this. */
+  private static final long MAX_QUEUE_MILLIS = 2_000;
+
   private long appends;
   private long reads;
 
@@ -30,6 +34,9 @@
   private long epoch = Long.MIN_VALUE;
   private LastAppend lastAppend;
   private UnaryOperator<Entry> change = e -> e;
+  private Predicate<Entry> deletion = e -> false;
+  private long appendMillis;
+  private long busyUntil;
 
   /**
    * Appends records and returns the offset of the first one. A repeated append of a writer returns
@@ -48,12 +55,10 @@
     long offset = end();
     writer.ifPresent(w -> lastAppend = new LastAppend(w.sequence(), offset));
     for (Entry e : entries) {
-      Entry stored = new Entry(e.key(), change.apply(e).value(), end());
-      records.add(stored);
-      if (e.value() == null) {
-        newest.remove(e.key());
-      } else {
-        newest.put(e.key(), stored);
+      boolean deleted = deletion.test(e);
+      store(e);
+      if (deleted) {
+        store(new Entry(e.key(), null, 0));
       }
     }
     List<Runnable> listeners = List.copyOf(appendListeners);
@@ -62,6 +67,16 @@
     return offset;
   }
 
+  private void store(Entry entry) {
+    Entry stored = new Entry(entry.key(), change.apply(entry).value(), end());
+    records.add(stored);
+    if (entry.value() == null) {
+      newest.remove(entry.key());
+    } else {
+      newest.put(entry.key(), stored);
+    }
+  }
+
   private static void checkSizes(List<Entry> entries) throws StoreException {
     int largest = entries.stream().mapToInt(Entry::bytes).max().orElse(0);
     int all = entries.stream().mapToInt(Entry::bytes).sum();
@@ -124,6 +139,11 @@
     return List.copyOf(newest.values());
   }
 
+  /** Returns whether a key has a record that is not deleted. */
+  boolean contains(String key) {
+    return newest.containsKey(key);
+  }
+
   /** Registers a listener that is called once, after the next append. */
   public void onAppend(Runnable listener) {
     appendListeners.add(listener);
@@ -140,6 +160,35 @@
     change = value;
   }
 
+  /**
+   * Sets which records are followed by a tombstone of their key.
+   *
+   * @param condition asked just before a record is stored
+   */
+  void deleteIf(Predicate<Entry> condition) {
+    deletion = condition;
+  }
+
+  /** Sets how long the log takes for an append; it executes them one at a time. */
+  void appendMillis(long millis) {
+    appendMillis = millis;
+  }
+
+  /**
+   * Adds an append to those that the log executes, and returns after how many milliseconds it is
+   * executed.
+   *
+   * @throws StoreException if too many appends wait
+   */
+  long enqueueAppend(long now) throws StoreException {
+    long wait = Math.max(0, busyUntil - now);
+    if (wait > MAX_QUEUE_MILLIS) {
+      throw new StoreException(Kind.REFUSED, "appends of " + wait + " ms wait");
+    }
+    busyUntil = now + wait + appendMillis;
+    return wait + appendMillis;
+  }
+
   /** Sets whether reads from an offset fail. */
   public void unreadable(boolean value) {
     unreadable = value;
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/FakeTopic.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/FakeTopic.java
@@ -7,6 +7,7 @@
 import io.vertx.core.Promise;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Supplier;
 
 /** The client of one host for a topic of the store; calls go over the host's link to the store. */
 final class FakeTopic implements KeyedTopic {
@@ -26,7 +27,20 @@
   public Future<Long> append(List<Entry> entries, Optional<FencedWriter> writer) {
     log.countAppend();
     List<Entry> copy = List.copyOf(entries);
-    return link.call(() -> tryAppend(copy, writer), FakeTopic::noAnswer, CALL_TIMEOUT_MILLIS);
+    return link.call(
+        () -> inTurn(() -> tryAppend(copy, writer)), FakeTopic::noAnswer, CALL_TIMEOUT_MILLIS);
+  }
+
+  /** Executes an append once those before it are executed. */
+  private <T> Future<T> inTurn(Supplier<Future<T>> append) {
+    try {
+      long millis = log.enqueueAppend(time.now());
+      return millis == 0
+          ? append.get()
+          : Future.future(p -> time.after(millis, () -> append.get().onComplete(p)));
+    } catch (StoreException e) {
+      return Future.failedFuture(e);
+    }
   }
 
   private Future<Long> tryAppend(List<Entry> entries, Optional<FencedWriter> writer) {
@@ -41,7 +55,8 @@
   public Future<Void> appendAt(long end, List<Entry> entries) {
     log.countAppend();
     List<Entry> copy = List.copyOf(entries);
-    return link.call(() -> tryAppendAt(end, copy), FakeTopic::noAnswer, CALL_TIMEOUT_MILLIS);
+    return link.call(
+        () -> inTurn(() -> tryAppendAt(end, copy)), FakeTopic::noAnswer, CALL_TIMEOUT_MILLIS);
   }
 
   private Future<Void> tryAppendAt(long end, List<Entry> entries) {
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/Link.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/Link.java
@@ -14,6 +14,9 @@
   private static final long LATENCY_MILLIS = 2;
   private static final long MAX_DELAY_MILLIS = 6_000;
 
+  /** How long an answer takes without a fault. */
+  static final long USUAL_ANSWER_MILLIS = 2 * LATENCY_MILLIS;
+
   private final VirtualTime time;
   private final Random random;
   private final Supplier<Consumer<Runnable>> callbackContext;
