Note deletions in the inbox when their tombstones are read

What callers would see: a job that had ended runs once more, minutes later, after a change of the owner (TWICE).

Cause: the owner took the answer to a deletion for the state of the inbox. A copy of the submission that was stored behind the tombstone may have been read before that answer arrived; its note was then overwritten, and the copy stayed for the next owner once the job was forgotten.

Change: the deletion is noted when the tombstone is read, in the order of the log. Answers to calls of the simulation can be late.

Measured: copyThatIsStoredAfterADeletionIsDeletedToo fails before the change; without its assertion on the inbox it then reports "j.0.0.0 starts after its successful end was acknowledged". It passes with the change.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/InboxWriter.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/InboxWriter.java
@@ -16,11 +16,9 @@
  * for an owner that it cannot reach. The records of one job are in one partition.
  */
 final class InboxWriter {
-  private record Deletion(Entry tombstone, Runnable done) {}
-
   private final List<KeyedTopic> partitions;
   private final JobLog log;
-  private final Map<KeyedTopic, Map<String, Deletion>> deletions = new HashMap<>();
+  private final Map<KeyedTopic, Map<String, Entry>> deletions = new HashMap<>();
 
   InboxWriter(List<KeyedTopic> partitions, JobLog log) {
     this.partitions = partitions;
@@ -38,29 +36,27 @@
   }
 
   /**
-   * Deletes a record of a job with the next flush.
-   *
-   * @param done called when the record is deleted
+   * Deletes a record of a job with the next flush. The deletion has taken place once the tombstone
+   * is read from the inbox: the order of the tombstone and a copy of the record, which any host may
+   * append, is known from there only.
    */
-  void delete(String job, Entry tombstone, Runnable done) {
+  void delete(String job, Entry tombstone) {
     deletions
         .computeIfAbsent(partitionOf(job), p -> new LinkedHashMap<>())
-        .put(tombstone.key(), new Deletion(tombstone, done));
+        .put(tombstone.key(), tombstone);
   }
 
   /** Sends the deletions to the store; those that fail have to be requested again. */
   void flushDeletions() {
-    Map<KeyedTopic, Map<String, Deletion>> sent = Map.copyOf(deletions);
+    Map<KeyedTopic, Map<String, Entry>> sent = Map.copyOf(deletions);
     deletions.clear();
-    sent.forEach(this::deleteNow);
+    sent.forEach((partition, batch) -> deleteNow(partition, List.copyOf(batch.values())));
   }
 
-  private void deleteNow(KeyedTopic partition, Map<String, Deletion> batch) {
-    List<Entry> tombstones = batch.values().stream().map(Deletion::tombstone).toList();
+  private void deleteNow(KeyedTopic partition, List<Entry> tombstones) {
     partition
         .append(tombstones, Optional.empty())
-        .onComplete(
-            stored -> batch.values().forEach(d -> d.done.run()),
+        .onFailure(
             problem ->
                 log.event(
                     JobEvent.APPEND_FAILED,
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnedJobs.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnedJobs.java
@@ -169,6 +169,17 @@
     }
   }
 
+  /** Records that the inbox no longer holds the submission of a job, which may be unknown. */
+  void submissionDeletedFromInbox(String id) {
+    Optional.ofNullable(jobs.get(id)).ifPresent(job -> job.locations.inboxSubmission(false));
+  }
+
+  /** Records that the inbox no longer holds a cancellation of a job, which may be unknown. */
+  void cancellationDeletedFromInbox(String id) {
+    strayCancellations.remove(id);
+    Optional.ofNullable(jobs.get(id)).ifPresent(job -> job.locations.inboxCancellation(false));
+  }
+
   /**
    * Returns whether the inbox holds a cancellation of an unknown job. Another host has seen the job
    * then, so a submission of it may be stored.
@@ -310,12 +321,10 @@
       }
     }
     if (locations.hasInboxSubmission()) {
-      Entry tombstone = LedgerCodec.jobTombstone(job.id);
-      inbox.delete(job.id, tombstone, () -> locations.inboxSubmission(false));
+      inbox.delete(job.id, LedgerCodec.jobTombstone(job.id));
     }
     if (locations.hasInboxCancellation()) {
-      Entry tombstone = LedgerCodec.cancelTombstone(job.id);
-      inbox.delete(job.id, tombstone, () -> locations.inboxCancellation(false));
+      inbox.delete(job.id, LedgerCodec.cancelTombstone(job.id));
     }
   }
 
@@ -327,7 +336,7 @@
   }
 
   private void deleteStray(String id) {
-    inbox.delete(id, LedgerCodec.cancelTombstone(id), () -> strayCancellations.remove(id));
+    inbox.delete(id, LedgerCodec.cancelTombstone(id));
   }
 
   /** Ends the term: what is not stored yet may or may not be stored later. */
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerController.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerController.java
@@ -264,6 +264,8 @@
   void inboxRecord(Entry entry) {
     LedgerCodec.submission(entry).ifPresent(this::submittedToInbox);
     LedgerCodec.cancelledJob(entry).ifPresent(this::cancelledInInbox);
+    LedgerCodec.deletedSubmission(entry).ifPresent(jobs::submissionDeletedFromInbox);
+    LedgerCodec.deletedCancellation(entry).ifPresent(jobs::cancellationDeletedFromInbox);
   }
 
   private void submittedToInbox(JobSpec spec) {
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/ledger/LedgerCodec.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/ledger/LedgerCodec.java
@@ -122,6 +122,22 @@
         : Optional.empty();
   }
 
+  /** Returns the job whose submission a tombstone deletes; empty if the record is another one. */
+  public static Optional<String> deletedSubmission(Entry entry) {
+    return deletedJob(entry, JOB_PREFIX);
+  }
+
+  /** Returns the job whose cancellation a tombstone deletes; empty if the record is another one. */
+  public static Optional<String> deletedCancellation(Entry entry) {
+    return deletedJob(entry, CANCEL_PREFIX);
+  }
+
+  private static Optional<String> deletedJob(Entry entry, String prefix) {
+    return entry.key().startsWith(prefix) && entry.value() == null
+        ? Optional.of(entry.key().substring(prefix.length()))
+        : Optional.empty();
+  }
+
   static Optional<JobSpec> readJob(Entry entry) {
     return read(entry, new JobRecord(), JobRecordMapper::toJobSpec);
   }
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/Link.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/Link.java
@@ -24,6 +24,7 @@
   private double answerLossRate;
   private double delayedCallRate;
   private long extraLatencyMillis;
+  private long extraAnswerMillis;
   private int silentConnections;
   private int connectionGeneration;
 
@@ -59,6 +60,11 @@
     extraLatencyMillis = millis;
   }
 
+  /** Sets the milliseconds by which answers to calls that are executed from now on arrive later. */
+  public void extraAnswerMillis(long millis) {
+    extraAnswerMillis = millis;
+  }
+
   /**
    * Silences all open connections for good: calls in progress get no answer, and neither do the
    * next calls, each of which uses up an idle connection. New connections work.
@@ -130,7 +136,7 @@
   private void deliver(boolean lost, int generation, Runnable answer) {
     if (!lost) {
       time.after(
-          LATENCY_MILLIS,
+          LATENCY_MILLIS + extraAnswerMillis,
           () -> {
             if (!disconnected && generation == connectionGeneration) {
               answer.run();
