Read the inbox to its end after the lanes are fenced

What callers would see: a task runs on two executors at once after a takeover (TWICE).

Cause: a takeover read the inbox at once and began when the lanes were fenced and read. If the fences are late, the owner before may read a submission in between and start its task. The next owner then found progress without a submission, deleted it as that of a job that was never stored, and started the task once more when it read the submission.

Change: the inbox is read to its end once the fences are stored, beside the lanes. The simulation can hold back the first append of a new epoch.

Measured: submissionThatTheOwnerBeforeReadsBeforeTheFenceRunsOnce fails before the change ("j.0.0.0 runs on x1 and x2") and passes with it.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerTerm.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerTerm.java
@@ -31,7 +31,7 @@
  * One term of this host as the owner of the executors, from its stored claim on.
  *
  * <p>The takeover fences all lanes, so that no earlier owner can store a decision any more, and
- * then reads the whole ledger. Only then does the term become active.
+ * then reads the whole ledger, the inbox to its end. Only then does the term become active.
  */
 final class OwnerTerm implements PeerServer.Term {
   private static final long TAKEOVER_TICK_MILLIS = 50;
@@ -63,6 +63,7 @@
   private SiteConfiguration configuration;
   private Optional<OwnerController> controller = Optional.empty();
   private boolean lanesLoaded;
+  private boolean inboxRead;
   private boolean operatorsRead;
   private boolean refreshing;
   private boolean releasing;
@@ -160,7 +161,10 @@
     lanes
         .fence()
         .onComplete(
-            fenced -> loadLanes(),
+            fenced -> {
+              loadLanes();
+              readInbox();
+            },
             problem -> {
               if (!ended) {
                 superseded("a lane could not be fenced: " + problem.getMessage());
@@ -234,9 +238,38 @@
     return Future.future(p -> timers.after(LOAD_RETRY_MILLIS, () -> loadLane(lane).onComplete(p)));
   }
 
+  /**
+   * Reads the inbox to its end, after the lanes are fenced. An earlier owner may have read a
+   * submission until then, and stored the progress of its job, that this host has not read yet.
+   */
+  private void readInbox() {
+    Future.all(inboxFollowers.stream().map(this::readToEnd).toList())
+        .onSuccess(
+            done -> {
+              inboxRead = true;
+              beginIfLoaded();
+            });
+  }
+
+  private Future<Void> readToEnd(TopicFollower follower) {
+    return follower
+        .refresh()
+        .recover(
+            problem ->
+                ended
+                    ? Future.failedFuture(problem)
+                    : Future.future(
+                        p ->
+                            timers.after(
+                                LOAD_RETRY_MILLIS, () -> readToEnd(follower).onComplete(p))));
+  }
+
   private void beginIfLoaded() {
     boolean loaded =
-        operatorsRead && lanesLoaded && inboxFollowers.stream().allMatch(TopicFollower::isLoaded);
+        operatorsRead
+            && lanesLoaded
+            && inboxRead
+            && inboxFollowers.stream().allMatch(TopicFollower::isLoaded);
     if (!loaded || ended || controller.isPresent()) {
       return;
     }
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/FakeLog.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/FakeLog.java
@@ -37,6 +37,7 @@
   private Predicate<Entry> deletion = e -> false;
   private long appendMillis;
   private long busyUntil;
+  private long newEpochsFrom = Long.MIN_VALUE;
 
   /**
    * Appends records and returns the offset of the first one. A repeated append of a writer returns
@@ -139,6 +140,19 @@
     return List.copyOf(newest.values());
   }
 
+  /** Sets when appends with a higher epoch than any before are executed; until then, they wait. */
+  public void newEpochsFrom(long millis) {
+    newEpochsFrom = millis;
+  }
+
+  /**
+   * Returns after how many milliseconds an append of a writer is executed if no other one waits.
+   */
+  long delayMillis(Optional<FencedWriter> writer, long now) {
+    boolean newEpoch = writer.filter(w -> w.epoch() > epoch).isPresent();
+    return newEpoch ? Math.max(0, newEpochsFrom - now) : 0;
+  }
+
   /** Returns whether a key has a record that is not deleted. */
   boolean contains(String key) {
     return newest.containsKey(key);
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/FakeTopic.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/FakeTopic.java
@@ -28,21 +28,27 @@
     log.countAppend();
     List<Entry> copy = List.copyOf(entries);
     return link.call(
-        () -> inTurn(() -> tryAppend(copy, writer)), FakeTopic::noAnswer, CALL_TIMEOUT_MILLIS);
+        () ->
+            after(log.delayMillis(writer, time.now()), () -> inTurn(() -> tryAppend(copy, writer))),
+        FakeTopic::noAnswer,
+        CALL_TIMEOUT_MILLIS);
   }
 
   /** Executes an append once those before it are executed. */
   private <T> Future<T> inTurn(Supplier<Future<T>> append) {
     try {
-      long millis = log.enqueueAppend(time.now());
-      return millis == 0
-          ? append.get()
-          : Future.future(p -> time.after(millis, () -> append.get().onComplete(p)));
+      return after(log.enqueueAppend(time.now()), append);
     } catch (StoreException e) {
       return Future.failedFuture(e);
     }
   }
 
+  private <T> Future<T> after(long millis, Supplier<Future<T>> work) {
+    return millis == 0
+        ? work.get()
+        : Future.future(p -> time.after(millis, () -> work.get().onComplete(p)));
+  }
+
   private Future<Long> tryAppend(List<Entry> entries, Optional<FencedWriter> writer) {
     try {
       return Future.succeededFuture(log.append(entries, writer));
