Let a takeover wait for the reads of the inbox followers

The read of the inbox after the fences was repeated every 50 ms, for each of up to 16 partitions, while a busy store refused it, beside the reads of the followers. The term now begins as soon as each follower has reached the end by a read that was sent after the fences, by whichever read that is; the additional read is repeated every 200 ms.

Measured: LateFenceTest, HandoverTest, TakeoverChainTest, JobLifecycleTest and the tests of ended jobs pass.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerTerm.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerTerm.java
@@ -36,6 +36,7 @@
 final class OwnerTerm implements PeerServer.Term {
   private static final long TAKEOVER_TICK_MILLIS = 50;
   private static final long LOAD_RETRY_MILLIS = 50;
+  private static final long INBOX_RETRY_MILLIS = 200;
   private static final long INBOX_WAIT_MILLIS = 2_000;
   private static final long INBOX_PAUSE_MILLIS = 5;
   private static final long ANNOUNCEMENTS_WAIT_MILLIS = 1_000;
@@ -63,7 +64,7 @@
   private SiteConfiguration configuration;
   private Optional<OwnerController> controller = Optional.empty();
   private boolean lanesLoaded;
-  private boolean inboxRead;
+  private long fencedAt;
   private boolean operatorsRead;
   private boolean refreshing;
   private boolean releasing;
@@ -162,8 +163,9 @@
         .fence()
         .onComplete(
             fenced -> {
+              fencedAt = timers.nowMillis();
               loadLanes();
-              readInbox();
+              inboxFollowers.forEach(this::readInbox);
             },
             problem -> {
               if (!ended) {
@@ -239,37 +241,31 @@
   }
 
   /**
-   * Reads the inbox to its end, after the lanes are fenced. An earlier owner may have read a
-   * submission until then, and stored the progress of its job, that this host has not read yet.
+   * Reads a partition of the inbox to its end, after the lanes are fenced. An earlier owner may
+   * have read a submission until then, and stored the progress of its job, that this host has not
+   * read.
    */
-  private void readInbox() {
-    Future.all(inboxFollowers.stream().map(this::readToEnd).toList())
-        .onSuccess(
-            done -> {
-              inboxRead = true;
-              beginIfLoaded();
-            });
-  }
-
-  private Future<Void> readToEnd(TopicFollower follower) {
-    return follower
+  private void readInbox(TopicFollower follower) {
+    if (ended || isReadSinceFence(follower)) {
+      return;
+    }
+    follower
         .refresh()
-        .recover(
+        .onComplete(
+            done -> beginIfLoaded(),
             problem ->
-                ended
-                    ? Future.failedFuture(problem)
-                    : Future.future(
-                        p ->
-                            timers.after(
-                                LOAD_RETRY_MILLIS, () -> readToEnd(follower).onComplete(p))));
+                timers.after(
+                    follower.isLoaded() ? INBOX_RETRY_MILLIS : LOAD_RETRY_MILLIS,
+                    () -> readInbox(follower)));
+  }
+
+  private boolean isReadSinceFence(TopicFollower follower) {
+    return follower.isLoaded() && follower.ageMillis() <= timers.nowMillis() - fencedAt;
   }
 
   private void beginIfLoaded() {
     boolean loaded =
-        operatorsRead
-            && lanesLoaded
-            && inboxRead
-            && inboxFollowers.stream().allMatch(TopicFollower::isLoaded);
+        operatorsRead && lanesLoaded && inboxFollowers.stream().allMatch(this::isReadSinceFence);
     if (!loaded || ended || controller.isPresent()) {
       return;
     }
