--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/Callers.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/Callers.java
@@ -20,6 +20,7 @@
   private static final long WAIT_MILLIS = 3_000;
   private static final long RETRY_MILLIS = 200;
   private static final long POLL_MILLIS = 1_000;
+  private static final long ENDED_POLL_MILLIS = 6_000;
   private static final long GIVE_UP_MILLIS = 20_000;
   private static final int QUERIES_OF_UNDECIDED_JOBS = 3;
 
@@ -151,7 +152,10 @@
     private void queried(Answer answer) {
       unknownAnswers += answer.verdict() == Verdict.NO_SUCH_JOB ? 1 : 0;
       boolean ended = answer.state() != null && answer.state().isFinal();
-      if (!ended && unknownAnswers < QUERIES_OF_UNDECIDED_JOBS) {
+      if (ended) {
+        // The job stays known, also to owners that take over later.
+        after(ENDED_POLL_MILLIS, this::query);
+      } else if (unknownAnswers < QUERIES_OF_UNDECIDED_JOBS) {
         after(POLL_MILLIS, this::query);
       }
     }
