Load the inbox once, after the lanes are fenced

The inbox was loaded at once and read again after the fences, up to 16 calls more for each takeover. It is now loaded after the fences, beside the lanes: what an earlier owner has read was appended before.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerTerm.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerTerm.java
@@ -31,12 +31,11 @@
  * One term of this host as the owner of the executors, from its stored claim on.
  *
  * <p>The takeover fences all lanes, so that no earlier owner can store a decision any more, and
- * then reads the whole ledger, the inbox to its end. Only then does the term become active.
+ * then reads the whole ledger. Only then does the term become active.
  */
 final class OwnerTerm implements PeerServer.Term {
   private static final long TAKEOVER_TICK_MILLIS = 50;
   private static final long LOAD_RETRY_MILLIS = 50;
-  private static final long INBOX_RETRY_MILLIS = 200;
   private static final long INBOX_WAIT_MILLIS = 2_000;
   private static final long INBOX_PAUSE_MILLIS = 5;
   private static final long ANNOUNCEMENTS_WAIT_MILLIS = 1_000;
@@ -64,7 +63,6 @@
   private SiteConfiguration configuration;
   private Optional<OwnerController> controller = Optional.empty();
   private boolean lanesLoaded;
-  private long fencedAt;
   private boolean operatorsRead;
   private boolean refreshing;
   private boolean releasing;
@@ -158,14 +156,13 @@
   void start() {
     log.event(JobEvent.TAKING_OVER, "term", claim.term());
     announcements.start();
-    inboxFollowers.forEach(TopicFollower::start);
     lanes
         .fence()
         .onComplete(
             fenced -> {
-              fencedAt = timers.nowMillis();
+              // An earlier owner may read a submission, and store that its tasks start, until then.
+              inboxFollowers.forEach(TopicFollower::start);
               loadLanes();
-              inboxFollowers.forEach(this::readInbox);
             },
             problem -> {
               if (!ended) {
@@ -240,32 +237,9 @@
     return Future.future(p -> timers.after(LOAD_RETRY_MILLIS, () -> loadLane(lane).onComplete(p)));
   }
 
-  /**
-   * Reads a partition of the inbox to its end, after the lanes are fenced. An earlier owner may
-   * have read a submission until then, and stored the progress of its job, that this host has not
-   * read.
-   */
-  private void readInbox(TopicFollower follower) {
-    if (ended || isReadSinceFence(follower)) {
-      return;
-    }
-    follower
-        .refresh()
-        .onComplete(
-            done -> beginIfLoaded(),
-            problem ->
-                timers.after(
-                    follower.isLoaded() ? INBOX_RETRY_MILLIS : LOAD_RETRY_MILLIS,
-                    () -> readInbox(follower)));
-  }
-
-  private boolean isReadSinceFence(TopicFollower follower) {
-    return follower.isLoaded() && follower.ageMillis() <= timers.nowMillis() - fencedAt;
-  }
-
   private void beginIfLoaded() {
     boolean loaded =
-        operatorsRead && lanesLoaded && inboxFollowers.stream().allMatch(this::isReadSinceFence);
+        operatorsRead && lanesLoaded && inboxFollowers.stream().allMatch(TopicFollower::isLoaded);
     if (!loaded || ended || controller.isPresent()) {
       return;
     }
