--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/EndedJobRecordsTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/EndedJobRecordsTest.java
@@ -37,6 +37,7 @@
 final class EndedJobRecordsTest {
   private static final int LANES = 3;
   private static final long TERM = 1;
+  private static final int REQUEST_BYTES = 10_000;
   private static final long SWEEP_MILLIS = 5_000;
   private static final long RETENTION_MILLIS = 180_000;
   private static final String JOB = "j";
@@ -109,7 +110,7 @@
       topics = Stream.generate(() -> new SlowLane(time, answerMillis)).limit(LANES).toList();
       TestLog log = new TestLog();
       List<KeyedTopic> ports = List.copyOf(topics);
-      lanes = new LaneWriter(ports, TERM, 1, 10_000, time.timers(), log.log(), () -> true);
+      lanes = new LaneWriter(ports, TERM, 1, REQUEST_BYTES, time.timers(), log.log(), () -> true);
       jobs = new OwnedJobs(lanes, new InboxWriter(List.of(new SlowLane(time, 4)), log.log()));
     }
 
@@ -285,6 +286,21 @@
     assertThat(owner.stored()).isPresent();
   }
 
+  /** As above, for a record in the second part of a batch that one append cannot hold. */
+  @Test
+  void deletionOfAKeyInALaterPartOfABatchHasNoEffect() {
+    Owner owner = new Owner(240);
+    KeyedTopic.Entry large = new KeyedTopic.Entry("job/large", new byte[REQUEST_BYTES - 50], 0);
+    owner.lanes.write(0, List.of(large, LedgerCodec.job(spec())));
+    owner.run(300);
+    assertThat(owner.topics.get(0).log.newest()).hasSize(1);
+    owner.lanes.delete(0, LedgerCodec.jobTombstone(JOB), () -> {});
+    owner.run(1_000);
+    owner.lanes.flushDeletions();
+    owner.run(1_000);
+    assertThat(owner.stored()).isPresent();
+  }
+
   @Test
   void deletionPrecedesALaterRecordOfItsKey() {
     Owner owner = new Owner(240);
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/EndedJobsFuzzTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/EndedJobsFuzzTest.java
@@ -18,8 +18,8 @@
 
 /**
  * Ends jobs while some of their runs go on and the store is slow by various degrees, so that their
- * records come to several lanes. Changes the owner at any moment, and asks for the states of all
- * accepted jobs before and after.
+ * records come to several lanes, and at times loses answers. Changes the owner at any moment, and
+ * asks for the states of all accepted jobs before and after.
  */
 final class EndedJobsFuzzTest {
   /** Number of seeds; the default is what CI runs, more with {@code -Dcactusspring.fuzz=N}. */
@@ -55,6 +55,7 @@
     private final ClusterSimulation simulation;
     private final ShownStates states;
     private int jobs;
+    private long loadEndsAt;
 
     Fuzz(long seed) {
       random = new Random(seed);
@@ -73,15 +74,16 @@
 
     void run() {
       simulation.faultFree(false);
-      long end = simulation.time().now() + LOAD_MILLIS;
+      loadEndsAt = simulation.time().now() + LOAD_MILLIS;
       changeStoreLatency();
       changeOwner(random.nextLong(LOAD_MILLIS));
-      while (simulation.time().now() < end) {
+      while (isUnderLoad()) {
         submit();
         simulation.time().run(random.nextInt(200));
       }
       // The last records are deleted with the sweep after the end of the last runs.
       simulation.time().run(12_000);
+      simulation.hosts().forEach(h -> h.storeLink().answerLossRate(0));
       storeSlowdown(1 + random.nextInt(MAX_SLOWDOWN));
       states.ask();
       simulation.time().run(2_000);
@@ -93,9 +95,18 @@
       simulation.recordInternalErrors();
     }
 
-    /** Makes the store slower or usual again until the load ends. */
+    private boolean isUnderLoad() {
+      return simulation.time().now() < loadEndsAt;
+    }
+
+    /** Makes the store slower or usual again, or lets it lose answers, until the load ends. */
     private void changeStoreLatency() {
+      if (!isUnderLoad()) {
+        return;
+      }
       storeSlowdown(random.nextInt(3) == 0 ? 1 : 1 + random.nextInt(MAX_SLOWDOWN));
+      double lossRate = random.nextInt(5) == 0 ? 0.1 : 0;
+      simulation.hosts().forEach(h -> h.storeLink().answerLossRate(lossRate));
       simulation.time().after(500 + random.nextInt(5_000), this::changeStoreLatency);
     }
 
