Share the topic of the tests of writers, and name a simulated append by what it is

Read once more as a newcomer: two tests held the same unsupported methods of a topic, a constant of the simulation had a name that needed the history of the fault, and a comment did not say whose start it meant.

No behaviour changes.

Measured: EndedJobRecordsTest, EndedJobsFuzzTest, EndedJobRunsTest, StoreWritesTest, LateFenceTest and InboxCopiesTest pass. The whole check was not run on this commit.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerTerm.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerTerm.java
@@ -160,7 +160,7 @@
         .fence()
         .onComplete(
             fenced -> {
-              // An earlier owner may read a submission, and store that its tasks start, until then.
+              // Before its lanes are fenced, an earlier owner may start jobs of the inbox.
               inboxFollowers.forEach(TopicFollower::start);
               loadLanes();
             },
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/EndedJobRecordsTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/EndedJobRecordsTest.java
@@ -43,7 +43,7 @@
   private static final String JOB = "j";
 
   /** A lane that takes a time to store an append, and the same time to answer. */
-  private static final class SlowLane implements KeyedTopic {
+  private static final class SlowLane extends AppendOnlyTopic {
     private final FakeLog log = new FakeLog();
     private final VirtualTime time;
     private final long answerMillis;
@@ -75,26 +75,6 @@
         throw new IllegalStateException(e);
       }
     }
-
-    @Override
-    public Future<Void> appendAt(long end, List<Entry> entries) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public Future<Batch> read(long from, long waitMillis) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public Future<Batch> readOnNewConnection(long from) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public Future<Page> newest(Optional<String> after) {
-      throw new UnsupportedOperationException();
-    }
   }
 
   /** An owner of one job, which ends while a run of it goes on. */
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/StoreWritesTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/StoreWritesTest.java
@@ -26,7 +26,7 @@
   private final SlowTopic topic = new SlowTopic();
 
   /** Responds after a delay; the responses to some appends are lost. */
-  private final class SlowTopic implements KeyedTopic {
+  private final class SlowTopic extends AppendOnlyTopic {
     private final List<Integer> appends = new ArrayList<>();
     private long answerMillis = 8;
     private int lostAnswers;
@@ -44,26 +44,6 @@
       }
       return answer.future();
     }
-
-    @Override
-    public Future<Void> appendAt(long end, List<Entry> entries) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public Future<Batch> read(long from, long waitMillis) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public Future<Batch> readOnNewConnection(long from) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public Future<Page> newest(Optional<String> after) {
-      throw new UnsupportedOperationException();
-    }
   }
 
   private static KeyedTopic.Entry entry(int number) {
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/ClusterSimulation.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/ClusterSimulation.java
@@ -78,7 +78,7 @@
   private static final long SWEEP_MILLIS = 5_000;
 
   /** How long an append to a slow store is in flight. */
-  private static final long SWEPT_FLIGHT_MILLIS = 240;
+  private static final long SLOW_APPEND_MILLIS = 240;
 
   /** How long a request is on its way to a host. */
   private static final long REQUEST_MILLIS = 1;
@@ -428,7 +428,7 @@
     for (FakeLog lane : lanes) {
       lane.deleteIf(
           e ->
-              time.now() % SWEEP_MILLIS < SWEPT_FLIGHT_MILLIS
+              time.now() % SWEEP_MILLIS < SLOW_APPEND_MILLIS
                   && isFinalProgress(e)
                   && lanes.stream().filter(l -> l.contains(e.key())).count() > 1
                   && lane.contains(e.key()));
