Tell in the log which boot lost a run, and which ends it was told to delete

What callers saw: tasks that start again after their successful end was acknowledged. The line of the lost run ("not listed any more") looks the same whether the executor has started again, an acknowledgement was meant for another boot, or a later owner acknowledged it.

Change: RUN_LOST names the boot that the run was sent to, the boot that does not list it, and the last acknowledgement with its boot and age; EXECUTOR_REBOOTED and EXECUTOR_SILENT name that acknowledgement, too. The fixture of the tests on rebooted executors submits several jobs, and its executor deletes ends and knows fencing tokens.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
@@ -603,7 +603,9 @@
   private LeaseRenewalRequest leaseRenewalRequest(
       String id, boolean renew, long usualWait, long now) {
     LiveExecutor executor = state.executors.get(id);
-    executor.renewalSent();
+    // A later boot may get the request, and would delete ends of its own.
+    long end = executor.isSilent() ? 0 : executor.endToAcknowledge();
+    executor.renewalSent(end, now);
     // A silent executor may process the request late. A longer lease would only delay the time
     // from which its runs are certainly over.
     boolean mayRenew = renew && !executor.isSilent();
@@ -611,8 +613,6 @@
     boolean immediate = !executor.hasReported() || executor.isSilent() || executor.runs().isEmpty();
     long wait =
         immediate ? 0 : leaseRenewalIsUrgent(id) ? SHORT_LEASE_RENEWAL_WAIT_MILLIS : usualWait;
-    // A later boot may get the request, and would delete ends of its own.
-    long end = executor.isSilent() ? 0 : executor.endToAcknowledge();
     return new LeaseRenewalRequest(lease, state.term, end, wait);
   }
 
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveExecutor.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveExecutor.java
@@ -49,6 +49,8 @@
   private long lastReceivedEnd;
   private long lastStoredEnd;
   private long acknowledgedEnd;
+  private String acknowledgement = "no ends acknowledged";
+  private long acknowledgementSentAt = NEVER;
   private final Quarantine quarantine = new Quarantine();
 
   LiveExecutor(String id, ZoneEvacuation zones, SchedulerSettings settings) {
@@ -162,11 +164,17 @@
   String describeRuns(long now) {
     String answer =
         hasClock() ? "last answer " + (now - answeredAt()) + " ms ago" : "no answer yet";
+    String state = String.join("; ", answer, lease.describe(now), describeAcknowledgement(now), "");
     return runs.values().stream()
         .map(r -> r.key() + " " + r.phase() + " for " + (now - r.decidedAt()) + " ms")
-        .collect(
-            Collectors.joining(
-                ", ", answer + "; " + lease.describe(now) + "; " + runs.size() + " runs: ", ""));
+        .collect(Collectors.joining(", ", state + runs.size() + " runs: ", ""));
+  }
+
+  /** Returns which ends the executor was last told to delete, for the log. */
+  String describeAcknowledgement(long now) {
+    return acknowledgementSentAt == NEVER
+        ? acknowledgement
+        : acknowledgement + " " + (now - acknowledgementSentAt) + " ms ago";
   }
 
   Run run(RunKey key) {
@@ -298,10 +306,19 @@
     return renewalInFlight;
   }
 
-  void renewalSent() {
+  /**
+   * Records that a renewal is sent.
+   *
+   * @param end the number up to which it acknowledges ends; 0 if it acknowledges none
+   */
+  void renewalSent(long end, long now) {
     renewalInFlight = true;
     renewalBootMillis = bootMillis;
     renewalAddress = info.address();
+    if (end > 0) {
+      acknowledgement = "ends up to " + end + " of boot " + bootMillis + " acknowledged";
+      acknowledgementSentAt = now;
+    }
   }
 
   /** Records that a renewal was answered or failed. */
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ReportReconciler.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ReportReconciler.java
@@ -64,11 +64,20 @@
               containment.guardJob(
                   r.key().task().job(),
                   now,
-                  () -> runs.lost(executor, r, "not listed any more", now)));
+                  () -> runs.lost(executor, r, describeMissing(executor, r, now), now)));
     }
     executor.reported(report.truncated());
   }
 
+  private static String describeMissing(LiveExecutor executor, Run run, long now) {
+    return "sent to boot "
+        + run.bootMillis()
+        + ", not listed any more by boot "
+        + executor.bootMillis()
+        + ", "
+        + executor.describeAcknowledgement(now);
+  }
+
   private void noticeTruncation(
       LiveExecutor executor, LeaseRenewalResult.Report report, List<Run> missing) {
     if (!executor.isReportTruncated()) {
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/RebootedExecutorFixture.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/RebootedExecutorFixture.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import io.cactusspring.core.model.Resources;
+import io.cactusspring.jobs.ledger.JobEntry;
 import io.cactusspring.jobs.ledger.LedgerCodec;
 import io.cactusspring.jobs.ledger.LedgerSnapshot;
 import io.cactusspring.jobs.model.ExecutorInfo;
@@ -17,9 +18,13 @@
 import io.cactusspring.jobs.port.ExecutorClient.EndedRun;
 import io.cactusspring.jobs.port.ExecutorClient.LeaseRenewalRequest;
 import io.cactusspring.jobs.port.ExecutorClient.LeaseRenewalResult;
+import io.cactusspring.jobs.port.ExecutorClient.Refusal;
 import io.cactusspring.jobs.port.ExecutorClient.StartRequest;
+import io.cactusspring.jobs.schedule.JobScheduler.Changes;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
@@ -43,17 +48,7 @@
   private static final Queue QUEUE =
       new Queue("quick", "host", "/q/", "svc", 0, 3, 1.5, 250, null, false);
 
-  private final JobSpec job =
-      new JobSpec(
-          "j1",
-          QUEUE,
-          "team",
-          "p",
-          List.of(StepSpec.builder().resources(new Resources(1_000, 100, 0)).build()),
-          0,
-          0,
-          0,
-          1);
+  private final Map<String, JobSpec> jobs = new LinkedHashMap<>();
   private final LedgerSnapshot store = new LedgerSnapshot();
   private final List<String> decisions = new ArrayList<>();
   private final List<ActiveRun> running = new ArrayList<>();
@@ -63,6 +58,8 @@
   private long bootedAt;
   private long boot = 77;
   private double leaseEnd;
+  private long highestToken;
+  private long deletedEnd;
   long now = 100_000;
 
   final JobScheduler owner() {
@@ -80,7 +77,7 @@
             SchedulerSettings.builder().maxLeaseMillis(MAX_LEASE_MILLIS).build(),
             ++term,
             store.jobs(),
-            id -> Optional.of(job),
+            id -> Optional.of(jobs.get(id)),
             (kind, id, subject, reason) -> decisions.add(kind + " " + subject + " " + reason),
             leases,
             now,
@@ -106,14 +103,29 @@
     renew();
   }
 
+  /** Submits a job of one task, which needs a whole executor. */
   final void submit() {
+    JobSpec job =
+        new JobSpec(
+            "j" + (jobs.size() + 1),
+            QUEUE,
+            "team",
+            "p",
+            List.of(StepSpec.builder().resources(new Resources(1_000, 100, 0)).build()),
+            0,
+            0,
+            0,
+            1);
+    jobs.put(job.id(), job);
     store.applyLane(0, LedgerCodec.job(job));
-    owner.submitted(store.jobs().iterator().next(), now, now);
+    owner.submitted(JobEntry.submitted(job), now, now);
   }
 
+  /** Stores what has changed, among it the ends that were received. */
   final void store() {
-    Optional.ofNullable(owner.takeChanges(10, id -> true).jobs().get("j1"))
-        .ifPresent(p -> store.applyLane(0, LedgerCodec.progress("j1", p)));
+    Changes changes = owner.takeChanges(10, id -> true);
+    changes.jobs().forEach((id, p) -> store.applyLane(0, LedgerCodec.progress(id, p)));
+    owner.endsStored(changes.ends());
   }
 
   /** Announces the present boot of the executor. */
@@ -158,6 +170,8 @@
     boot++;
     bootedAt = now;
     leaseEnd = 0;
+    highestToken = 0;
+    deletedEnd = 0;
     running.clear();
     ended.clear();
   }
@@ -181,7 +195,8 @@
   /** Lets the run on the executor end, as done. */
   final void endRun() {
     ActiveRun run = running.removeFirst();
-    ended.add(new EndedRun(ended.size() + 1, run.task(), run.run(), EndReason.DONE, ""));
+    long number = deletedEnd + ended.size() + 1;
+    ended.add(new EndedRun(number, run.task(), run.run(), EndReason.DONE, ""));
   }
 
   final long boot() {
@@ -192,11 +207,23 @@
     return new LeaseRenewalResult.Report(clock(), boot, List.copyOf(running), List.copyOf(ended));
   }
 
+  /** Lets the executor carry out a lease renewal, and returns its answer. */
+  final LeaseRenewalResult carryOut(LeaseRenewalRequest renewal) {
+    if (renewal.fencingToken() < highestToken) {
+      return new LeaseRenewalResult.Refused(Refusal.FENCED);
+    }
+    highestToken = renewal.fencingToken();
+    take(renewal.leaseEndMillis());
+    if (ended.removeIf(e -> e.number() <= renewal.acknowledgedEnd())) {
+      deletedEnd = renewal.acknowledgedEnd();
+    }
+    return report();
+  }
+
   /** Renews the lease of the executor, which answers at once. */
   final void renew() {
     LeaseRenewalRequest request = owner.leaseRenewalRequest(REBOOTED, true, now);
-    take(request.leaseEndMillis());
-    owner.leaseRenewalAnswered(REBOOTED, request, now, report(), now);
+    owner.leaseRenewalAnswered(REBOOTED, request, now, carryOut(request), now);
   }
 
   /** Lets the next lease renewals of the executor get no answer. */
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/RebootedExecutorTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/RebootedExecutorTest.java
@@ -28,6 +28,28 @@
         .containsMatch("EXECUTOR_REBOOTED x1 .*lease last granted 400 ms ago, lapses in \\d+ ms");
   }
 
+  /** Guards against a log that does not tell why a later boot does not list a run. */
+  @Test
+  void lineOfALostRunTellsItsBootAndWhichEndsWereAcknowledged() {
+    beginWithExecutor();
+    submit();
+    start();
+    endRun();
+    renew();
+    store();
+    renew();
+    submit();
+    start();
+    now += 1_000;
+    reboot();
+    now += 500;
+    renew();
+    assertThat(decisions().toString())
+        .contains(
+            "RUN_LOST j2.0.0.0#1 sent to boot 77, not listed any more by boot 78, ends up to 1 of"
+                + " boot 77 acknowledged 1500 ms ago on x1");
+  }
+
   /** Guards against a second run beside one on a boot that took a start for the boot before. */
   @Test
   void startThatTheLaterBootTookExtendsItsLease() {
