Identify the boots of an executor instead of ordering them by time

What callers would see: the tasks of an executor that starts again after its time of day was set back are never started again, and the executor gets no tasks any more.

Cause: a report of a boot with an earlier time than the known one was taken for a late report of the boot before, and ignored for good; its announcement, too.

Change: the answer to a call that was sent while a boot was known shows the present boot. Only an answer to a call that was meant for another boot may come from one that is over. An executor whose announced boot is neither known as present nor as past is asked for a report.

Of the module's 643 tests 19 failed in three classes whose model (SlotModel) announced executors without telling their boot; it tells it now, and the three classes pass. The whole module was not run again on this commit.

SlotModel: the model calls LiveExecutor directly and left out what the scheduler does before an announcement. No check has changed.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/CrashAttribution.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/CrashAttribution.java
@@ -147,7 +147,7 @@
     if (run.crash().isPresent()) {
       return crashed(run.crash().get(), run, task, now);
     }
-    if (run.bootMillis() != 0 && run.bootMillis() < executor.bootMillis()) {
+    if (executor.isForeign(run)) {
       // A previous owner saw the crash, and stored other runs of the executor since.
       count.add(number, executor.id(), CrashCount.Weight.OTHER, Optional.empty());
     } else if (count.isCounted(number) || count.all() < CRASHES) {
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
@@ -276,7 +276,7 @@
     boolean changed = !executor.listed() || !info.equals(executor.info());
     earlierLeases.longLapseAt(executor.id()).ifPresent(executor.lease()::inheritLong);
     // Whether the earlier boot was draining is known until the announcement is applied.
-    reports.updateBoot(executor, info.bootMillis(), now);
+    reports.bootAnnounced(executor, info.bootMillis(), now);
     executor.announced(info, state.settings.drainMillis(), now);
     state.learned.executorListed(executor);
     if (changed) {
@@ -557,6 +557,7 @@
         && (!executor.hasReported()
             || !executor.runs().isEmpty()
             || executor.hasEndsToAcknowledge()
+            || executor.isAnnouncedBootUnknown()
             || executor.isSilent());
   }
 
@@ -654,8 +655,7 @@
       long sentAt,
       LeaseRenewalResult result,
       long now) {
-    boolean reported = result instanceof LeaseRenewalResult.Report;
-    executor.renewalAnswered(reported ? now : now + FAILED_RENEWAL_PAUSE_MILLIS);
+    executor.renewalAnswered(now + FAILED_RENEWAL_PAUSE_MILLIS);
     state.touch(executor);
     if (result instanceof LeaseRenewalResult.Unknown) {
       executor.fence().unanswered(request.fencingToken());
@@ -668,6 +668,9 @@
         executor.lease().taken(request.leaseEndMillis(), report.clockMillis(), now);
         reports.reconcile(executor, sentAt, report, now);
         executor.acknowledgedEnd(request.acknowledgedEnd());
+        if (!executor.isAnnouncedBootUnknown()) {
+          executor.renewalAnswered(now);
+        }
         throttle.adjust(executor, now);
       }
       case LeaseRenewalResult.Refused(Refusal reason) when reason == Refusal.FENCED ->
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveExecutor.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveExecutor.java
@@ -3,7 +3,9 @@
 import io.cactusspring.core.model.Resources;
 import io.cactusspring.jobs.model.ExecutorInfo;
 import io.cactusspring.jobs.port.ExecutorClient;
+import java.util.ArrayDeque;
 import java.util.Collection;
+import java.util.Deque;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -17,6 +19,8 @@
   private static final int MAX_SILENCE_REASONS = 8;
   // Far below the time that an executor needs to start again and to end a task.
   private static final long CONFIRMED_BOOT_MILLIS = 200;
+  // An answer of an earlier boot is late by seconds at most.
+  private static final int MAX_PAST_BOOTS = 32;
 
   /** Which new tasks the executor takes. */
   private enum Openness {
@@ -34,7 +38,8 @@
   private long listedAt;
   private long leavesAt;
   private long bootMillis;
-  private long recordedBootMillis;
+  private final Set<Long> recordedBoots = new HashSet<>();
+  private final Deque<Long> pastBoots = new ArrayDeque<>();
   private String renewalAddress = "";
   private Resources used = Resources.NONE;
   private long silentSince = NEVER;
@@ -128,11 +133,13 @@
   /** Resets the state for a new boot, which shares no runs, clock or ends with the previous one. */
   void rebooted(long boot, long now) {
     // A boot is known first, or replaces one that this owner or an earlier one has known.
-    lease.rebooted(bootMillis == 0 || boot <= recordedBootMillis, now);
+    lease.rebooted(bootMillis == 0 || recordedBoots.contains(boot), now);
     if (bootMillis != 0) {
       fence.rebooted();
+      addPastBoot(bootMillis);
     }
     bootMillis = boot;
+    pastBoots.remove(boot);
     lastReceivedEnd = 0;
     lastStoredEnd = 0;
     acknowledgedEnd = 0;
@@ -145,14 +152,39 @@
     quarantine.reset();
   }
 
+  private void addPastBoot(long boot) {
+    pastBoots.addLast(boot);
+    if (pastBoots.size() > MAX_PAST_BOOTS) {
+      pastBoots.removeFirst();
+    }
+  }
+
   /** Restores the boot that a previous owner recorded, if none is known yet. */
   void restoreBoot(long boot) {
-    recordedBootMillis = Math.max(recordedBootMillis, boot);
+    recordedBoots.add(boot);
     if (bootMillis == 0) {
       bootMillis = boot;
     }
   }
 
+  /**
+   * Returns whether a boot that was announced is later than the present one. The times of boots are
+   * read from a clock that may be set back, so that only a report tells for certain.
+   */
+  boolean isLaterBoot(long announced) {
+    return announced > bootMillis && !pastBoots.contains(announced);
+  }
+
+  /** Returns whether a report of a boot was sent before the present boot was known. */
+  boolean isLateReport(long boot) {
+    return pastBoots.contains(boot) && isRenewalForeign();
+  }
+
+  /** Returns whether a boot was announced of which is unknown whether it is the present one. */
+  boolean isAnnouncedBootUnknown() {
+    return isCallable() && !isBootAnnounced() && !pastBoots.contains(info.bootMillis());
+  }
+
   /**
    * Returns whether the boot that is known is over if another executor answers the last renewal: it
    * was announced with the address, and no owner has recorded a later one, which may be elsewhere.
@@ -161,7 +193,7 @@
     return isCallable()
         && info.bootMillis() != 0
         && info.bootMillis() == bootMillis
-        && info.bootMillis() >= recordedBootMillis
+        && recordedBoots.stream().allMatch(b -> b == bootMillis || pastBoots.contains(b))
         && info.address().equals(renewalAddress);
   }
 
@@ -263,7 +295,7 @@
 
   /** Returns whether the announcement is that of the present boot, as are its capacity and zone. */
   boolean isBootAnnounced() {
-    return info.bootMillis() == 0 || info.bootMillis() >= bootMillis;
+    return info.bootMillis() == 0 || info.bootMillis() == bootMillis;
   }
 
   /** Returns whether a run that was decided may be started. */
@@ -440,18 +472,18 @@
     return quarantine;
   }
 
-  /** Returns whether the last renewal was meant for an earlier boot than the present one. */
+  /** Returns whether the last renewal was meant for another boot than the present one. */
   boolean isRenewalForeign() {
-    return isEarlierBoot(renewalBootMillis);
+    return isOtherBoot(renewalBootMillis);
   }
 
-  /** Returns whether a run was sent to an earlier boot than the present one, as far as is known. */
+  /** Returns whether a run was sent to another boot than the present one, as far as is known. */
   boolean isForeign(Run run) {
-    return isEarlierBoot(run.bootMillis());
+    return isOtherBoot(run.bootMillis());
   }
 
-  private boolean isEarlierBoot(long boot) {
-    return boot != 0 && boot < bootMillis;
+  private boolean isOtherBoot(long boot) {
+    return boot != 0 && boot != bootMillis;
   }
 
   /**
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ReportReconciler.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ReportReconciler.java
@@ -28,7 +28,7 @@
    * @param askedAt when the report was requested
    */
   void reconcile(LiveExecutor executor, long askedAt, LeaseRenewalResult.Report report, long now) {
-    if (report.bootMillis() != 0 && report.bootMillis() < executor.bootMillis()) {
+    if (executor.isLateReport(report.bootMillis())) {
       return;
     }
     updateBoot(executor, report.bootMillis(), now);
@@ -92,14 +92,21 @@
     }
   }
 
+  /** Records the boot that an executor has announced, if it is later than the present one. */
+  void bootAnnounced(LiveExecutor executor, long boot, long now) {
+    if (executor.isLaterBoot(boot)) {
+      updateBoot(executor, boot, now);
+    }
+  }
+
   /**
    * Records the boot of an executor.
    *
    * <p>A new boot has none of the earlier runs, except those that were started on it before the
    * owner detected the reboot. The next report shows which: runs that it does not list are lost.
    */
-  void updateBoot(LiveExecutor executor, long boot, long now) {
-    if (boot == 0 || boot <= executor.bootMillis()) {
+  private void updateBoot(LiveExecutor executor, long boot, long now) {
+    if (boot == 0 || boot == executor.bootMillis()) {
       return;
     }
     boolean first = executor.bootMillis() == 0;
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/RebootedExecutorFixture.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/RebootedExecutorFixture.java
@@ -176,6 +176,12 @@
     ended.clear();
   }
 
+  /** Starts the executor again after its time of day was set back to before the last start. */
+  final void rebootAfterTimeWasSetBack() {
+    reboot();
+    boot -= 2_000;
+  }
+
   /** Returns the executor's clock, which began when the present boot did. */
   final long clock() {
     return Math.round((now - bootedAt) * CLOCK_RATE);
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/RebootedExecutorTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/RebootedExecutorTest.java
@@ -229,4 +229,47 @@
     renew();
     assertThat(decide()).hasSize(1);
   }
+
+  /** Guards against runs that stay assigned to a boot that is over, for good. */
+  @Test
+  void taskStartsAgainThoughTheTimeOfItsExecutorWasSetBackBeforeTheReboot() {
+    beginWithExecutorThatIsUpForLong();
+    submit();
+    start();
+    now += 1_000;
+    rebootAfterTimeWasSetBack();
+    now += 500;
+    announceRebooted();
+    renew();
+    assertThat(decide()).hasSize(1);
+  }
+
+  /** Guards against an idle executor that gets no tasks any more. */
+  @Test
+  void idleExecutorIsAskedForAReportThoughItsTimeWasSetBackBeforeTheReboot() {
+    beginWithExecutorThatIsUpForLong();
+    rebootAfterTimeWasSetBack();
+    now += 500;
+    announceRebooted();
+    assertThat(owner().executorsToRenew(now)).containsExactly(REBOOTED);
+    renew();
+    submit();
+    start();
+  }
+
+  /** Guards against reports of the present boot that are taken for late ones of an earlier boot. */
+  @Test
+  void lateAnnouncementOfAnEarlierBootDoesNotReplaceThePresentOne() {
+    beginWithExecutorThatIsUpForLong();
+    reboot();
+    announceRebooted();
+    renew();
+    submit();
+    start();
+    announce(REBOOTED, boot() - 1);
+    renew();
+    endRun();
+    renew();
+    assertThat(decisions().toString()).contains("RUN_ENDED j1.0.0.0#1 DONE");
+  }
 }
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/SlotModel.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/SlotModel.java
@@ -132,6 +132,7 @@
     for (int i = 0; i < count; i++) {
       String id = "x" + i;
       LiveExecutor executor = state.executor(id);
+      executor.rebooted(7, now);
       executor.announced(
           new ExecutorInfo(id, id + ":80", "svc", "z", false, -1, capacity, Set.of(), 7), 0, now);
       executor.answered(now, now);
