Count the end of a run that was taken for lost

What callers saw: a task starts again after its successful end was acknowledged.

Cause: a start got no answer, its run was taken for lost, and was carried out seconds later. The owner read its end, found no run to which it belonged, acknowledged it, and started the task again; a failed end was not counted. The class: an end is acknowledged without having been taken into account.

Change: a successful end completes its task, or its gang, whichever run it belongs to, and the present run is stopped. A failed one counts as an attempt if this owner has decided the run; what earlier owners have decided, they may have counted. A job whose task has failed as often as it may ends also if the present run ends otherwise.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveTask.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveTask.java
@@ -10,6 +10,7 @@
   private final LiveStep step;
   private boolean done;
   private int lastRun;
+  private int lastInheritedRun;
   private final Attempts attempts;
   private Run run;
   private LiveExecutor executor;
@@ -69,6 +70,16 @@
     return lastRun > 0;
   }
 
+  /** Returns whether a run was decided by this owner, and not by an earlier one. */
+  boolean isOfThisTerm(int number) {
+    return number > lastInheritedRun;
+  }
+
+  /** Returns whether the task has a run whose start was sent. */
+  boolean hasStarted() {
+    return run != null && run.phase() != Run.Phase.DECIDED;
+  }
+
   /** Returns what this task, or its gang, is judged by. */
   Attempts attempts() {
     return attempts;
@@ -164,6 +175,7 @@
       attempts.restore(stored);
     }
     lastRun = stored.run();
+    lastInheritedRun = lastRun;
     if (hasBegun()) {
       step.taskBegun();
     }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ReportReconciler.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ReportReconciler.java
@@ -142,6 +142,8 @@
       // The present boot had the run, whatever happened to earlier ones.
       run.crash(Optional.empty());
       runs.ended(executor, run, end.reason(), end.checkpoint(), now);
+    } else {
+      runs.endedUnassigned(executor, new RunKey(end.task(), end.run()), end.reason(), now);
     }
   }
 
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/RunLifecycle.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/RunLifecycle.java
@@ -7,6 +7,7 @@
 import io.cactusspring.jobs.schedule.DecisionListener.Kind;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 /** Applies the state changes of runs, from decision to end, to their tasks and jobs. */
 final class RunLifecycle {
@@ -67,6 +68,7 @@
     }
     LiveTask task = state.task(run.key().task());
     if (task == null || task.run() != run) {
+      endedUnassigned(executor, run.key(), reason, now);
       return;
     }
     task.checkpoint(checkpoint);
@@ -76,7 +78,7 @@
         if (task.step().spec().longRunning()) {
           restart(executor, run, task, now);
         } else {
-          done(task, run, now);
+          done(task, Optional.of(run), now);
         }
       }
       case FAILED -> failed(task, executor, run, now);
@@ -84,6 +86,49 @@
     }
   }
 
+  /**
+   * Applies the end of a run that is not the present one of its task. Its start may have been
+   * carried out after the run was taken for lost. As the end is acknowledged, it counts like any
+   * other: a successful one completes the task.
+   */
+  void endedUnassigned(LiveExecutor executor, RunKey key, EndReason reason, long now) {
+    LiveTask task = state.task(key.task());
+    if (task == null || task.isDone() || task.step().spec().longRunning()) {
+      return;
+    }
+    switch (reason) {
+      case DONE -> {
+        state.decisionListener.decisionMade(
+            Kind.RUN_ENDED,
+            key.task().job(),
+            key.toString(),
+            "DONE on " + executor.id() + ", not the present run");
+        membersOf(task).filter(m -> m.run() != null).forEach(m -> withdrawPresent(m, now));
+        done(task, Optional.empty(), now);
+      }
+      case FAILED -> {
+        // An earlier owner may have counted the failure.
+        if (task.isOfThisTerm(key.number())) {
+          countFailure(task, executor, key, ", not the present run", now);
+          if (membersOf(task).noneMatch(LiveTask::hasStarted)) {
+            giveUpIfSpent(task, now);
+          }
+        }
+      }
+      case STOPPED, LAPSED, BROKEN, ALONE -> {}
+    }
+  }
+
+  private static Stream<LiveTask> membersOf(LiveTask task) {
+    LiveStep step = task.step();
+    return step.spec().gang() ? step.tasks().stream() : Stream.of(task);
+  }
+
+  private void withdrawPresent(LiveTask task, long now) {
+    state.touch(task.executor());
+    withdraw(task.executor(), task.run(), now);
+  }
+
   /** Ends a run that is over without a reported end; its task waits for the next run. */
   void lost(LiveExecutor executor, Run run, String reason, long now) {
     state.removeRun(executor, run, now);
@@ -100,6 +145,9 @@
 
   /** Returns a task to the waiting state, unless too many executors have crashed under it. */
   private void requeueOrGiveUp(LiveExecutor executor, Run run, LiveTask task, long now) {
+    if (giveUpIfSpent(task, now)) {
+      return;
+    }
     Optional<String> verdict = state.crashes.endedUndone(executor, run, task, now);
     if (verdict.isPresent()) {
       LiveJob job = task.step().job();
@@ -118,7 +166,7 @@
         .forEach(r -> lost(executor, r, reason, now));
   }
 
-  private void done(LiveTask task, Run run, long now) {
+  private void done(LiveTask task, Optional<Run> run, long now) {
     LiveStep step = task.step();
     task.complete();
     if (step.spec().gang()) {
@@ -126,7 +174,10 @@
     }
     state.changed.add(step.job());
     if (step.isDone()) {
-      step.done(StageClock.ofStep(task, run, now), now);
+      StageTimes stages =
+          run.map(r -> StageClock.ofStep(task, r, now))
+              .orElseGet(() -> StageClock.ofStepWithLostRun(step, now));
+      step.done(stages, now);
       finishStep(step, now);
     }
   }
@@ -177,40 +228,58 @@
 
   private void failed(LiveTask task, LiveExecutor executor, Run run, long now) {
     LiveStep step = task.step();
-    Queue queue = state.queue(step.job());
-    boolean counts = task.attempts().runFailed(run.key().number());
     if (!step.hasFailedElsewhere(executor)) {
       // Work that fails elsewhere as well says nothing of this executor.
       noticeFailure(executor, run, now);
     }
     step.failedOn(executor);
-    int failures = task.attempts().failures();
+    String origin = run.isInherited() ? ", started by an earlier owner" : "";
+    countFailure(task, executor, run.key(), origin, now);
+    if (step.spec().longRunning()) {
+      restart(executor, run, task, now);
+    } else {
+      requeueOrGiveUp(executor, run, task, now);
+    }
+  }
+
+  private void countFailure(
+      LiveTask task, LiveExecutor executor, RunKey key, String origin, long now) {
+    LiveStep step = task.step();
+    boolean counts = task.attempts().runFailed(key.number());
+    state.changed.add(step.job());
     state.decisionListener.decisionMade(
         Kind.RUN_FAILED,
         step.job().id(),
-        run.key().toString(),
+        key.toString(),
         (counts ? "failure " : "counted for another member, failure ")
-            + failures
+            + task.attempts().failures()
             + " of "
-            + queue.maxAttempts()
+            + state.queue(step.job()).maxAttempts()
             + " on "
             + executor.id()
-            + (run.isInherited() ? ", started by an earlier owner" : "")
+            + origin
             + (step.spec().gang() ? "; " + step.describeFailures() : ""));
-    if (!step.spec().longRunning() && queue.maxAttempts() > 0 && failures >= queue.maxAttempts()) {
-      state.decisionListener.decisionMade(
-          Kind.JOB_FAILED,
-          step.job().id(),
-          task.id().toString(),
-          failures + " of " + queue.maxAttempts() + " attempts failed");
-      finish(step.job(), JobState.FAILED, now);
-      return;
-    }
-    if (step.spec().longRunning()) {
-      restart(executor, run, task, now);
-    } else {
-      requeueOrGiveUp(executor, run, task, now);
+  }
+
+  /**
+   * Ends the job of a task that has failed as often as it may.
+   *
+   * @return whether the job has ended
+   */
+  private boolean giveUpIfSpent(LiveTask task, long now) {
+    LiveStep step = task.step();
+    int maxAttempts = state.queue(step.job()).maxAttempts();
+    int failures = task.attempts().failures();
+    if (step.spec().longRunning() || maxAttempts == 0 || failures < maxAttempts) {
+      return false;
     }
+    state.decisionListener.decisionMade(
+        Kind.JOB_FAILED,
+        step.job().id(),
+        task.id().toString(),
+        failures + " of " + maxAttempts + " attempts failed");
+    finish(step.job(), JobState.FAILED, now);
+    return true;
   }
 
   /** Returns a long-running task, which runs until its job is cancelled, to the waiting state. */
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/StageClock.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/StageClock.java
@@ -31,6 +31,11 @@
         .with(Stage.RUN, now - confirmedAt);
   }
 
+  /** Returns the stages of a step whose last task has ended with a run that was taken for lost. */
+  static StageTimes ofStepWithLostRun(LiveStep step, long now) {
+    return StageTimes.NONE.with(Stage.RETRY, now - step.readySince());
+  }
+
   /**
    * Returns the stages of a job that runs once and has ended.
    *
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/RebootedExecutorFixture.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/RebootedExecutorFixture.java
@@ -45,14 +45,14 @@
 
   private static final Organisation TEAM =
       new Organisation("team", Set.of(), 1, new Resources(0, 0, 0));
-  private static final Queue QUEUE =
-      new Queue("quick", "host", "/q/", "svc", 0, 3, 1.5, 250, null, false);
+  private static final int ATTEMPTS = 3;
 
   private final Map<String, JobSpec> jobs = new LinkedHashMap<>();
   private final LedgerSnapshot store = new LedgerSnapshot();
   private final List<String> decisions = new ArrayList<>();
   private final List<ActiveRun> running = new ArrayList<>();
   private final List<EndedRun> ended = new ArrayList<>();
+  private Queue queue = queue(ATTEMPTS);
   private JobScheduler owner;
   private long term;
   private long bootedAt;
@@ -62,6 +62,15 @@
   private long deletedEnd;
   long now = 100_000;
 
+  private static Queue queue(int maxAttempts) {
+    return new Queue("quick", "host", "/q/", "svc", 0, maxAttempts, 1.5, 250, null, false);
+  }
+
+  /** Sets how many runs of a task may fail, for owners that begin later. */
+  final void maxAttempts(int value) {
+    queue = queue(value);
+  }
+
   final JobScheduler owner() {
     return owner;
   }
@@ -82,7 +91,7 @@
             leases,
             now,
             now);
-    owner.configure(new SiteConfiguration(1, List.of(QUEUE), List.of(), List.of(TEAM)));
+    owner.configure(new SiteConfiguration(1, List.of(queue), List.of(), List.of(TEAM)));
   }
 
   /** Begins the first term, in which the executor answers and gets a lease. */
@@ -108,7 +117,7 @@
     JobSpec job =
         new JobSpec(
             "j" + (jobs.size() + 1),
-            QUEUE,
+            queue,
             "team",
             "p",
             List.of(StepSpec.builder().resources(new Resources(1_000, 100, 0)).build()),
@@ -200,9 +209,13 @@
 
   /** Lets the run on the executor end, as done. */
   final void endRun() {
+    endRun(EndReason.DONE);
+  }
+
+  final void endRun(EndReason reason) {
     ActiveRun run = running.removeFirst();
     long number = deletedEnd + ended.size() + 1;
-    ended.add(new EndedRun(number, run.task(), run.run(), EndReason.DONE, ""));
+    ended.add(new EndedRun(number, run.task(), run.run(), reason, ""));
   }
 
   final long boot() {
