Let the oracle notice ends that are acknowledged after a later start

Rule TWICE forbids a start after a run has ended done if the end is taken note of then or later. The oracle compared a start only with the ends that were acknowledged before it, so an owner that started a task again and acknowledged the end of the earlier run afterwards passed all fuzz tests.

A history now keeps, for each successful end, the first run that started before its acknowledgement; the acknowledgement reports it. Ends that are lost with their executor, or whose lease lapsed before the acknowledgement, count as before.

--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/Oracle.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/Oracle.java
@@ -395,8 +395,16 @@
     history(end.task()).lost(end);
   }
 
+  /** Records that an end was acknowledged, which must not follow a later start if it is done. */
   void acknowledged(EndedRun end) {
-    history(end.task()).acknowledged(end);
+    history(end.task())
+        .acknowledged(end)
+        .ifPresent(
+            run ->
+                recordViolation(
+                    "duplicate run",
+                    "%s started run %d after the successful end of run %d, acknowledged now"
+                        .formatted(end.task(), run, end.run())));
   }
 
   /** Returns whether all tasks of the first occurrence of a job have completed successfully. */
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/RunHistory.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/RunHistory.java
@@ -33,6 +33,9 @@
   /** Whether the crash followed soon after the start, by the number of the run. */
   private final Map<Integer, Boolean> crashedRuns = new HashMap<>();
 
+  /** The first run that started between a successful end and its acknowledgement, by the end. */
+  private final Map<EndedRun, Integer> runsAfterDone = new IdentityHashMap<>();
+
   private boolean reopened;
 
   /**
@@ -44,6 +47,9 @@
     if (isDone() && !isDone(false)) {
       reopened = true;
     }
+    ends.keySet().stream()
+        .filter(e -> e.reason() == EndReason.DONE && ends.get(e) == Notice.LISTED)
+        .forEach(e -> runsAfterDone.putIfAbsent(e, request.run()));
     String carried = request.checkpoint();
     String expected = checkpointsByRun.computeIfAbsent(request.run(), run -> carried);
     if (!carried.equals(expected)) {
@@ -68,8 +74,14 @@
     }
   }
 
-  void acknowledged(EndedRun end) {
+  /**
+   * Records that an owner has taken note of an end.
+   *
+   * @return the run that had started after it, if it was successful
+   */
+  Optional<Integer> acknowledged(EndedRun end) {
     ends.put(end, Notice.ACKNOWLEDGED);
+    return Optional.ofNullable(runsAfterDone.get(end));
   }
 
   /** Records that an executor crashed, or its lease lapsed, before an end was acknowledged. */
