Play short tasks on executors that are back under their ids within a second

No fuzz test reached what the acknowledgement of a later boot's ends takes: ends in the first second of a boot, below the number that the earlier boot had reached. The new play runs tasks of 20 to 300 ms on executors that crash every few seconds and are down for 0.05 to 1 s, with appends of up to 500 ms, answers that are lost and renewals that are carried out late, with one owner and with takeovers. RebootPlay holds what it shares with RebootedExecutorsFuzzTest, whose random choices stay the same.

The oracle also reports an end that an executor is told to delete before any report has listed it ("unread end"), and the log of a fuzz test tells crashes, boots, starts, ends and late calls of the executors.

--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/RebootedExecutorsFuzzTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/RebootedExecutorsFuzzTest.java
@@ -3,13 +3,8 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import io.cactusspring.core.model.Resources;
-import io.cactusspring.jobs.model.JobSpec;
 import io.cactusspring.jobs.model.StepSpec;
-import io.cactusspring.jobs.simulation.ClusterSimulation;
 import io.cactusspring.jobs.simulation.FakeExecutor;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Random;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -25,6 +20,7 @@
   private static final int CYCLES = 3;
   private static final long CYCLE_MILLIS = 20_000;
   private static final long SUBMIT_MILLIS = 700;
+  private static final int ANNOUNCE_MILLIS = 150;
   private static final Resources CAPACITY = new Resources(6_000, 6_000, 0);
 
   /** What happens besides. */
@@ -37,22 +33,16 @@
     LATE_CALLS
   }
 
-  private static final class Play {
-    private final Random random;
+  private static final class Play extends RebootPlay {
     private final Variant variant;
-    private final ClusterSimulation simulation;
-    private final List<FakeExecutor> rebooting = new ArrayList<>();
-    private final List<JobSpec> jobs = new ArrayList<>();
 
     Play(long seed, Variant variant) {
-      random = new Random(seed);
+      super(seed);
       this.variant = variant;
-      simulation = new ClusterSimulation(seed);
       simulation.taskWorkMillis(id -> 200L + Math.floorMod(id.hashCode(), 12_000));
-      List.of("a", "b", "c").forEach(simulation::addHost);
       for (int i = 0; i < EXECUTORS; i++) {
-        rebooting.add(simulation.addExecutor("x" + i, "p", CAPACITY));
-        simulation.addExecutor("y" + i, "q", CAPACITY);
+        addRebootingExecutor(CAPACITY);
+        addSteadyExecutor(CAPACITY);
       }
     }
 
@@ -70,43 +60,23 @@
 
     private void submitRepeatedly() {
       if (simulation.time().now() < 10_000 + (CYCLES - 1) * CYCLE_MILLIS) {
-        submit();
+        submit(
+            StepSpec.builder()
+                .tasks(1 + random.nextInt(3))
+                .resources(new Resources(400 + random.nextInt(1_200), 100, 0))
+                .build());
         simulation.time().after(SUBMIT_MILLIS, this::submitRepeatedly);
       }
     }
 
-    private void submit() {
-      StepSpec step =
-          StepSpec.builder()
-              .tasks(1 + random.nextInt(3))
-              .resources(new Resources(400 + random.nextInt(1_200), 100, 0))
-              .build();
-      JobSpec job =
-          new JobSpec(
-              "job" + jobs.size(),
-              ClusterSimulation.queue("quick", random.nextInt(3), null),
-              "team",
-              "payload",
-              List.of(step),
-              0,
-              0,
-              0,
-              simulation.time().now());
-      jobs.add(job);
-      simulation.hosts().stream()
-          .filter(h -> h.entry().isPresent() && !h.isOwner())
-          .findFirst()
-          .ifPresent(h -> simulation.submit(h, job));
-    }
-
     private void disturb() {
       long down = 50 + random.nextInt(900);
       long untilCut = down + random.nextInt(4_000);
       long cut = 6_000 + random.nextInt(4_000);
-      rebooting.forEach(FakeExecutor::crash);
-      simulation.time().after(down, () -> rebooting.forEach(this::boot));
-      simulation.time().after(untilCut, () -> rebooting.forEach(e -> e.silent(true)));
-      simulation.time().after(untilCut + cut, () -> rebooting.forEach(e -> e.silent(false)));
+      rebooting().forEach(FakeExecutor::crash);
+      simulation.time().after(down, () -> rebooting().forEach(e -> boot(e, ANNOUNCE_MILLIS)));
+      simulation.time().after(untilCut, () -> rebooting().forEach(e -> e.silent(true)));
+      simulation.time().after(untilCut + cut, () -> rebooting().forEach(e -> e.silent(false)));
       switch (variant) {
         case ONE_OWNER -> {}
         case TAKEOVERS -> simulation.time().after(random.nextLong(untilCut + 500), this::killOwner);
@@ -117,25 +87,6 @@
       }
     }
 
-    private void delayedCallRate(double rate) {
-      simulation.hosts().forEach(h -> h.executorLink().delayedCallRate(rate));
-    }
-
-    private void boot(FakeExecutor executor) {
-      executor.boot();
-      simulation.time().after(random.nextInt(150), () -> simulation.announce(executor));
-    }
-
-    private void killOwner() {
-      simulation.hosts().stream()
-          .filter(ClusterSimulation.Host::isOwner)
-          .forEach(
-              h -> {
-                h.kill();
-                simulation.time().after(900, h::start);
-              });
-    }
-
     void check(long seed) {
       if (PRINT_LOG) {
         simulation.logLines().forEach(System.out::println);
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/AcknowledgedEndOracleTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/AcknowledgedEndOracleTest.java
@@ -76,7 +76,7 @@
     acknowledge(first);
     assertThat(oracle.violations()).isEmpty();
     start(second, 2);
-    assertOneDuplicateRun("starts after its successful end was acknowledged");
+    assertOneDuplicateRun("starts after its successful end was acknowledged, run 2 on x2");
   }
 
   /** Guards against an oracle that checks starts only against ends acknowledged before them. */
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/ClusterSimulation.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/ClusterSimulation.java
@@ -54,6 +54,7 @@
 import java.util.function.Function;
 import java.util.function.LongConsumer;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import java.util.stream.Stream;
 
 /**
@@ -86,6 +87,12 @@
   private static final ConfigurationHistory.Bounds CONFIGURATION_BOUNDS =
       new ConfigurationHistory.Bounds(2_000, 5_000, 250);
 
+  /** A call is told in the log from this delay on. */
+  private static final long TRACED_DELAY_MILLIS = 100;
+
+  /** Whether the log has lines about executors, too. */
+  private static final boolean TRACE = Boolean.getBoolean("cactusspring.fuzz.log");
+
   private static final String CONFIGURATION_KEY = "config";
   private static final String ZONE_KEY_PREFIX = "zone ";
 
@@ -277,6 +284,7 @@
   private Function<TaskId, OptionalLong> lifeMillis = id -> OptionalLong.empty();
   private Function<TaskId, OptionalLong> crashDelay = id -> OptionalLong.empty();
   private Predicate<FakeExecutor> keepsId = e -> true;
+  private boolean lateStarts = true;
   private double allowedExecutorShare = 1;
   private Map<String, AdviceTerms> adviceTerms = Map.of();
   private long evacuateMillis;
@@ -517,6 +525,15 @@
     return List.copyOf(executors.values());
   }
 
+  /** Adds a line about an executor to the log if fuzz tests print it. */
+  void trace(FakeExecutor executor, Supplier<String> what) {
+    if (TRACE) {
+      testLog.add(
+          "%d ms: %s of boot %d %s"
+              .formatted(time.now(), executor.id(), executor.info().bootMillis(), what.get()));
+    }
+  }
+
   /** Returns the lines that the hosts have logged so far. */
   public List<String> logLines() {
     return testLog.lines();
@@ -689,6 +706,11 @@
     return crashDelay.apply(task);
   }
 
+  /** Sets whether starts that are on their way for seconds are carried out, or are lost. */
+  public void lateStarts(boolean value) {
+    lateStarts = value;
+  }
+
   /** Sets whether the machine of an executor that a task has crashed returns under its old id. */
   public void keepsIdAfterCrash(Predicate<FakeExecutor> keeps) {
     keepsId = keeps;
@@ -846,20 +868,32 @@
 
     private Future<CommandResult> sendCommand(
         Function<FakeExecutor, Future<CommandResult>> command, Target target) {
+      return host.executorLink.call(
+          execution(command, target), HostExecutors::noAnswer, CALL_TIMEOUT_MILLIS);
+    }
+
+    private Supplier<Future<CommandResult>> execution(
+        Function<FakeExecutor, Future<CommandResult>> command, Target target) {
       FakeExecutor executor = executors.get(target.id());
       executor.checkCallable();
-      return host.executorLink.call(
-          () -> {
-            if (executor.isReplaced()) {
-              return Future.succeededFuture(new CommandResult.Refused(Refusal.OTHER_BOOT));
-            }
-            if (executor.isSilent()) {
-              return Future.future(promise -> {});
-            }
-            return command.apply(executor);
-          },
-          HostExecutors::noAnswer,
-          CALL_TIMEOUT_MILLIS);
+      long sentAt = time.now();
+      return () -> {
+        if (executor.isReplaced()) {
+          return Future.succeededFuture(new CommandResult.Refused(Refusal.OTHER_BOOT));
+        }
+        if (executor.isSilent()) {
+          return Future.future(promise -> {});
+        }
+        traceDelay(executor, "command", sentAt);
+        return command.apply(executor);
+      };
+    }
+
+    private void traceDelay(FakeExecutor executor, String call, long sentAt) {
+      long delay = time.now() - sentAt;
+      if (delay >= TRACED_DELAY_MILLIS) {
+        trace(executor, () -> "gets " + call + " of " + host.boot() + " after " + delay + " ms");
+      }
     }
 
     private static Future<CommandResult> noAnswer() {
@@ -868,7 +902,11 @@
 
     @Override
     public Future<CommandResult> start(Target executor, StartRequest request) {
-      return sendCommand(e -> e.start(request), executor);
+      if (lateStarts) {
+        return sendCommand(e -> e.start(request), executor);
+      }
+      return host.executorLink.callInTime(
+          execution(e -> e.start(request), executor), HostExecutors::noAnswer, CALL_TIMEOUT_MILLIS);
     }
 
     @Override
@@ -886,6 +924,7 @@
     public Future<LeaseRenewalResult> renewLeases(Target executor, LeaseRenewalRequest request) {
       FakeExecutor target = executors.get(executor.id());
       target.checkCallable();
+      long sentAt = time.now();
       Future<LeaseRenewalResult> noAnswer =
           Future.succeededFuture(new LeaseRenewalResult.Unknown("no answer"));
       return host.executorLink.call(
@@ -896,6 +935,7 @@
             if (target.isSilent()) {
               return Future.future(promise -> {});
             }
+            traceDelay(target, request.toString(), sentAt);
             return target.renewLeases(request);
           },
           () -> noAnswer,
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/FakeExecutor.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/FakeExecutor.java
@@ -161,6 +161,7 @@
   private long highestFencingToken;
   private long leaseEnd;
   private long lastEndNumber;
+  private long lastListedEnd;
   private boolean up = true;
   private boolean draining;
   private Optional<FakeExecutor> successor = Optional.empty();
@@ -326,6 +327,7 @@
           .filter(e -> e.reason() != EndReason.DONE)
           .forEach(simulation.oracle()::crashedBeforeAcknowledgement);
     }
+    simulation.trace(this, () -> "crashes with " + tasks() + " and ends " + ended);
     up = false;
     List<Task> lost = List.copyOf(running.values());
     running.clear();
@@ -337,6 +339,7 @@
     highestFencingToken = 0;
     leaseEnd = 0;
     lastEndNumber = 0;
+    lastListedEnd = 0;
   }
 
   /** Returns the listed ends, except those that the platform never counts as acknowledged. */
@@ -379,6 +382,7 @@
     draining = false;
     bootedAt = time.now();
     up = true;
+    simulation.trace(this, () -> "is up");
   }
 
   private long uptimeMillis() {
@@ -418,6 +422,7 @@
     StepSpec spec = job.steps().get(request.task().step());
     Task task = new Task(request, spec);
     running.put(task.id, task);
+    simulation.trace(this, () -> "starts " + request);
     simulation.oracle().checkCapacity(this, committed(), capacitiesWithin(Oracle.SHRINK_MILLIS));
     OptionalLong crashDelay = simulation.crashDelayMillis(task.id);
     if (crashDelay.isPresent() && crashDelay.getAsLong() == 0) {
@@ -453,6 +458,7 @@
     highestEndedRun.merge(task.id, task.run, Math::max);
     EndedRun end = new EndedRun(++lastEndNumber, task.id, task.run, reason, task.checkpoint());
     ended.add(end);
+    simulation.trace(this, () -> "lists " + end);
     simulation.oracle().ended(end, task.startedAt);
     if (task.spec.gang()) {
       task.gangRuns().ended(task, reason);
@@ -491,11 +497,7 @@
     }
     highestFencingToken = request.fencingToken();
     extendLease(request.leaseEndMillis());
-    ended.stream()
-        .filter(
-            e -> e.number() <= request.acknowledgedEnd() && !endsBeforeLapse.contains(e.number()))
-        .forEach(simulation::endAcknowledged);
-    ended.removeIf(e -> e.number() <= request.acknowledgedEnd());
+    delete(ended.stream().filter(e -> e.number() <= request.acknowledgedEnd()).toList());
     if (!ended.isEmpty() || request.waitMillis() == 0) {
       return Future.succeededFuture(report());
     }
@@ -506,6 +508,16 @@
     return promise.future();
   }
 
+  private void delete(List<EndedRun> acknowledged) {
+    acknowledged.stream()
+        .filter(e -> !endsBeforeLapse.contains(e.number()))
+        .forEach(simulation::endAcknowledged);
+    acknowledged.stream()
+        .filter(e -> e.number() > lastListedEnd)
+        .forEach(e -> simulation.oracle().deletedUnread(this, e));
+    ended.removeAll(acknowledged);
+  }
+
   private LeaseRenewalResult report() {
     if (!up) {
       return new LeaseRenewalResult.Unknown("executor is down");
@@ -516,6 +528,7 @@
             .toList();
     runs.forEach(r -> simulation.oracle().reported(r.task(), r.checkpoint()));
     List<EndedRun> oldest = ended.stream().limit(MAX_LISTED_ENDS).toList();
+    oldest.forEach(e -> lastListedEnd = Math.max(lastListedEnd, e.number()));
     return new LeaseRenewalResult.Report(
         uptimeMillis(), bootedAt, runs, oldest, oldest.size() == MAX_LISTED_ENDS);
   }
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/Link.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/Link.java
@@ -76,6 +76,22 @@
     connectionGeneration++;
   }
 
+  /**
+   * Executes a call and returns its answer; see {@link #call}. A call that would be executed late
+   * is lost instead.
+   */
+  public <T> Future<T> callInTime(
+      Supplier<Future<T>> work, Supplier<Future<T>> onTimeout, long timeoutMillis) {
+    long sentAt = time.now();
+    return call(
+        () ->
+            time.now() > sentAt + LATENCY_MILLIS + extraLatencyMillis
+                ? Future.future(promise -> {})
+                : work.get(),
+        onTimeout,
+        timeoutMillis);
+  }
+
   /** Executes a call on a new connection and returns its answer; see {@link #call}. */
   public <T> Future<T> callOnNewConnection(
       Supplier<Future<T>> work, Supplier<Future<T>> onTimeout, long timeoutMillis) {
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/Oracle.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/Oracle.java
@@ -225,7 +225,10 @@
                 recordViolation(
                     "duplicate run", task + " runs on " + e.id() + " and " + executor.id()));
     if (doneForGood) {
-      recordViolation("duplicate run", task + " starts after its successful end was acknowledged");
+      recordViolation(
+          "duplicate run",
+          "%s starts after its successful end was acknowledged, run %d on %s"
+              .formatted(task, request.run(), executor.id()));
     }
     spec.steps().get(task.step()).after().stream()
         .filter(s -> !allDone(spec, task, s))
@@ -407,6 +410,11 @@
                         .formatted(end.task(), run, end.run())));
   }
 
+  /** Records that an executor was told to delete an end that it has not listed in any report. */
+  void deletedUnread(FakeExecutor executor, EndedRun end) {
+    recordViolation("unread end", executor.id() + " deletes " + end);
+  }
+
   /** Returns whether all tasks of the first occurrence of a job have completed successfully. */
   public boolean isDone(JobSpec spec) {
     for (int s = 0; s < spec.steps().size(); s++) {
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/TestLog.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/TestLog.java
@@ -22,6 +22,12 @@
     return log;
   }
 
+  /** Adds a line that no host has logged. */
+  void add(String line) {
+    log.flush();
+    output.writeBytes((line + "\n").getBytes(StandardCharsets.UTF_8));
+  }
+
   /** Returns the lines that were logged so far. */
   public List<String> lines() {
     log.flush();
