Let the play of short tasks notice planted faults of the calls to executors

Two faults of the code can be planted in the simulation: tokens that are never raised, and acknowledgements that are repeated with each renewal.

The unit tests of the oracle acknowledged ends without reading them, which the oracle now reports ("unread end"); they read them first, as an owner does, and two new ones hold the rule itself.

--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/ShortTasksRebootFuzzTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/control/ShortTasksRebootFuzzTest.java
@@ -1,12 +1,19 @@
 package io.cactusspring.jobs.control;
 
+import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import io.cactusspring.core.model.Resources;
 import io.cactusspring.jobs.model.StepSpec;
+import io.cactusspring.jobs.simulation.CallFault;
 import io.cactusspring.jobs.simulation.FakeExecutor;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /**
  * Runs many short tasks on executors that crash and are back under their ids within a second, while
@@ -30,6 +37,8 @@
   /** Longer than a call without an answer may be carried out late. */
   private static final long REST_MILLIS = 15_000;
 
+  private static final int FIRST_ENDS = 3;
+
   private static final int MIN_DOWN_MILLIS = 50;
   private static final int MAX_DOWN_MILLIS = 1_000;
   private static final int MAX_ANNOUNCE_MILLIS = 1_000;
@@ -37,6 +46,9 @@
   private static final long USUAL_ANSWER_MILLIS = 4;
   private static final int MAX_APPEND_MILLIS = 500;
 
+  /** Seeds among which the play has to notice a planted fault. */
+  private static final int PLANTED_SEEDS = 20;
+
   /** What happens besides. */
   private enum Variant {
     /** The owner stays. */
@@ -49,12 +61,15 @@
 
   private static final class Play extends RebootPlay {
     private final Variant variant;
+
+    /** The number of ends that were among the first ones of a boot. */
     private int earlyEnds;
 
     Play(long seed, Variant variant) {
       super(seed);
       this.variant = variant;
       simulation.lateStarts(variant == Variant.LATE_STARTS);
+      simulation.onRunEnded(end -> earlyEnds += end.number() <= FIRST_ENDS ? 1 : 0);
       simulation.taskWorkMillis(id -> 20L + Math.floorMod(id.hashCode(), 281));
       for (int i = 0; i < REBOOTING_EXECUTORS; i++) {
         addRebootingExecutor(CAPACITY);
@@ -182,4 +197,34 @@
   void noTaskStartsAgainAfterItsEndWhileItsExecutorRebootsAndTheOwnerChanges() {
     play(Variant.TAKEOVERS);
   }
+
+  /** Guards against a play or an oracle that does not notice ends that are deleted unread. */
+  @ParameterizedTest
+  @MethodSource
+  void faultOfTheOwnersCallsIsNoticed(Set<CallFault> faults) {
+    boolean noticed =
+        LongStream.rangeClosed(1, PLANTED_SEEDS)
+            .mapToObj(seed -> new Play(seed, Variant.ONE_OWNER))
+            .peek(play -> play.simulation.callFaults(faults))
+            .peek(Play::run)
+            .flatMap(play -> play.simulation.oracle().violations().stream())
+            .anyMatch(v -> v.contains("starts after its successful end was acknowledged"));
+    assertThat(noticed).isTrue();
+  }
+
+  static List<Set<CallFault>> faultOfTheOwnersCallsIsNoticed() {
+    return List.of(
+        Set.of(CallFault.TOKEN_NOT_RAISED),
+        Set.of(CallFault.ACKNOWLEDGEMENT_REPEATED),
+        Set.of(CallFault.values()));
+  }
+
+  /** Guards against a play without ends that the number of an earlier boot's ends may reach. */
+  @Test
+  void manyBootsListEnds() {
+    Play play = new Play(FIRST_SEED, Variant.ONE_OWNER);
+    play.run();
+    assertThat(play.earlyEnds).isAtLeast(20);
+    assertThat(play.simulation.oracle().startCount()).isAtLeast(500);
+  }
 }
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/AcknowledgedEndOracleTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/AcknowledgedEndOracleTest.java
@@ -56,9 +56,15 @@
     assertThat(executor.tasks()).isEmpty();
   }
 
+  /** Reads the end and acknowledges it. */
   private void acknowledge(FakeExecutor executor) {
+    renew(executor, 0);
+    renew(executor, 1);
+  }
+
+  private void renew(FakeExecutor executor, long acknowledgedEnd) {
     long leaseEnd = clock(executor) + LEASE_MILLIS;
-    executor.renewLeases(new LeaseRenewalRequest(leaseEnd, TOKEN, 1, 0));
+    executor.renewLeases(new LeaseRenewalRequest(leaseEnd, TOKEN, acknowledgedEnd, 0));
   }
 
   private long clock(FakeExecutor executor) {
@@ -128,4 +134,25 @@
     acknowledge(second);
     assertThat(oracle.violations()).isEmpty();
   }
+
+  @Test
+  void acknowledgementOfAnEndThatNoReportHasListedIsAViolation() {
+    runToItsEnd(first, 1);
+    renew(first, 1);
+    assertThat(oracle.violations()).hasSize(1);
+    assertThat(oracle.violations().get(0)).contains(" ms: unread end: x1 deletes ");
+  }
+
+  /** Guards against an oracle that takes the ends of a later boot for those that were read. */
+  @Test
+  void acknowledgementOfEndsOfTheBootBeforeIsAViolation() {
+    runToItsEnd(first, 1);
+    renew(first, 0);
+    first.crash();
+    first.boot();
+    runToItsEnd(first, 2);
+    renew(first, 1);
+    assertThat(oracle.violations()).hasSize(1);
+    assertThat(oracle.violations().get(0)).contains(" ms: unread end: x1 deletes ");
+  }
 }
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/ClusterSimulation.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/ClusterSimulation.java
@@ -284,6 +284,7 @@
   private Function<TaskId, OptionalLong> lifeMillis = id -> OptionalLong.empty();
   private Function<TaskId, OptionalLong> crashDelay = id -> OptionalLong.empty();
   private Predicate<FakeExecutor> keepsId = e -> true;
+  private Set<CallFault> callFaults = Set.of();
   private boolean lateStarts = true;
   private double allowedExecutorShare = 1;
   private Map<String, AdviceTerms> adviceTerms = Map.of();
@@ -706,6 +707,11 @@
     return crashDelay.apply(task);
   }
 
+  /** Injects faults of the code into the calls that hosts send to executors from now on. */
+  public void callFaults(Set<CallFault> faults) {
+    callFaults = Set.copyOf(faults);
+  }
+
   /** Sets whether starts that are on their way for seconds are carried out, or are lost. */
   public void lateStarts(boolean value) {
     lateStarts = value;
@@ -862,10 +868,41 @@
 
     private final Host host;
 
+    /** The highest number up to which the host has acknowledged ends, by executor. */
+    private final Map<String, Long> acknowledgedEnds = new HashMap<>();
+
     HostExecutors(Host host) {
       this.host = host;
     }
 
+    private long fencingToken(long token) {
+      return callFaults.contains(CallFault.TOKEN_NOT_RAISED)
+          ? token - token % SchedulerSettings.TOKENS_PER_TERM
+          : token;
+    }
+
+    private StartRequest sent(StartRequest request) {
+      return new StartRequest(
+          request.task(),
+          request.run(),
+          request.payload(),
+          request.leaseEndMillis(),
+          fencingToken(request.fencingToken()),
+          request.checkpoint(),
+          request.ticket());
+    }
+
+    private LeaseRenewalRequest sent(Target executor, LeaseRenewalRequest request) {
+      long highest = acknowledgedEnds.merge(executor.id(), request.acknowledgedEnd(), Math::max);
+      return new LeaseRenewalRequest(
+          request.leaseEndMillis(),
+          fencingToken(request.fencingToken()),
+          callFaults.contains(CallFault.ACKNOWLEDGEMENT_REPEATED)
+              ? highest
+              : request.acknowledgedEnd(),
+          request.waitMillis());
+    }
+
     private Future<CommandResult> sendCommand(
         Function<FakeExecutor, Future<CommandResult>> command, Target target) {
       return host.executorLink.call(
@@ -901,7 +938,8 @@
     }
 
     @Override
-    public Future<CommandResult> start(Target executor, StartRequest request) {
+    public Future<CommandResult> start(Target executor, StartRequest decided) {
+      StartRequest request = sent(decided);
       if (lateStarts) {
         return sendCommand(e -> e.start(request), executor);
       }
@@ -911,7 +949,7 @@
 
     @Override
     public Future<CommandResult> stop(Target executor, TaskId task, int run, long fencingToken) {
-      return sendCommand(e -> e.stop(task, run, fencingToken), executor);
+      return sendCommand(e -> e.stop(task, run, fencingToken(fencingToken)), executor);
     }
 
     @Override
@@ -921,7 +959,8 @@
     }
 
     @Override
-    public Future<LeaseRenewalResult> renewLeases(Target executor, LeaseRenewalRequest request) {
+    public Future<LeaseRenewalResult> renewLeases(Target executor, LeaseRenewalRequest decided) {
+      LeaseRenewalRequest request = sent(executor, decided);
       FakeExecutor target = executors.get(executor.id());
       target.checkCallable();
       long sentAt = time.now();
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/GangFixture.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/GangFixture.java
@@ -97,7 +97,11 @@
     return simulation.time().now() - executors.get(index).info().bootMillis() + LEASE_MILLIS;
   }
 
+  /** Returns a report of an executor, once its ends up to a number were read and acknowledged. */
   LeaseRenewalResult.Report report(int index, long acknowledgedEnd) {
+    if (acknowledgedEnd > 0) {
+      report(index, 0);
+    }
     LeaseRenewalRequest request =
         new LeaseRenewalRequest(leaseEnd(index), TOKEN, acknowledgedEnd, 0);
     return (LeaseRenewalResult.Report) executors.get(index).renewLeases(request).result();
