Ignore what an earlier boot refused in the state of the later one

What callers would see: an executor that is back under its id gets no work for up to 16 s because its earlier boot was unhealthy.

Cause: the refusal of a start was taken as evidence of the present boot, whichever boot the start was sent to.

Change: refusals of starts that were sent to another boot exclude no executor, mark none silent and drop no ticket.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/StartAnswerHandler.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/StartAnswerHandler.java
@@ -28,8 +28,12 @@
         }
       }
       case CommandResult.Refused refused -> {
-        if (foreign && takesLease(refused.reason())) {
-          executor.lease().mayHaveTakenForeign(now);
+        if (foreign) {
+          if (takesLease(refused.reason())) {
+            executor.lease().mayHaveTakenForeign(now);
+          }
+        } else if (run.phase() != Run.Phase.RUNNING) {
+          noticeRefusal(executor, run, refused.reason(), now);
         }
         refused(executor, run, refused.reason(), now);
       }
@@ -53,11 +57,8 @@
     };
   }
 
-  private void refused(LiveExecutor executor, Run run, Refusal why, long now) {
-    logDecision(Kind.RUN_REFUSED, executor, run, why.toString());
-    if (run.phase() == Run.Phase.RUNNING) {
-      return;
-    }
+  /** Takes a refusal of the present boot as evidence of its state. */
+  private void noticeRefusal(LiveExecutor executor, Run run, Refusal why, long now) {
     LiveTask task = state.task(run.key().task());
     if (why == Refusal.TICKET && task != null) {
       task.step().tickets().drop(executor);
@@ -70,6 +71,13 @@
       case NOT_SENT, OTHER_BOOT -> state.markSilent(executor, why + " at a start", now);
       case FENCED, STALE_RUN, EXPIRED, TICKET, INVALID -> {}
     }
+  }
+
+  private void refused(LiveExecutor executor, Run run, Refusal why, long now) {
+    logDecision(Kind.RUN_REFUSED, executor, run, why.toString());
+    if (run.phase() == Run.Phase.RUNNING) {
+      return;
+    }
     if (run.startsSent() > 1) {
       // An earlier copy of the request may still be carried out.
       run.enter(Run.Phase.IN_DOUBT, now);
