Send no start beside an acknowledgement of ends

What callers see: a task starts again after its successful end was acknowledged, still with fenced calls.

Cause: a renewal that acknowledges ends waits for up to a second for the next end. Starts that are sent meanwhile carry the same fencing token. If the executor starts again, its later boot may take the start first and the renewal after it, which then deletes the end of that run.

Change: a renewal that acknowledges ends is answered at once, and until then no start is sent to its executor; nor is a renewal that acknowledges sent while a start is in flight. A renewal that is given up raises the token, so that the start which follows shuts it out.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerController.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerController.java
@@ -552,6 +552,10 @@
       pendingStarts.add(start);
       return;
     }
+    if (scheduler.startsWaitForAcknowledgement(start.executor())) {
+      pendingStarts.add(start);
+      return;
+    }
     if (!scheduler.mayStart(now)) {
       // The read that is in flight may have got no answer and is overdue only after seconds.
       pendingStarts.add(start);
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
@@ -625,9 +625,11 @@
     // from which its runs are certainly over.
     boolean mayRenew = renew && !executor.isSilent();
     long lease = mayRenew ? executor.lease().grant(state.settings.leaseMillis(), now) : 0;
-    boolean unconfirmed = executor.isAcknowledgementDue() && end == 0;
     boolean immediate =
-        !executor.hasReported() || executor.isSilent() || executor.runs().isEmpty() || unconfirmed;
+        !executor.hasReported()
+            || executor.isSilent()
+            || executor.runs().isEmpty()
+            || executor.isAcknowledgementDue();
     long wait =
         immediate ? 0 : leaseRenewalIsUrgent(id) ? SHORT_LEASE_RENEWAL_WAIT_MILLIS : usualWait;
     LeaseRenewalRequest request =
@@ -764,6 +766,10 @@
     long lease = announcements.startLeaseMillis(state.settings.leaseMillis(), now);
     long leaseEnd =
         executor.lease().grant(state.zones.startLeaseMillis(zone(executor), lease, now), now);
+    if (executor.isAcknowledgementInFlight()) {
+      // A boot that takes the start must not take the acknowledgement after it.
+      executor.fence().unanswered(executor.fence().token());
+    }
     run.startSent(leaseEnd, executor.fence().token(), now);
     run.bootMillis(executor.bootMillis());
     return Optional.of(
@@ -789,6 +795,12 @@
     return executor.isCallable() ? executor.info().zone() : "";
   }
 
+  /** Returns whether starts on an executor have to wait for the answer to a call. */
+  public boolean startsWaitForAcknowledgement(String id) {
+    LiveExecutor executor = state.executors.get(id);
+    return executor != null && executor.isAcknowledgementInFlight();
+  }
+
   /**
    * Returns whether the request to start a run that was decided may grant a lease. It does not if
    * the executor takes no tasks any more; the request then withdraws the run.
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveExecutor.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveExecutor.java
@@ -370,6 +370,18 @@
     return renewalInFlight.filter(r -> r == renewal).isPresent();
   }
 
+  /**
+   * Returns whether an acknowledgement of ends is in flight. A later boot that carried out both it
+   * and a start would delete the end of that run, so that none is sent beside the other.
+   */
+  boolean isAcknowledgementInFlight() {
+    return renewalInFlight.filter(r -> r.acknowledgedEnd() > 0).isPresent();
+  }
+
+  private boolean isStartInFlight() {
+    return runs.values().stream().anyMatch(r -> r.phase() == Run.Phase.STARTING);
+  }
+
   void renewalSent(LeaseRenewalRequest renewal, long now) {
     renewalInFlight = Optional.of(renewal);
     renewalBootMillis = bootMillis;
@@ -521,13 +533,13 @@
   /**
    * Returns the number up to which the executor may delete ends, or 0 if it was told already. A
    * later boot that received the number would delete ends of its own, which nobody has read.
-   * Therefore it is sent only directly after a report of the boot that numbered the ends, and not
-   * repeated.
+   * Therefore it is sent only directly after a report of the boot that numbered the ends, not while
+   * a start is in flight, and not repeated.
    */
   long endToAcknowledge(long now) {
     long maxAge = CONFIRMED_BOOT_MILLIS + fastestAnswerMillis;
     boolean mayAcknowledge = confirmed.filter(c -> now - c.upAt() <= maxAge).isPresent();
-    return isAcknowledgementDue() && mayAcknowledge ? lastStoredEnd : 0;
+    return isAcknowledgementDue() && mayAcknowledge && !isStartInFlight() ? lastStoredEnd : 0;
   }
 
   /** Returns whether the executor may delete ends that it was not told to delete yet. */
