Play overlapping restarts in the soak, and check ends that are taken note of later

RUN_AFTER_ACKNOWLEDGED_END covered ends that were acknowledged before the start only; the rule says "then or later". UNREAD_END_DELETED reports an acknowledgement of ends that no answer of the boot has listed.

--restart-series stops hosts and crashes executors in series that overlap, with a slow store, late requests and many short tasks.

--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/Balancer.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/Balancer.java
@@ -16,12 +16,24 @@
   private final List<HostProcess> hosts;
   private final CallerClient client;
   private final Random random;
+  private final boolean keepsConnections;
   private final Map<HostProcess, Integer> failures = new HashMap<>();
 
-  Balancer(Vertx vertx, List<HostProcess> hosts, CallerClient client, long seed) {
+  /**
+   * Begins to probe the hosts.
+   *
+   * @param keepsConnections whether callers go on using a host that is stopping until it is gone
+   */
+  Balancer(
+      Vertx vertx,
+      List<HostProcess> hosts,
+      CallerClient client,
+      long seed,
+      boolean keepsConnections) {
     this.hosts = hosts;
     this.client = client;
     random = new Random(seed);
+    this.keepsConnections = keepsConnections;
     hosts.forEach(h -> failures.put(h, FAILED_PROBES));
     vertx.setPeriodic(PROBE_MILLIS, id -> hosts.forEach(this::probe));
   }
@@ -33,7 +45,13 @@
   }
 
   private List<HostProcess> readyHosts() {
-    return hosts.stream().filter(h -> failures.get(h) < FAILED_PROBES).toList();
+    return hosts.stream()
+        .filter(h -> failures.get(h) < FAILED_PROBES || keepsConnections && isGoing(h))
+        .toList();
+  }
+
+  private static boolean isGoing(HostProcess host) {
+    return host.isStopping() && host.isAlive();
   }
 
   boolean areAllReady() {
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/Callers.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/Callers.java
@@ -23,23 +23,39 @@
   private static final long ENDED_POLL_MILLIS = 6_000;
   private static final long GIVE_UP_MILLIS = 20_000;
   private static final int QUERIES_OF_UNDECIDED_JOBS = 3;
+  private static final int LATE_REPEATS_PERCENT = 30;
+  private static final int MIN_LATE_REPEAT_MILLIS = 500;
+  private static final int MAX_LATE_REPEAT_MILLIS = 10_000;
 
   private final Vertx vertx;
   private final Recorder recorder;
   private final CallerClient client;
   private final Balancer balancer;
   private final Random random;
+  private final boolean repeatsLate;
   private final Map<String, Arrival> byId = new HashMap<>();
   private boolean keyWithdrawn;
   private Optional<String> extraKey = Optional.empty();
   private long oldKeyUntil;
 
-  Callers(Vertx vertx, Recorder recorder, CallerClient client, Balancer balancer, long seed) {
+  /**
+   * Creates callers without jobs.
+   *
+   * @param repeatsLate whether some submissions arrive once more, seconds after they were accepted
+   */
+  Callers(
+      Vertx vertx,
+      Recorder recorder,
+      CallerClient client,
+      Balancer balancer,
+      long seed,
+      boolean repeatsLate) {
     this.vertx = vertx;
     this.recorder = recorder;
     this.client = client;
     this.balancer = balancer;
     random = new Random(seed);
+    this.repeatsLate = repeatsLate;
   }
 
   /** Schedules the submissions relative to now. */
@@ -102,6 +118,10 @@
     }
 
     private void submit() {
+      submit(this::submitted, this::submit);
+    }
+
+    private void submit(Consumer<Answer> handler, Runnable whenNoneIsReady) {
       call(
           Request.SUBMISSION,
           target -> {
@@ -117,8 +137,17 @@
                 job.steps(),
                 WAIT_MILLIS);
           },
-          this::submitted,
-          this::submit);
+          handler,
+          whenNoneIsReady);
+    }
+
+    private void repeatLate() {
+      if (repeatsLate && random.nextInt(100) < LATE_REPEATS_PERCENT) {
+        long millis =
+            MIN_LATE_REPEAT_MILLIS
+                + random.nextInt(MAX_LATE_REPEAT_MILLIS - MIN_LATE_REPEAT_MILLIS);
+        after(millis, () -> submit(answer -> {}, () -> {}));
+      }
     }
 
     private void submitted(Answer answer) {
@@ -126,6 +155,7 @@
         case ACCEPTED -> {
           accepted = true;
           after(random.nextInt((int) POLL_MILLIS), this::query);
+          repeatLate();
         }
         case CONFLICT, INVALID, NO_SUCH_JOB, NO_QUEUE -> {}
         case REJECTED, UNKNOWN_KEY -> retry(Math.max(POLL_MILLIS, answer.retryAfterMillis()));
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/Fault.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/Fault.java
@@ -45,6 +45,7 @@
     LINK_SILENT(Group.LINK, 1_000, 8_000),
     /** All connections that are open go silent for good; new ones work. */
     OPEN_CONNECTIONS_SILENT(Group.LINK, 0, 0),
+    /** The amount is the time from the start of the later boot to its announcement. */
     EXECUTOR_CRASHED(Group.EXECUTOR, 300, 5_000),
     EXECUTOR_DRAINED(Group.EXECUTOR, 2_500, 5_000),
     EXECUTOR_SILENT(Group.EXECUTOR, 1_000, 10_000),
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/FaultInjector.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/FaultInjector.java
@@ -111,7 +111,7 @@
           cluster.links().get(target).set(Mode.FORWARDED, 0);
       case EXECUTOR_CRASHED, EXECUTOR_DRAINED -> {
         cluster.executors().get(target).boot();
-        cluster.announce(target, true);
+        announceAfter(fault.amount(), target);
       }
       case EXECUTOR_SILENT, EXECUTOR_LATE, EXECUTOR_LOSES_ANSWERS ->
           cluster.executorFaults(target).end(fault);
@@ -175,6 +175,20 @@
         });
   }
 
+  private void announceAfter(long millis, int target) {
+    if (millis <= 0) {
+      cluster.announce(target, true);
+    } else {
+      vertx.setTimer(
+          millis,
+          id -> {
+            if (cluster.executors().get(target).isUp()) {
+              cluster.announce(target, true);
+            }
+          });
+    }
+  }
+
   private void useZone(int target, boolean out) {
     String zone = Site.ZONES.get(target);
     cluster.store().evacuate(zone, out);
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/JobFacts.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/JobFacts.java
@@ -6,6 +6,7 @@
 import io.cactusspring.jobs.model.TaskId;
 import io.cactusspring.platform.standin.CallerClient.Verdict;
 import io.cactusspring.soak.Observation.Answered;
+import io.cactusspring.soak.Observation.Started;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -20,6 +21,9 @@
   private static final Set<Verdict> NOT_STORED =
       Set.of(Verdict.REJECTED, Verdict.UNKNOWN_KEY, Verdict.NOT_SENT);
 
+  /** A run of a task. */
+  record RunKey(TaskId task, int run) {}
+
   final String id;
   final String organisation;
   final Queue queue;
@@ -27,6 +31,13 @@
   final long firstSentAt;
   final Set<TaskId> done = new HashSet<>();
   final Set<TaskId> acknowledgedDone = new HashSet<>();
+
+  /** When runs ended done, whether a host has taken note of the ends or not. */
+  final Map<RunKey, Long> doneRuns = new HashMap<>();
+
+  /** Starts of tasks of which no end done had been taken note of. */
+  final List<Started> starts = new ArrayList<>();
+
   final Map<TaskId, Integer> crashes = new HashMap<>();
   final Set<TaskId> crashingTasks = new HashSet<>();
   final Map<TaskId, Integer> startsAfterCrashes = new HashMap<>();
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/LoadPlan.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/LoadPlan.java
@@ -49,6 +49,7 @@
   private final List<Fault> faults;
   private final int failurePermille;
   private final GangPlan gangs;
+  private final ShortTaskPlan shortTasks;
   private final List<Arrival> arrivals = new ArrayList<>();
 
   /**
@@ -58,12 +59,29 @@
    * @param gangsPerMinute jobs with gangs beside the other jobs
    */
   LoadPlan(long seed, List<Fault> faults, int failurePermille, int gangsPerMinute) {
+    this(seed, faults, failurePermille, gangsPerMinute, 0);
+  }
+
+  /**
+   * Creates a plan.
+   *
+   * @param failurePermille share of the runs that fail
+   * @param gangsPerMinute jobs with gangs beside the other jobs
+   * @param shortTaskJobsPerMinute jobs with many short tasks beside the other jobs
+   */
+  LoadPlan(
+      long seed,
+      List<Fault> faults,
+      int failurePermille,
+      int gangsPerMinute,
+      int shortTaskJobsPerMinute) {
     // Differs from the seed of the faults, so that the two plans are independent.
     random = new Random(seed * 31 + 7);
     this.seed = seed;
     this.faults = faults;
     this.failurePermille = failurePermille;
     gangs = new GangPlan(seed, gangsPerMinute);
+    shortTasks = new ShortTaskPlan(seed, shortTaskJobsPerMinute);
   }
 
   /** Draws the arrivals of a duration, in the order of their times. */
@@ -76,6 +94,7 @@
       fill(durationMillis, Site.SERVING, i, SERVING_PER_SECOND * share);
     }
     arrivals.addAll(gangs.draw(durationMillis));
+    arrivals.addAll(shortTasks.draw(durationMillis));
     return arrivals.stream().sorted(Comparator.comparingLong(Arrival::at)).toList();
   }
 
@@ -149,6 +168,9 @@
 
   /** Returns how long a task takes on a normal executor. */
   long taskMillis(TaskId task, StepSpec step) {
+    if (shortTasks.contains(task.job())) {
+      return shortTasks.taskMillis(task);
+    }
     Random ofStep = new Random(seed ^ task.stepId().toString().hashCode());
     Random ofTask = new Random(seed ^ task.toString().hashCode());
     double factor =
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/RunChecks.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/RunChecks.java
@@ -4,14 +4,19 @@
 import io.cactusspring.jobs.model.Organisation;
 import io.cactusspring.jobs.model.TaskId;
 import io.cactusspring.jobs.port.ExecutorClient.EndReason;
+import io.cactusspring.soak.JobFacts.RunKey;
+import io.cactusspring.soak.Observation.Acknowledged;
 import io.cactusspring.soak.Observation.Ended;
 import io.cactusspring.soak.Observation.ExecutorLost;
 import io.cactusspring.soak.Observation.Started;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BiFunction;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 /** Checks of what executors run. */
@@ -80,6 +85,8 @@
                         .formatted(task, start.run(), start.executor(), a.run(), a.executor())));
     if (job.acknowledgedDone.contains(task)) {
       findings.add(start.at(), Rule.RUN_AFTER_ACKNOWLEDGED_END, task + " on " + start.executor());
+    } else {
+      job.starts.add(start);
     }
     job.steps.get(task.step()).after().stream()
         .filter(s -> !job.isStepDone(s))
@@ -164,9 +171,33 @@
     job.lastEnds.put(end.task(), end.at());
     if (end.reason() == EndReason.DONE) {
       members(job, end.task()).forEach(job.done::add);
+      job.doneRuns.put(new RunKey(end.task(), end.run()), end.at());
     }
   }
 
+  /** Reports the starts after an end that is taken note of now. */
+  void acknowledged(Acknowledged end) {
+    JobFacts job = jobs.get(end.task().job());
+    if (job == null || end.reason() != EndReason.DONE) {
+      return;
+    }
+    Set<TaskId> tasks = members(job, end.task()).collect(Collectors.toSet());
+    Long endedAt = job.doneRuns.get(new RunKey(end.task(), end.run()));
+    if (endedAt != null) {
+      List<Started> wrong =
+          job.starts.stream().filter(s -> tasks.contains(s.task()) && s.at() > endedAt).toList();
+      job.starts.removeAll(wrong);
+      wrong.forEach(
+          s ->
+              findings.add(
+                  end.at(),
+                  Rule.RUN_AFTER_ACKNOWLEDGED_END,
+                  "%s run %d on %s started at %d ms; run %d ended at %d ms, acknowledged later"
+                      .formatted(s.task(), s.run(), s.executor(), s.at(), end.run(), endedAt)));
+    }
+    job.acknowledgedDone.addAll(tasks);
+  }
+
   /** Returns the task, or all tasks of its gang: one member that is done completes the gang. */
   static Stream<TaskId> members(JobFacts job, TaskId task) {
     return job.steps.get(task.step()).gang() ? job.tasksOf(task.step()) : Stream.of(task);
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/Site.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/Site.java
@@ -51,6 +51,10 @@
   private static final int EXECUTORS = 10;
   private static final int PROCESSORS = 16_000;
   private static final double[] SIZES = {1, 0.5, 1, 2, 1};
+
+  /** Clocks of executors may be 2% slow. */
+  private static final int[] CLOCK_PERCENTS = {100, 98, 99};
+
   private static final double[] SPEEDS = {1.0, 0.8, 1.25, 1.0, 1.7};
 
   private Site() {}
@@ -59,8 +63,10 @@
    * An executor's fixed properties.
    *
    * @param durationFactor duration of a task relative to a normal executor
+   * @param clockPercent speed of the executor's clock
    */
-  record ExecutorShape(String id, String zone, Resources capacity, double durationFactor) {}
+  record ExecutorShape(
+      String id, String zone, Resources capacity, double durationFactor, int clockPercent) {}
 
   private static Queue queue(
       String name, int priority, double stretch, long latencyMillis, AdviceSettings advice) {
@@ -86,7 +92,10 @@
                   new Resources(Math.round(PROCESSORS * size), Math.round(32_768 * size), 0);
               // Sizes and speeds vary with different periods, so that all pairs occur.
               double factor = SPEEDS[i * 2 % SPEEDS.length];
-              return new ExecutorShape("x" + i, ZONES.get(i % ZONES.size()), capacity, factor);
+              // Zones have a period of 3, too; the shift keeps clocks and zones independent.
+              int clock = CLOCK_PERCENTS[(i + i / 3) % CLOCK_PERCENTS.length];
+              return new ExecutorShape(
+                  "x" + i, ZONES.get(i % ZONES.size()), capacity, factor, clock);
             })
         .toList();
   }
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/Soak.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/Soak.java
@@ -94,6 +94,12 @@
         .help(
             "start the executors of a zone again under their ids and cut them off soon afterwards,"
                 + " one zone after the other; best without other faults of executors");
+    parser
+        .addArgument("--restart-series")
+        .action(Arguments.storeTrue())
+        .help(
+            "stop hosts and crash executors in series that overlap, while the store is slow at"
+                + " times, callers repeat requests late and jobs with many short tasks run");
     parser
         .addArgument("--earlier")
         .setDefault("")
@@ -126,6 +132,7 @@
             arguments.getInt("gangs"),
             arguments.getBoolean("takeovers"),
             arguments.getBoolean("restarts"),
+            arguments.getBoolean("restart_series"),
             root,
             Optional.of(arguments.getString("earlier"))
                 .filter(d -> !d.isEmpty())
@@ -166,7 +173,7 @@
   }
 
   private static String replayCommand(Namespace arguments) {
-    return "bin/soak --seed %s --minutes %s --hosts %s --faults %s --failures %s --gangs %s%s%s%s%s%s%s"
+    return "bin/soak --seed %s --minutes %s --hosts %s --faults %s --failures %s --gangs %s%s%s%s%s%s%s%s"
         .formatted(
             arguments.get("seed"),
             arguments.get("minutes"),
@@ -179,6 +186,7 @@
             arguments.getBoolean("crash_loops") ? " --crash-loops" : "",
             arguments.getBoolean("takeovers") ? " --takeovers" : "",
             arguments.getBoolean("restarts") ? " --restarts" : "",
+            arguments.getBoolean("restart_series") ? " --restart-series" : "",
             arguments.getString("earlier").isEmpty()
                 ? ""
                 : " --earlier " + arguments.getString("earlier"));
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakExecutor.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakExecutor.java
@@ -75,6 +75,7 @@
   private long highestFencingToken;
   private long leaseEnd;
   private long lastEndNumber;
+  private long lastListedEnd;
   private boolean up = true;
   private boolean draining;
   private int capacityPercent = 100;
@@ -141,11 +142,17 @@
     running.values().forEach(t -> t.ended(false));
     running.clear();
     ended.clear();
+    List<Runnable> reports = List.copyOf(pendingReports);
+    pendingReports.clear();
+    if (!crashed) {
+      reports.forEach(Runnable::run);
+    }
     endsBeforeLapse.clear();
     highestEndedRun.clear();
     highestFencingToken = 0;
     leaseEnd = 0;
     lastEndNumber = 0;
+    lastListedEnd = 0;
   }
 
   void drain() {
@@ -167,8 +174,13 @@
     return (System.nanoTime() - bootNanos) / 1_000_000;
   }
 
+  @Override
+  public long clockMillis() {
+    return uptimeMillis() * shape.clockPercent() / 100;
+  }
+
   private void checkLease() {
-    if (up && !running.isEmpty() && uptimeMillis() > leaseEnd) {
+    if (up && !running.isEmpty() && clockMillis() > leaseEnd) {
       List.copyOf(running.values()).forEach(t -> end(t, EndReason.LAPSED));
     }
   }
@@ -178,10 +190,11 @@
     if (!up) {
       return new CommandResult.Unknown("executor is down");
     }
+    checkLease();
     if (!admit(request.fencingToken())) {
       return new CommandResult.Refused(Refusal.FENCED);
     }
-    if (request.leaseEndMillis() < uptimeMillis()) {
+    if (request.leaseEndMillis() < clockMillis()) {
       return new CommandResult.Refused(Refusal.EXPIRED);
     }
     TaskId id = request.task();
@@ -191,6 +204,7 @@
       return done();
     }
     if (existing != null || request.run() <= highestEndedRun.getOrDefault(id, 0)) {
+      extendLease(request.leaseEndMillis());
       return new CommandResult.Refused(Refusal.STALE_RUN);
     }
     if (!work.permits(request.ticket(), id, id())) {
@@ -274,7 +288,7 @@
   }
 
   private CommandResult done() {
-    return new CommandResult.Done(uptimeMillis());
+    return new CommandResult.Done(clockMillis());
   }
 
   private void end(SoakTask task, EndReason reason) {
@@ -296,10 +310,17 @@
     if (!up) {
       return Future.succeededFuture(new LeaseRenewalResult.Unknown("executor is down"));
     }
+    checkLease();
     if (!admit(request.fencingToken())) {
       return Future.succeededFuture(new LeaseRenewalResult.Refused(Refusal.FENCED));
     }
     extendLease(request.leaseEndMillis());
+    ended.stream()
+        .filter(e -> e.number() <= request.acknowledgedEnd() && e.number() > lastListedEnd)
+        .forEach(
+            e ->
+                recorder.record(
+                    at -> new Observation.UnreadEndDeleted(at, id(), e.task(), e.run())));
     ended.stream()
         .filter(e -> e.number() <= request.acknowledgedEnd())
         .filter(e -> !endsBeforeLapse.contains(e.number()))
@@ -314,8 +335,10 @@
     vertx.setTimer(
         request.waitMillis(),
         timer -> {
-          pendingReports.remove(send);
-          send.run();
+          // A boot does not answer what an earlier one was asked.
+          if (pendingReports.remove(send)) {
+            send.run();
+          }
         });
     return promise.future();
   }
@@ -330,13 +353,16 @@
       return new LeaseRenewalResult.Unknown("executor is down");
     }
     List<ActiveRun> runs = running.values().stream().map(t -> t.active()).toList();
-    return new LeaseRenewalResult.Report(uptimeMillis(), bootMillis, runs, List.copyOf(ended));
+    ended.stream()
+        .limit(ExecutorServer.MAX_LISTED_ENDS)
+        .forEach(e -> lastListedEnd = Math.max(lastListedEnd, e.number()));
+    return new LeaseRenewalResult.Report(clockMillis(), bootMillis, runs, List.copyOf(ended));
   }
 
   private void extendLease(long end) {
-    if (uptimeMillis() > leaseEnd) {
+    if (clockMillis() > leaseEnd) {
       ended.forEach(e -> endsBeforeLapse.add(e.number()));
     }
-    leaseEnd = Math.max(leaseEnd, Math.min(end, uptimeMillis() + MAX_LEASE_MILLIS));
+    leaseEnd = Math.max(leaseEnd, Math.min(end, clockMillis() + MAX_LEASE_MILLIS));
   }
 }
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakOracle.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakOracle.java
@@ -2,7 +2,6 @@
 
 import io.cactusspring.jobs.model.ExecutorInfo;
 import io.cactusspring.jobs.model.Organisation;
-import io.cactusspring.jobs.port.ExecutorClient.EndReason;
 import io.cactusspring.platform.standin.CallerClient.Verdict;
 import io.cactusspring.soak.Observation.Answered;
 import io.cactusspring.soak.Observation.Request;
@@ -85,7 +84,15 @@
         attemptChecks.ended(e);
         gangChecks.ended(e);
       }
-      case Observation.Acknowledged a -> acknowledged(a);
+      case Observation.Acknowledged a -> {
+        runChecks.acknowledged(a);
+        attemptChecks.acknowledged(a);
+      }
+      case Observation.UnreadEndDeleted u ->
+          findings.add(
+              u.at(),
+              Rule.UNREAD_END_DELETED,
+              "%s run %d on %s".formatted(u.task(), u.run(), u.executor()));
       case Observation.CrashCaused c ->
           facts(c.task().job()).forEach(j -> j.crashingTasks.add(c.task()));
       case Observation.ExecutorLost l -> {
@@ -135,14 +142,6 @@
     }
   }
 
-  private void acknowledged(Observation.Acknowledged end) {
-    attemptChecks.acknowledged(end);
-    if (end.reason() == EndReason.DONE) {
-      facts(end.task().job())
-          .forEach(j -> RunChecks.members(j, end.task()).forEach(j.acknowledgedDone::add));
-    }
-  }
-
   /** Returns whether all jobs that callers know to be stored have ended. */
   public boolean isDrained() {
     return jobs.values().stream().noneMatch(this::isUnfinished);
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakRun.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakRun.java
@@ -29,6 +29,8 @@
    * @param gangsPerMinute jobs with gangs beside the other jobs
    * @param takeovers whether all hosts are killed between two ends of a gang at times
    * @param restarts whether executors start again under their ids and are cut off soon afterwards
+   * @param restartSeries whether hosts and executors start again in series that overlap, while jobs
+   *     with many short tasks run
    * @param root directory of the repository
    * @param earlier directory of the repository with an earlier version, which every second host
    *     runs
@@ -46,6 +48,7 @@
       int gangsPerMinute,
       boolean takeovers,
       boolean restarts,
+      boolean restartSeries,
       Path root,
       Optional<Path> earlier,
       Path folder) {}
@@ -62,6 +65,9 @@
   /** Observations are later than what they show while the soak itself gets no processor time. */
   private static final long MAX_LAG_MILLIS = 300;
 
+  /** About 90 short tasks end each second. */
+  private static final int SHORT_TASK_JOBS_PER_MINUTE = 100;
+
   private static final long LAG_PROBE_MILLIS = 100;
   private static final Pattern RUN_LINE = Pattern.compile("(?m)^run = \"(.*)\"$");
 
@@ -134,16 +140,26 @@
     if (options.restarts()) {
       faults.addAll(FaultPlan.restarts(faultMillis));
     }
+    if (options.restartSeries()) {
+      faults.addAll(RestartSeries.draw(options.seed(), faultMillis, options.hosts()));
+    }
     LoadPlan load =
-        new LoadPlan(options.seed(), faults, options.failurePermille(), options.gangsPerMinute());
+        new LoadPlan(
+            options.seed(),
+            faults,
+            options.failurePermille(),
+            options.gangsPerMinute(),
+            options.restartSeries() ? SHORT_TASK_JOBS_PER_MINUTE : 0);
     List<Arrival> arrivals = load.draw(options.durationMillis());
     return cluster
         .listen(options.hosts(), load, id -> callers.arrival(id).orElse(null))
         .compose(v -> startHosts(faults, arrivals))
         .compose(
             v -> {
-              Balancer balancer = new Balancer(vertx, cluster.hosts(), client, options.seed());
-              callers = new Callers(vertx, recorder, client, balancer, options.seed() + 3);
+              boolean series = options.restartSeries();
+              Balancer balancer =
+                  new Balancer(vertx, cluster.hosts(), client, options.seed(), series);
+              callers = new Callers(vertx, recorder, client, balancer, options.seed() + 3, series);
               return waitUntil(balancer::areAllReady, READY_MILLIS)
                   .compose(
                       ready ->
--- a/cactusspring-soak/src/test/java/io/cactusspring/soak/History.java
+++ b/cactusspring-soak/src/test/java/io/cactusspring/soak/History.java
@@ -130,9 +130,14 @@
 
   /** Returns the rules that were broken up to now. */
   List<Rule> broken() {
+    return violations().stream().distinct().toList();
+  }
+
+  /** Returns the rule of each violation up to now. */
+  List<Rule> violations() {
     now++;
     oracle.observe(new Observation.CancelSent(now, "none"));
-    return oracle.violations().stream().map(Violation::rule).distinct().toList();
+    return oracle.violations().stream().map(Violation::rule).toList();
   }
 
   /** Returns the rules that were broken at the end of the run. */
--- a/cactusspring-soak/src/test/java/io/cactusspring/soak/PlanTest.java
+++ b/cactusspring-soak/src/test/java/io/cactusspring/soak/PlanTest.java
@@ -4,8 +4,10 @@
 
 import io.cactusspring.jobs.model.StepId;
 import io.cactusspring.jobs.model.StepSpec;
+import io.cactusspring.jobs.model.TaskId;
 import io.cactusspring.soak.Fault.Group;
 import io.cactusspring.soak.Fault.Kind;
+import java.util.Collections;
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Set;
@@ -52,6 +54,46 @@
     assertThat(new LoadPlan(5, List.of(), 0, 0).draw(MINUTE).size()).isGreaterThan(300);
   }
 
+  @Test
+  void restartSeriesOfHostsOverlapAndExecutorsAreBackWithinASecond() {
+    List<Fault> faults = RestartSeries.draw(5, MINUTE, 4);
+    assertThat(faults).isEqualTo(RestartSeries.draw(5, MINUTE, 4));
+    assertThat(faults.stream().map(Fault::kind).distinct().toList())
+        .containsExactly(
+            Kind.HOST_STOPPED,
+            Kind.STORE_SLOW,
+            Kind.EXECUTOR_CRASHED,
+            Kind.EXECUTOR_SILENT,
+            Kind.EXECUTOR_LATE);
+    assertThat(faults.stream().allMatch(f -> f.at() >= 0 && f.until() <= MINUTE)).isTrue();
+    List<Fault> crashes = faults.stream().filter(f -> f.kind() == Kind.EXECUTOR_CRASHED).toList();
+    assertThat(crashes.size()).isAtLeast(20);
+    assertThat(crashes.stream().allMatch(f -> f.millis() >= 300 && f.millis() <= 1_000)).isTrue();
+    List<Fault> stops = faults.stream().filter(f -> f.kind() == Kind.HOST_STOPPED).toList();
+    // The process needs seconds to start again, so that gaps of less than 2 s overlap.
+    assertThat(
+            IntStream.range(1, stops.size())
+                .filter(i -> stops.get(i).at() - stops.get(i - 1).at() < 2_000)
+                .count())
+        .isAtLeast(stops.size() / 2);
+  }
+
+  @Test
+  void shortTasksLeaveTheOtherJobsOfASeedAsTheyAre() {
+    LoadPlan plan = new LoadPlan(5, draw(5), 0, 0, 100);
+    List<Arrival> without = new LoadPlan(5, draw(5), 0, 0).draw(MINUTE);
+    List<Arrival> with = plan.draw(MINUTE);
+    assertThat(with).containsAtLeastElementsIn(without).inOrder();
+    List<Arrival> added = with.stream().filter(a -> !without.contains(a)).toList();
+    assertThat(added.size()).isGreaterThan(50);
+    List<Long> durations =
+        added.stream()
+            .map(a -> plan.taskMillis(new TaskId(a.id(), 0, 0, 0), a.steps().get(0)))
+            .toList();
+    assertThat(Collections.min(durations)).isAtLeast(20);
+    assertThat(Collections.max(durations)).isAtMost(300);
+  }
+
   @Test
   void surgeMultipliesTheJobsOfOneOrganisationOnly() {
     Fault surge = new Fault(0, MINUTE, Kind.SURGE, 1, 600);
--- a/cactusspring-soak/src/test/java/io/cactusspring/soak/SoakOracleTest.java
+++ b/cactusspring-soak/src/test/java/io/cactusspring/soak/SoakOracleTest.java
@@ -78,6 +78,39 @@
     assertThat(history.broken()).containsExactly(Rule.RUN_AFTER_ACKNOWLEDGED_END);
   }
 
+  /** A host that forgets an end starts the task again and takes note of the end afterwards. */
+  @Test
+  void runAfterAnEndThatIsAcknowledgedLaterIsFoundOnce() {
+    history
+        .accepted(SMALL)
+        .done("x0", task(0, 0))
+        .started("x1", task(0, 0), 2)
+        .acknowledged(task(0, 0), 1, EndReason.DONE)
+        .ended("x1", task(0, 0), 2, EndReason.DONE)
+        .acknowledged(task(0, 0), 2, EndReason.DONE);
+    assertThat(history.violations()).containsExactly(Rule.RUN_AFTER_ACKNOWLEDGED_END);
+  }
+
+  @Test
+  void runAfterAnEndThatNoHostTakesNoteOfIsNoViolation() {
+    history
+        .accepted(SMALL)
+        .done("x0", task(0, 0))
+        .started("x1", task(0, 0), 2)
+        .ended("x1", task(0, 0), 2, EndReason.DONE)
+        .acknowledged(task(0, 0), 2, EndReason.DONE);
+    assertThat(history.broken()).isEmpty();
+  }
+
+  @Test
+  void deletionOfAnEndThatNoHostCanHaveReadIsFound() {
+    history
+        .accepted(SMALL)
+        .done("x0", task(0, 0))
+        .observe(at -> new Observation.UnreadEndDeleted(at, "x0", task(0, 0), 1));
+    assertThat(history.broken()).containsExactly(Rule.UNREAD_END_DELETED);
+  }
+
   @Test
   void overfullExecutorIsFound() {
     history
