--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/RestartSeries.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/RestartSeries.java
@@ -22,6 +22,11 @@
   private static final long LATE_BEFORE_MILLIS = 800;
 
   private static final long LATE_AFTER_MILLIS = 1_500;
+
+  /** Most of the last requests to a boot are carried out late. */
+  private static final long LAST_CALLS_MILLIS = 300;
+
+  private static final int LAST_CALLS_PERCENT = 90;
   private static final int MAX_CRASHES_AT_ONCE = 3;
 
   private final Random random;
@@ -90,9 +95,19 @@
       // Connections stay open and requests get no answer, as after a loss of power.
       add(at, millis, Kind.EXECUTOR_SILENT, executor, 0);
     }
-    if (random.nextBoolean()) {
-      long lateMillis = LATE_BEFORE_MILLIS + millis + LATE_AFTER_MILLIS;
-      add(at - LATE_BEFORE_MILLIS, lateMillis, Kind.EXECUTOR_LATE, executor, between(10, 50));
+    switch (random.nextInt(3)) {
+      case 0 -> {
+        long lateMillis = LATE_BEFORE_MILLIS + millis + LATE_AFTER_MILLIS;
+        add(at - LATE_BEFORE_MILLIS, lateMillis, Kind.EXECUTOR_LATE, executor, between(10, 50));
+      }
+      case 1 ->
+          add(
+              at - LAST_CALLS_MILLIS,
+              LAST_CALLS_MILLIS,
+              Kind.EXECUTOR_LATE,
+              executor,
+              LAST_CALLS_PERCENT);
+      default -> {}
     }
   }
 
