--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/Cluster.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/Cluster.java
@@ -71,7 +71,8 @@
     listening.add(advice.listen(() -> Treatment.NORMAL));
     Tasks tasks = new Tasks(load, jobs);
     for (ExecutorShape shape : Site.executors()) {
-      SoakExecutor executor = new SoakExecutor(shape, vertx, recorder, tasks, tasks.gangs);
+      SoakExecutor executor =
+          new SoakExecutor(shape, Timers.of(vertx), recorder, tasks, tasks.gangs);
       FaultSwitch faults = new FaultSwitch(seed + 100 + executors.size());
       executors.add(executor);
       executorFaults.add(faults);
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakExecutor.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakExecutor.java
@@ -16,7 +16,6 @@
 import io.cactusspring.soak.Site.ExecutorShape;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
-import io.vertx.core.Vertx;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -58,7 +57,7 @@
   }
 
   private final ExecutorShape shape;
-  private final Vertx vertx;
+  private final Timers timers;
   private final Recorder recorder;
   private final Work work;
   private final GangRuns gangs;
@@ -70,7 +69,7 @@
 
   private final Map<TaskId, Integer> highestEndedRun = new HashMap<>();
   private final List<Runnable> pendingReports = new ArrayList<>();
-  private long bootNanos = System.nanoTime();
+  private long bootedAt;
   private long bootMillis = System.currentTimeMillis();
   private long highestFencingToken;
   private long leaseEnd;
@@ -81,13 +80,14 @@
   private int capacityPercent = 100;
   private int generation;
 
-  SoakExecutor(ExecutorShape shape, Vertx vertx, Recorder recorder, Work work, GangRuns gangs) {
+  SoakExecutor(ExecutorShape shape, Timers timers, Recorder recorder, Work work, GangRuns gangs) {
     this.shape = shape;
-    this.vertx = vertx;
+    this.timers = timers;
     this.recorder = recorder;
     this.work = work;
     this.gangs = gangs;
-    vertx.setPeriodic(LEASE_CHECK_MILLIS, id -> checkLease());
+    bootedAt = timers.nowMillis();
+    checkLeases();
   }
 
   @Override
@@ -165,13 +165,13 @@
       return;
     }
     draining = false;
-    bootNanos = System.nanoTime();
+    bootedAt = timers.nowMillis();
     bootMillis = System.currentTimeMillis();
     up = true;
   }
 
   private long uptimeMillis() {
-    return (System.nanoTime() - bootNanos) / 1_000_000;
+    return timers.nowMillis() - bootedAt;
   }
 
   @Override
@@ -179,6 +179,11 @@
     return uptimeMillis() * shape.clockPercent() / 100;
   }
 
+  private void checkLeases() {
+    checkLease();
+    timers.after(LEASE_CHECK_MILLIS, this::checkLeases);
+  }
+
   private void checkLease() {
     if (up && !running.isEmpty() && clockMillis() > leaseEnd) {
       List.copyOf(running.values()).forEach(t -> end(t, EndReason.LAPSED));
@@ -219,7 +224,7 @@
     extendLease(request.leaseEndMillis());
     SoakTask task = step.gang() ? joinGang(request, step) : startAlone(request, step);
     running.put(id, task);
-    work.crashMillis(id).ifPresent(millis -> vertx.setTimer(millis, timer -> crashUnder(task)));
+    work.crashMillis(id).ifPresent(millis -> timers.after(millis, () -> crashUnder(task)));
     return done();
   }
 
@@ -235,7 +240,7 @@
             new SoakTask.OwnProgress(this::uptimeMillis, uptimeMillis(), saved, total));
     if (work.crashMillis(id).isEmpty() && !step.longRunning()) {
       EndReason reason = work.fails(id, task.run) ? EndReason.FAILED : EndReason.DONE;
-      vertx.setTimer(Math.max(1, total - saved), timer -> end(task, reason));
+      timers.after(Math.max(1, total - saved), () -> end(task, reason));
     }
     return task;
   }
@@ -274,7 +279,7 @@
     highestEndedRun.merge(id, run, Math::max);
     SoakTask task = running.get(id);
     if (task != null && task.run == run) {
-      vertx.setTimer(STOP_MILLIS, timer -> end(task, EndReason.STOPPED));
+      timers.after(STOP_MILLIS, () -> end(task, EndReason.STOPPED));
     }
     return done();
   }
@@ -332,9 +337,9 @@
     Promise<LeaseRenewalResult> promise = Promise.promise();
     Runnable send = () -> promise.tryComplete(report());
     pendingReports.add(send);
-    vertx.setTimer(
+    timers.after(
         request.waitMillis(),
-        timer -> {
+        () -> {
           // A boot does not answer what an earlier one was asked.
           if (pendingReports.remove(send)) {
             send.run();
--- a/cactusspring-soak/src/test/java/io/cactusspring/soak/GangRunTest.java
+++ b/cactusspring-soak/src/test/java/io/cactusspring/soak/GangRunTest.java
@@ -6,11 +6,9 @@
 import io.cactusspring.jobs.model.StepSpec;
 import io.cactusspring.jobs.model.TaskId;
 import io.cactusspring.jobs.port.ExecutorClient.EndReason;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.PriorityQueue;
 import org.junit.jupiter.api.Test;
 
 /** Guards against stand-ins whose gangs behave in another way than the platform's pages say. */
@@ -24,36 +22,6 @@
   private Optional<GangFailure> failure = Optional.empty();
   private final GangRuns runs = new GangRuns(timers, new FixedPlan(), 1);
 
-  /** Carries out actions in the order of their times. */
-  private static final class VirtualTimers implements Timers {
-    private record Action(long at, long number, Runnable body) {}
-
-    private final PriorityQueue<Action> actions =
-        new PriorityQueue<>(Comparator.comparing(Action::at).thenComparing(Action::number));
-    private long now;
-    private long number;
-
-    @Override
-    public long nowMillis() {
-      return now;
-    }
-
-    @Override
-    public void after(long millis, Runnable action) {
-      actions.add(new Action(now + millis, number++, action));
-    }
-
-    void pass(long millis) {
-      long until = now + millis;
-      while (!actions.isEmpty() && actions.peek().at() <= until) {
-        Action next = actions.remove();
-        now = next.at();
-        next.body().run();
-      }
-      now = until;
-    }
-  }
-
   private final class FixedPlan implements GangRuns.Plan {
     @Override
     public long millis(StepId gang, StepSpec step) {
