--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
@@ -276,7 +276,7 @@
     boolean changed = !executor.listed() || !info.equals(executor.info());
     earlierLeases.longLapseAt(executor.id()).ifPresent(executor.lease()::inheritLong);
     // Whether the earlier boot was draining is known until the announcement is applied.
-    reports.updateBoot(executor, info.bootMillis(), now);
+    reports.bootAnnounced(executor, info.bootMillis(), now);
     executor.announced(info, state.settings.drainMillis(), now);
     state.learned.executorListed(executor);
     if (changed) {
@@ -557,6 +557,7 @@
         && (!executor.hasReported()
             || !executor.runs().isEmpty()
             || executor.hasEndsToAcknowledge()
+            || executor.isAnnouncedBootUnknown()
             || executor.isSilent());
   }
 
@@ -568,6 +569,7 @@
   private static boolean waitsForStore(LiveExecutor executor, long now) {
     return executor.hasReported()
         && executor.hasEndsToStore()
+        && executor.endToAcknowledge(now) == 0
         && now - executor.answeredAt() < STORE_WAIT_MILLIS;
   }
 
@@ -577,6 +579,21 @@
     return executor != null && executor.runs().stream().anyMatch(Run::stopping);
   }
 
+  /** Returns the fencing token of the next call to an executor. */
+  public long fencingToken(String id) {
+    return state.fence(id).token();
+  }
+
+  /**
+   * Returns whether an executor that refuses a call because of its fencing token may have seen the
+   * token of a later owner, and not that of a later call of this owner.
+   *
+   * @param token the token of the call
+   */
+  public boolean isFencedByLaterOwner(String id, long token) {
+    return token >= state.fence(id).token();
+  }
+
   /** Returns the id and the address of a known executor. */
   public Target target(String id) {
     return state.executors.get(id).target();
@@ -603,17 +620,18 @@
   private LeaseRenewalRequest leaseRenewalRequest(
       String id, boolean renew, long usualWait, long now) {
     LiveExecutor executor = state.executors.get(id);
-    // A later boot may get the request, and would delete ends of its own.
-    long end = executor.isSilent() ? 0 : executor.endToAcknowledge();
+    long end = executor.endToAcknowledge(now);
     executor.renewalSent(end, now);
     // A silent executor may process the request late. A longer lease would only delay the time
     // from which its runs are certainly over.
     boolean mayRenew = renew && !executor.isSilent();
     long lease = mayRenew ? executor.lease().grant(state.settings.leaseMillis(), now) : 0;
-    boolean immediate = !executor.hasReported() || executor.isSilent() || executor.runs().isEmpty();
+    boolean unconfirmed = executor.isAcknowledgementDue() && end == 0;
+    boolean immediate =
+        !executor.hasReported() || executor.isSilent() || executor.runs().isEmpty() || unconfirmed;
     long wait =
         immediate ? 0 : leaseRenewalIsUrgent(id) ? SHORT_LEASE_RENEWAL_WAIT_MILLIS : usualWait;
-    return new LeaseRenewalRequest(lease, state.term, end, wait);
+    return new LeaseRenewalRequest(lease, executor.fence().token(), end, wait);
   }
 
   /**
@@ -637,19 +655,27 @@
       long sentAt,
       LeaseRenewalResult result,
       long now) {
-    boolean reported = result instanceof LeaseRenewalResult.Report;
-    executor.renewalAnswered(reported ? now : now + FAILED_RENEWAL_PAUSE_MILLIS);
+    executor.renewalAnswered(now + FAILED_RENEWAL_PAUSE_MILLIS);
     state.touch(executor);
-    if (request.leaseEndMillis() > 0 && result instanceof LeaseRenewalResult.Unknown) {
-      executor.lease().unanswered(executor.isRenewalForeign(), now);
+    if (result instanceof LeaseRenewalResult.Unknown) {
+      executor.fence().unanswered(request.fencingToken());
+      if (request.leaseEndMillis() > 0) {
+        executor.lease().unanswered(executor.isRenewalForeign(), now);
+      }
     }
     switch (result) {
       case LeaseRenewalResult.Report report -> {
         executor.lease().taken(request.leaseEndMillis(), report.clockMillis(), now);
         reports.reconcile(executor, sentAt, report, now);
         executor.acknowledgedEnd(request.acknowledgedEnd());
+        if (!executor.isAnnouncedBootUnknown()) {
+          executor.renewalAnswered(now);
+        }
         throttle.adjust(executor, now);
       }
+      case LeaseRenewalResult.Refused(Refusal reason) when reason == Refusal.FENCED ->
+          // A later call of this owner has overtaken the renewal.
+          executor.renewalAnswered(now);
       case LeaseRenewalResult.Refused refused -> {
         state.markSilent(executor, refused.reason().toString(), now);
         if (refused.reason() == Refusal.OTHER_BOOT) {
@@ -699,7 +725,7 @@
     long lease = announcements.startLeaseMillis(state.settings.leaseMillis(), now);
     long leaseEnd =
         executor.lease().grant(state.zones.startLeaseMillis(zone(executor), lease, now), now);
-    run.startSent(leaseEnd, now);
+    run.startSent(leaseEnd, executor.fence().token(), now);
     run.bootMillis(executor.bootMillis());
     return Optional.of(
         new StartRequest(
@@ -707,7 +733,7 @@
             key.number(),
             task.step().job().spec().payload(),
             leaseEnd,
-            state.term,
+            run.startToken(),
             run.checkpoint(),
             ticket.get()));
   }
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/RebootedExecutorEndsTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/RebootedExecutorEndsTest.java
@@ -6,14 +6,12 @@
 import io.cactusspring.jobs.port.ExecutorClient.LeaseRenewalRequest;
 import io.cactusspring.jobs.port.ExecutorClient.LeaseRenewalResult;
 import io.cactusspring.jobs.port.ExecutorClient.StartRequest;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /**
  * Tests that an executor that started again under its id keeps the ends of its runs until the owner
  * has read them. Acknowledgements name ends by numbers that begin anew with each boot.
  */
-@Tag("known-red")
 final class RebootedExecutorEndsTest extends RebootedExecutorFixture {
   /** Lets a run end on the executor, and the owner read its end. */
   private void readEndOfFirstJob() {
