--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakExecutor.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakExecutor.java
@@ -16,7 +16,6 @@
 import io.cactusspring.soak.Site.ExecutorShape;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
-import io.vertx.core.Vertx;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -58,7 +57,7 @@
   }
 
   private final ExecutorShape shape;
-  private final Vertx vertx;
+  private final Timers timers;
   private final Recorder recorder;
   private final Work work;
   private final GangRuns gangs;
@@ -70,23 +69,25 @@
 
   private final Map<TaskId, Integer> highestEndedRun = new HashMap<>();
   private final List<Runnable> pendingReports = new ArrayList<>();
-  private long bootNanos = System.nanoTime();
+  private long bootedAt;
   private long bootMillis = System.currentTimeMillis();
   private long highestFencingToken;
   private long leaseEnd;
   private long lastEndNumber;
+  private long lastListedEnd;
   private boolean up = true;
   private boolean draining;
   private int capacityPercent = 100;
   private int generation;
 
-  SoakExecutor(ExecutorShape shape, Vertx vertx, Recorder recorder, Work work, GangRuns gangs) {
+  SoakExecutor(ExecutorShape shape, Timers timers, Recorder recorder, Work work, GangRuns gangs) {
     this.shape = shape;
-    this.vertx = vertx;
+    this.timers = timers;
     this.recorder = recorder;
     this.work = work;
     this.gangs = gangs;
-    vertx.setPeriodic(LEASE_CHECK_MILLIS, id -> checkLease());
+    bootedAt = timers.nowMillis();
+    checkLeases();
   }
 
   @Override
@@ -141,11 +142,17 @@
     running.values().forEach(t -> t.ended(false));
     running.clear();
     ended.clear();
+    List<Runnable> reports = List.copyOf(pendingReports);
+    pendingReports.clear();
+    if (!crashed) {
+      reports.forEach(Runnable::run);
+    }
     endsBeforeLapse.clear();
     highestEndedRun.clear();
     highestFencingToken = 0;
     leaseEnd = 0;
     lastEndNumber = 0;
+    lastListedEnd = 0;
   }
 
   void drain() {
@@ -158,17 +165,27 @@
       return;
     }
     draining = false;
-    bootNanos = System.nanoTime();
+    bootedAt = timers.nowMillis();
     bootMillis = System.currentTimeMillis();
     up = true;
   }
 
   private long uptimeMillis() {
-    return (System.nanoTime() - bootNanos) / 1_000_000;
+    return timers.nowMillis() - bootedAt;
+  }
+
+  @Override
+  public long clockMillis() {
+    return uptimeMillis() * shape.clockPercent() / 100;
+  }
+
+  private void checkLeases() {
+    checkLease();
+    timers.after(LEASE_CHECK_MILLIS, this::checkLeases);
   }
 
   private void checkLease() {
-    if (up && !running.isEmpty() && uptimeMillis() > leaseEnd) {
+    if (up && !running.isEmpty() && clockMillis() > leaseEnd) {
       List.copyOf(running.values()).forEach(t -> end(t, EndReason.LAPSED));
     }
   }
@@ -178,10 +195,11 @@
     if (!up) {
       return new CommandResult.Unknown("executor is down");
     }
+    checkLease();
     if (!admit(request.fencingToken())) {
       return new CommandResult.Refused(Refusal.FENCED);
     }
-    if (request.leaseEndMillis() < uptimeMillis()) {
+    if (request.leaseEndMillis() < clockMillis()) {
       return new CommandResult.Refused(Refusal.EXPIRED);
     }
     TaskId id = request.task();
@@ -191,6 +209,7 @@
       return done();
     }
     if (existing != null || request.run() <= highestEndedRun.getOrDefault(id, 0)) {
+      extendLease(request.leaseEndMillis());
       return new CommandResult.Refused(Refusal.STALE_RUN);
     }
     if (!work.permits(request.ticket(), id, id())) {
@@ -205,7 +224,7 @@
     extendLease(request.leaseEndMillis());
     SoakTask task = step.gang() ? joinGang(request, step) : startAlone(request, step);
     running.put(id, task);
-    work.crashMillis(id).ifPresent(millis -> vertx.setTimer(millis, timer -> crashUnder(task)));
+    work.crashMillis(id).ifPresent(millis -> timers.after(millis, () -> crashUnder(task)));
     return done();
   }
 
@@ -221,7 +240,7 @@
             new SoakTask.OwnProgress(this::uptimeMillis, uptimeMillis(), saved, total));
     if (work.crashMillis(id).isEmpty() && !step.longRunning()) {
       EndReason reason = work.fails(id, task.run) ? EndReason.FAILED : EndReason.DONE;
-      vertx.setTimer(Math.max(1, total - saved), timer -> end(task, reason));
+      timers.after(Math.max(1, total - saved), () -> end(task, reason));
     }
     return task;
   }
@@ -260,7 +279,7 @@
     highestEndedRun.merge(id, run, Math::max);
     SoakTask task = running.get(id);
     if (task != null && task.run == run) {
-      vertx.setTimer(STOP_MILLIS, timer -> end(task, EndReason.STOPPED));
+      timers.after(STOP_MILLIS, () -> end(task, EndReason.STOPPED));
     }
     return done();
   }
@@ -274,7 +293,7 @@
   }
 
   private CommandResult done() {
-    return new CommandResult.Done(uptimeMillis());
+    return new CommandResult.Done(clockMillis());
   }
 
   private void end(SoakTask task, EndReason reason) {
@@ -296,10 +315,17 @@
     if (!up) {
       return Future.succeededFuture(new LeaseRenewalResult.Unknown("executor is down"));
     }
+    checkLease();
     if (!admit(request.fencingToken())) {
       return Future.succeededFuture(new LeaseRenewalResult.Refused(Refusal.FENCED));
     }
     extendLease(request.leaseEndMillis());
+    ended.stream()
+        .filter(e -> e.number() <= request.acknowledgedEnd() && e.number() > lastListedEnd)
+        .forEach(
+            e ->
+                recorder.record(
+                    at -> new Observation.UnreadEndDeleted(at, id(), e.task(), e.run())));
     ended.stream()
         .filter(e -> e.number() <= request.acknowledgedEnd())
         .filter(e -> !endsBeforeLapse.contains(e.number()))
@@ -311,11 +337,13 @@
     Promise<LeaseRenewalResult> promise = Promise.promise();
     Runnable send = () -> promise.tryComplete(report());
     pendingReports.add(send);
-    vertx.setTimer(
+    timers.after(
         request.waitMillis(),
-        timer -> {
-          pendingReports.remove(send);
-          send.run();
+        () -> {
+          // A boot does not answer what an earlier one was asked.
+          if (pendingReports.remove(send)) {
+            send.run();
+          }
         });
     return promise.future();
   }
@@ -330,13 +358,16 @@
       return new LeaseRenewalResult.Unknown("executor is down");
     }
     List<ActiveRun> runs = running.values().stream().map(t -> t.active()).toList();
-    return new LeaseRenewalResult.Report(uptimeMillis(), bootMillis, runs, List.copyOf(ended));
+    ended.stream()
+        .limit(ExecutorServer.MAX_LISTED_ENDS)
+        .forEach(e -> lastListedEnd = Math.max(lastListedEnd, e.number()));
+    return new LeaseRenewalResult.Report(clockMillis(), bootMillis, runs, List.copyOf(ended));
   }
 
   private void extendLease(long end) {
-    if (uptimeMillis() > leaseEnd) {
+    if (clockMillis() > leaseEnd) {
       ended.forEach(e -> endsBeforeLapse.add(e.number()));
     }
-    leaseEnd = Math.max(leaseEnd, Math.min(end, uptimeMillis() + MAX_LEASE_MILLIS));
+    leaseEnd = Math.max(leaseEnd, Math.min(end, clockMillis() + MAX_LEASE_MILLIS));
   }
 }
