Pause renewals while an acknowledgement waits for the answer to a start

An executor that lists ends answers renewals at once; while a start is unanswered, which lasts half a second if its answer is lost, the ends cannot be acknowledged, and renewals would follow one another without a pause.

Change: the next renewal waits for 20 ms.

Measured: executorWithEndsIsNotCalledWithoutAPauseWhileAStartIsInFlight fails on (500 renewals in half a second) and passes; CallsInFlightTest, CallFenceTest, BootOrderTest, EndOfLost*Test, *Reboot*Test, JobSchedulerTest and ClusterFuzzTest pass.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/CallFence.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/CallFence.java
@@ -30,12 +30,8 @@
     }
   }
 
-  /** Records a later boot, which may still get calls that were meant for the one before. */
-  void rebooted() {
-    raise();
-  }
-
-  private void raise() {
+  /** Lets no earlier call have an effect on a boot that takes the next one. */
+  void raise() {
     token = Math.min(token + 1, lastToken);
   }
 }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
@@ -51,6 +51,8 @@
   // How long an executor may delay its answer. It answers at once when a run ends.
   private static final long LEASE_RENEWAL_WAIT_MILLIS = 1_000;
   private static final long FAILED_RENEWAL_PAUSE_MILLIS = 250;
+  // Longer than an executor takes to answer a start.
+  private static final long BLOCKED_ACKNOWLEDGEMENT_PAUSE_MILLIS = 20;
   private static final long SHORT_LEASE_RENEWAL_WAIT_MILLIS = 100;
   // Well below the lease, which is not renewed while the request waits for the store.
   private static final long STORE_WAIT_MILLIS = 500;
@@ -676,6 +678,15 @@
     state.fence(id).unanswered(token);
   }
 
+  /**
+   * Returns how long the next renewal waits. An executor that lists ends answers at once, also
+   * while they cannot be acknowledged because of a start.
+   */
+  private static long pauseMillis(LiveExecutor executor) {
+    boolean blocked = executor.isAcknowledgementDue() && executor.isStartInFlight();
+    return blocked ? BLOCKED_ACKNOWLEDGEMENT_PAUSE_MILLIS : 0;
+  }
+
   /** Processes the answer to a renewal that was sent before a reboot was known. */
   private void applyAbandonedRenewal(
       LiveExecutor executor,
@@ -710,7 +721,7 @@
         reports.reconcile(executor, sentAt, report, now);
         executor.acknowledgedEnd(request.acknowledgedEnd());
         if (!executor.isAnnouncedBootUnknown()) {
-          executor.renewalAnswered(now);
+          executor.renewalAnswered(now + pauseMillis(executor));
         }
         throttle.adjust(executor, now);
       }
@@ -768,7 +779,7 @@
         executor.lease().grant(state.zones.startLeaseMillis(zone(executor), lease, now), now);
     if (executor.isAcknowledgementInFlight()) {
       // A boot that takes the start must not take the acknowledgement after it.
-      executor.fence().unanswered(executor.fence().token());
+      executor.fence().raise();
     }
     run.startSent(leaseEnd, executor.fence().token(), now);
     run.bootMillis(executor.bootMillis());
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveExecutor.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveExecutor.java
@@ -152,7 +152,8 @@
     // A boot is known first, or replaces one that this owner or an earlier one has known.
     lease.rebooted(bootMillis == 0 || recordedBoots.contains(boot), now);
     if (bootMillis != 0) {
-      fence.rebooted();
+      // The later boot may still get calls that were meant for the one before.
+      fence.raise();
       addPastBoot(bootMillis);
     }
     bootMillis = boot;
@@ -198,7 +199,7 @@
     return pastBoots.contains(boot) && isRenewalForeign();
   }
 
-  /** Returns whether a boot was announced of which is unknown whether it is the present one. */
+  /** Returns whether a boot was announced that is neither known as present nor as past. */
   boolean isAnnouncedBootUnknown() {
     return isCallable() && !isBootAnnounced() && !pastBoots.contains(info.bootMillis());
   }
@@ -378,7 +379,7 @@
     return renewalInFlight.filter(r -> r.acknowledgedEnd() > 0).isPresent();
   }
 
-  private boolean isStartInFlight() {
+  boolean isStartInFlight() {
     return runs.values().stream().anyMatch(r -> r.phase() == Run.Phase.STARTING);
   }
 
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/CallFenceTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/CallFenceTest.java
@@ -29,8 +29,8 @@
   }
 
   @Test
-  void laterBootRaisesTheToken() {
-    fence.rebooted();
+  void earlierCallsAreShutOutByAHigherToken() {
+    fence.raise();
     assertThat(fence.token()).isEqualTo(TERM + 1);
   }
 
@@ -38,7 +38,7 @@
   @Test
   void tokenStaysBelowThatOfTheNextTerm() {
     for (int i = 0; i < 2 * SchedulerSettings.TOKENS_PER_TERM; i++) {
-      fence.rebooted();
+      fence.raise();
     }
     assertThat(fence.token()).isEqualTo(TERM + SchedulerSettings.TOKENS_PER_TERM - 1);
   }
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/CallsInFlightTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/CallsInFlightTest.java
@@ -196,4 +196,22 @@
     announceRebooted();
     assertThat(owner().fencingToken(REBOOTED)).isGreaterThan(before);
   }
+
+  /** Guards against renewals without a pause while the answer to a start is waited for. */
+  @Test
+  void executorWithEndsIsNotCalledWithoutAPauseWhileAStartIsInFlight() {
+    storeEndOfFirstJob();
+    submit();
+    sendStart();
+    int renewals = 0;
+    for (long until = now + 500; now < until; now++) {
+      for (String id : owner().executorsToRenew(now)) {
+        LeaseRenewalRequest request = owner().leaseRenewalRequest(id, true, now);
+        assertThat(request.acknowledgedEnd()).isEqualTo(0);
+        owner().leaseRenewalAnswered(id, request, now, carryOut(request), now);
+        renewals++;
+      }
+    }
+    assertThat(renewals).isAtMost(30);
+  }
 }
