--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/Balancer.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/Balancer.java
@@ -46,7 +46,7 @@
 
   private List<HostProcess> readyHosts() {
     return hosts.stream()
-        .filter(h -> failures.get(h) < FAILED_PROBES || keepsConnections && isGoing(h))
+        .filter(h -> failures.get(h) < FAILED_PROBES || (keepsConnections && isGoing(h)))
         .toList();
   }
 
