Show six ways in which calls to executors still act wrongly

What callers would see: a task starts again after its successful end was acknowledged (an executor is not announced for a moment; a start was sent twice), two runs of a task at the same time (a lease is forgotten with the executor), a start beyond the attempts, a filling task that works no more, ends that are acknowledged only when the load is over.

The simulated executors keep the pace that they were told.

--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/BootOrderTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/BootOrderTest.java
@@ -5,6 +5,7 @@
 import io.cactusspring.jobs.port.ExecutorClient.LeaseRenewalRequest;
 import io.cactusspring.jobs.port.ExecutorClient.LeaseRenewalResult;
 import java.util.List;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -136,4 +137,39 @@
     }
     assertThat(decisions().toString()).contains("RUN_ENDED j1.0.0.0#1 DONE");
   }
+
+  /**
+   * Guards against ends that are never acknowledged: the entry of an earlier boot is not replaced
+   * yet, and a later owner knows the present one from the runs that were stored.
+   */
+  @Tag("known-red")
+  @Test
+  void endsAreAcknowledgedThoughAnEarlierBootIsAnnounced() {
+    beginWithExecutorThatIsUpForLong();
+    submit();
+    start();
+    store();
+    begin(InheritedLeases.until(now + 6_200));
+    announce(REBOOTED, laterBoot());
+    endRun();
+    assertThat(isAcknowledgedWithin(5_000)).isTrue();
+  }
+
+  /** Lets the executor answer renewals and the store take what they report, after some time. */
+  private boolean isAcknowledgedWithin(long millis) {
+    long storeMillis = 10;
+    for (long until = now + millis; now < until; now += ROUND_TRIP_MILLIS) {
+      for (String id : owner().executorsToRenew(now)) {
+        LeaseRenewalRequest request = owner().leaseRenewalRequest(id, true, now);
+        if (request.acknowledgedEnd() > 0) {
+          return true;
+        }
+        now += ROUND_TRIP_MILLIS;
+        owner().leaseRenewalAnswered(id, request, now - ROUND_TRIP_MILLIS, carryOut(request), now);
+        now += storeMillis;
+        store();
+      }
+    }
+    return false;
+  }
 }
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/CallsInFlightTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/CallsInFlightTest.java
@@ -8,6 +8,7 @@
 import io.cactusspring.jobs.port.ExecutorClient.Refusal;
 import io.cactusspring.jobs.port.ExecutorClient.StartRequest;
 import java.util.List;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -16,6 +17,7 @@
  */
 final class CallsInFlightTest extends RebootedExecutorFixture {
   private static final LeaseRenewalResult NO_ANSWER = new LeaseRenewalResult.Unknown("no answer");
+  private static final CommandResult NO_COMMAND_ANSWER = new CommandResult.Unknown("no answer");
 
   /** Lets a run end on the executor, and the owner read its end and store it. */
   private void storeEndOfFirstJob() {
@@ -214,4 +216,67 @@
     }
     assertThat(renewals).isAtMost(30);
   }
+
+  /**
+   * Guards against a second run of a task whose end was deleted unread: the executor is not
+   * announced for a moment while an acknowledgement is in flight, which its later boot takes after
+   * a start.
+   */
+  @Tag("known-red")
+  @Test
+  void acknowledgementInFlightHasNoEffectAfterItsExecutorWasNotAnnounced() {
+    storeEndOfFirstJob();
+    LeaseRenewalRequest inFlight = owner().leaseRenewalRequest(REBOOTED, true, now);
+    assertThat(inFlight.acknowledgedEnd()).isEqualTo(1);
+    final long sentAt = now;
+    owner().executorUnlisted(REBOOTED);
+    reboot();
+    now += 500;
+    announceRebooted();
+    renew();
+    submit();
+    start();
+    now += 400;
+    endRun();
+    carryOut(inFlight);
+    now = sentAt + 1_600;
+    owner().leaseRenewalAnswered(REBOOTED, inFlight, sentAt, NO_ANSWER, now);
+    assertSecondJobIsNotStartedAgain();
+  }
+
+  /**
+   * Guards against a second run of a task whose end was deleted unread: the first copy of a start
+   * was carried out late, and a later boot takes the second one, which is in flight, and then an
+   * acknowledgement.
+   */
+  @Tag("known-red")
+  @Test
+  void acknowledgementHasNoEffectOnALaterBootThatTookTheSecondCopyOfAStart() {
+    beginWithExecutorThatIsUpForLong();
+    submit();
+    start();
+    endRun();
+    renew();
+    submit();
+    StartRequest first = sendStart();
+    now += 500;
+    answered(first, NO_COMMAND_ANSWER);
+    now += 250;
+    StartRequest second = sendStart();
+    carryOut(first);
+    renew();
+    LeaseRenewalRequest inFlight = owner().leaseRenewalRequest(REBOOTED, true, now);
+    final long sentAt = now;
+    reboot();
+    now += 400;
+    carryOut(second);
+    now += 50;
+    endRun();
+    LeaseRenewalResult answer = carryOut(inFlight);
+    answered(second, new CommandResult.Done(clock()));
+    owner().leaseRenewalAnswered(REBOOTED, inFlight, sentAt, answer, now);
+    decide();
+    stopAnswered(second);
+    assertSecondJobIsNotStartedAgain();
+  }
 }
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/EndOfLostRunTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/EndOfLostRunTest.java
@@ -4,8 +4,12 @@
 
 import io.cactusspring.jobs.port.ExecutorClient.CommandResult;
 import io.cactusspring.jobs.port.ExecutorClient.EndReason;
+import io.cactusspring.jobs.port.ExecutorClient.EndedRun;
+import io.cactusspring.jobs.port.ExecutorClient.LeaseRenewalRequest;
+import io.cactusspring.jobs.port.ExecutorClient.LeaseRenewalResult;
 import io.cactusspring.jobs.port.ExecutorClient.StartRequest;
 import java.util.List;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -78,4 +82,36 @@
     assertThat(decide()).isEmpty();
     assertThat(decisions().toString()).contains("JOB_FAILED j1.0.0.0");
   }
+
+  /**
+   * Guards against a start beyond the limit: the failures are read in reverse order of the runs.
+   */
+  @Tag("known-red")
+  @Test
+  void failureOfARunThatWasTakenForLostCountsAfterTheFailureOfTheNextRun() {
+    maxAttempts(2);
+    StartRequest late = loseRun();
+    addOther();
+    RunKey next = decide().get(0).run();
+    store();
+    assertThat(owner().startRequest(OTHER, next, now)).isPresent();
+    owner().startAnswered(OTHER, next, new CommandResult.Done(now), now);
+    reportFailure(OTHER, next);
+    carryOutLate(late, EndReason.FAILED);
+    assertThat(decide()).isEmpty();
+    assertThat(decisions().toString()).contains("JOB_FAILED j1.0.0.0");
+  }
+
+  private void reportFailure(String executor, RunKey run) {
+    now += 100;
+    EndedRun failed = new EndedRun(1, run.task(), run.number(), EndReason.FAILED, "");
+    LeaseRenewalRequest request = owner().leaseRenewalRequest(executor, true, now);
+    owner()
+        .leaseRenewalAnswered(
+            executor,
+            request,
+            now,
+            new LeaseRenewalResult.Report(now, OTHER_BOOT, List.of(), List.of(failed)),
+            now);
+  }
 }
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/RebootedExecutorTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/RebootedExecutorTest.java
@@ -9,6 +9,7 @@
 import io.cactusspring.jobs.port.ExecutorClient.StartRequest;
 import io.cactusspring.jobs.schedule.JobScheduler.ReceivedEnds;
 import java.util.List;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -272,4 +273,33 @@
     renew();
     assertThat(decisions().toString()).contains("RUN_ENDED j1.0.0.0#1 DONE");
   }
+
+  /**
+   * Guards against a second run beside one on a boot that took a renewal for the boot before, which
+   * was given up while the executor was not announced.
+   */
+  @Tag("known-red")
+  @Test
+  void renewalThatIsGivenUpWhileItsExecutorIsNotAnnouncedMayExtendTheLease() {
+    beginWithExecutorThatIsUpForLong();
+    submit();
+    start();
+    endRun();
+    renew();
+    store();
+    LeaseRenewalRequest late = owner().leaseRenewalRequest(REBOOTED, true, now);
+    assertThat(late.leaseEndMillis()).isGreaterThan(0);
+    owner().executorUnlisted(REBOOTED);
+    now += 1_600;
+    LeaseRenewalResult none = new LeaseRenewalResult.Unknown("no answer");
+    owner().leaseRenewalAnswered(REBOOTED, late, now - 1_600, none, now);
+    reboot();
+    now += 100;
+    carryOut(late);
+    announceRebooted();
+    renew();
+    submit();
+    start();
+    cutOffAndWaitForStartElsewhere();
+  }
 }
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/ClusterSimulation.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/ClusterSimulation.java
@@ -960,7 +960,7 @@
     @Override
     public Future<CommandResult> pace(
         Target executor, TaskId task, int run, int percent, long fencingToken) {
-      return sendCommand(e -> e.pace(fencingToken(fencingToken)), executor);
+      return sendCommand(e -> e.pace(task, run, percent, fencingToken(fencingToken)), executor);
     }
 
     @Override
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/FakeExecutor.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/simulation/FakeExecutor.java
@@ -36,6 +36,7 @@
 
   private static final long STOP_MILLIS = 100;
   private static final int MAX_LISTED_ENDS = 500;
+  private static final int FULL_PACE = 100;
 
   private final class Task implements GangRuns.Member {
     private final TaskId id;
@@ -156,6 +157,7 @@
   private final Set<Long> endsBeforeLapse = new HashSet<>();
 
   private final Map<TaskId, Integer> highestEndedRun = new HashMap<>();
+  private final Map<TaskId, Integer> paces = new HashMap<>();
   private final List<Runnable> pendingReports = new ArrayList<>();
   private long bootedAt;
   private long wallOffsetMillis;
@@ -173,6 +175,7 @@
   private boolean powerless;
   private boolean uncallable;
   private int slowdownFactor = 1;
+  private long servingLatencyMillis;
   private Set<String> labels = Set.of("a");
   private String service = ClusterSimulation.SERVICE;
 
@@ -293,6 +296,16 @@
     slowdownFactor = factor;
   }
 
+  /** Sets the latency of the tasks that have a target. */
+  public void servingLatencyMillis(long millis) {
+    servingLatencyMillis = millis;
+  }
+
+  /** Returns the share of its work that a task may do, in percent. */
+  public int pace(TaskId task) {
+    return paces.getOrDefault(task, FULL_PACE);
+  }
+
   /** Sets the labels of the next announcement. */
   public void labels(Set<String> values) {
     labels = values;
@@ -341,6 +354,7 @@
     ended.clear();
     endsBeforeLapse.clear();
     highestEndedRun.clear();
+    paces.clear();
     highestFencingToken = 0;
     leaseEnd = 0;
     lastEndNumber = 0;
@@ -444,6 +458,7 @@
     StepSpec spec = job.steps().get(request.task().step());
     Task task = new Task(request, spec);
     running.put(task.id, task);
+    paces.remove(task.id);
     simulation.trace(this, () -> "starts " + request);
     simulation.oracle().checkCapacity(this, committed(), capacitiesWithin(Oracle.SHRINK_MILLIS));
     OptionalLong crashDelay = simulation.crashDelayMillis(task.id);
@@ -507,7 +522,7 @@
     return done();
   }
 
-  Future<CommandResult> pace(long token) {
+  Future<CommandResult> pace(TaskId id, int run, int percent, long token) {
     if (!up) {
       return Future.succeededFuture(down());
     }
@@ -515,6 +530,10 @@
       return refused(Refusal.FENCED);
     }
     highestFencingToken = token;
+    Task task = running.get(id);
+    if (task != null && task.run == run) {
+      paces.put(id, percent);
+    }
     return done();
   }
 
@@ -563,7 +582,7 @@
     }
     List<ActiveRun> runs =
         running.values().stream()
-            .map(t -> new ActiveRun(t.id, t.run, t.checkpoint(), t.percent(), 0))
+            .map(t -> new ActiveRun(t.id, t.run, t.checkpoint(), t.percent(), usage(t)))
             .toList();
     runs.forEach(r -> simulation.oracle().reported(r.task(), r.checkpoint()));
     List<EndedRun> oldest = ended.stream().limit(MAX_LISTED_ENDS).toList();
@@ -572,6 +591,10 @@
         uptimeMillis(), bornMillis, runs, oldest, oldest.size() == MAX_LISTED_ENDS);
   }
 
+  private long usage(Task task) {
+    return task.spec.targetMillis() > 0 ? servingLatencyMillis : 0;
+  }
+
   /** Takes note that the lease has lapsed, if it has: ends before that are not acknowledged. */
   void noteLapse() {
     if (up && uptimeMillis() > leaseEnd) {
