--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
@@ -655,6 +655,9 @@
     }
     LiveExecutor executor = state.executors.get(id);
     if (executor == null) {
+      if (request.leaseEndMillis() > 0 && result instanceof LeaseRenewalResult.Unknown) {
+        state.lease(id).unanswered(true, now);
+      }
       return;
     }
     containment.guardExecutor(
@@ -683,8 +686,10 @@
    * while they cannot be acknowledged because of a start.
    */
   private static long pauseMillis(LiveExecutor executor) {
-    boolean blocked = executor.isAcknowledgementDue() && executor.isStartInFlight();
-    return blocked ? BLOCKED_ACKNOWLEDGEMENT_PAUSE_MILLIS : 0;
+    if (executor.isAcknowledgementDue()) {
+      return executor.isStartInFlight() ? BLOCKED_ACKNOWLEDGEMENT_PAUSE_MILLIS : 0;
+    }
+    return executor.isAnnouncedBootUnknown() ? FAILED_RENEWAL_PAUSE_MILLIS : 0;
   }
 
   /** Processes the answer to a renewal that was sent before a reboot was known. */
@@ -719,10 +724,8 @@
       case LeaseRenewalResult.Report report -> {
         executor.lease().taken(request.leaseEndMillis(), report.clockMillis(), now);
         reports.reconcile(executor, sentAt, report, now);
-        executor.acknowledgedEnd(request.acknowledgedEnd());
-        if (!executor.isAnnouncedBootUnknown()) {
-          executor.renewalAnswered(now + pauseMillis(executor));
-        }
+        executor.acknowledgedEnd(request.acknowledgedEnd(), now);
+        executor.renewalAnswered(now + pauseMillis(executor));
         throttle.adjust(executor, now);
       }
       case LeaseRenewalResult.Refused(Refusal reason) when reason == Refusal.FENCED ->
@@ -806,10 +809,10 @@
     return executor.isCallable() ? executor.info().zone() : "";
   }
 
-  /** Returns whether starts on an executor have to wait for the answer to a call. */
-  public boolean startsWaitForAcknowledgement(String id) {
+  /** Returns whether starts on an executor have to wait for an acknowledgement of ends. */
+  public boolean startsWaitForAcknowledgement(String id, long now) {
     LiveExecutor executor = state.executors.get(id);
-    return executor != null && executor.isAcknowledgementInFlight();
+    return executor != null && executor.mustWaitForAcknowledgement(now);
   }
 
   /**
@@ -855,6 +858,23 @@
     }
   }
 
+  /**
+   * Processes the answer to a pace call.
+   *
+   * @param token its fencing token
+   */
+  public void paceAnswered(String executorId, RunKey key, long token, CommandResult result) {
+    if (result instanceof CommandResult.Unknown) {
+      // A later pace must not be followed by this one.
+      callUnanswered(executorId, token);
+    }
+    LiveExecutor executor = state.executors.get(executorId);
+    Run run = executor == null ? null : executor.run(key);
+    if (run != null && !(result instanceof CommandResult.Done)) {
+      run.paceFailed();
+    }
+  }
+
   /**
    * Processes the answer to an advice call.
    *
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Run.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Run.java
@@ -45,6 +45,7 @@
   private Phase phase;
   private long phaseAt;
   private int startsSent;
+  private boolean startInFlight;
   private long leaseEnd;
   private long startToken;
   private long startSentAt;
@@ -58,6 +59,7 @@
   private long reportedAt;
   private int pace = 100;
   private long paceAt;
+  private boolean paceFailed;
   private long usage;
 
   /**
@@ -229,6 +231,7 @@
     leaseEnd = Math.max(leaseEnd, leaseEndMillis);
     startToken = token;
     startsSent++;
+    startInFlight = true;
     firstStartSentAt = startsSent == 1 ? now : firstStartSentAt;
     startSentAt = now;
     enter(Phase.STARTING, now);
@@ -239,6 +242,17 @@
     return leaseEnd;
   }
 
+  /** Records that no start of the run is waited for any more. */
+  void startGivenUpOrAnswered() {
+    startInFlight = false;
+  }
+
+  /** Returns whether a start is waited for that was not certainly carried out. */
+  boolean isStartInFlight() {
+    // If the start was sent again, a report does not tell which copy was carried out.
+    return startInFlight && (phase == Phase.STARTING || startsSent > 1);
+  }
+
   /** Returns the fencing token of the last start. */
   long startToken() {
     return startToken;
@@ -362,9 +376,20 @@
     return paceAt;
   }
 
+  /** Records that a pace call may have had no effect. */
+  void paceFailed() {
+    paceFailed = true;
+  }
+
+  /** Returns whether the executor may not work at the pace that it was told. */
+  boolean isPaceUncertain() {
+    return paceFailed;
+  }
+
   void paced(int newPace, long now) {
     pace = newPace;
     paceAt = now;
+    paceFailed = false;
     doNotMeasure();
   }
 }
