Send starts that waited for an acknowledgement without a second write

What callers saw: tasks on an executor that ends others start later, by one more write to the store. No caller has reported it; it was found when the cost of the acknowledgements was measured.

Cause: a start that has to wait for an acknowledgement of ends went back to the starts whose records are not stored, and waited for the next record of its job, too. Since starts also wait for an acknowledgement that is overdue this is the usual case with a store that takes 100 ms: the time of the write counted as time in which the acknowledgement was due.

Change: these starts are kept apart and sent as soon as they need not wait any more. An acknowledgement is due from when the ends are stored.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerController.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerController.java
@@ -118,6 +118,9 @@
   /** Starts whose own batch is stored before that with the submission of their job. */
   private final Map<String, List<Action.Start>> startsBeforeSubmission = new HashMap<>();
 
+  /** Starts whose records are stored and that wait for an acknowledgement, by executor. */
+  private final Map<String, Set<Action.Start>> startsBeforeAcknowledgement = new HashMap<>();
+
   private final Deque<Batch> unconfirmed = new ArrayDeque<>();
   private boolean active = true;
   private boolean roundScheduled;
@@ -340,6 +343,7 @@
       return;
     }
     long now = timers.nowMillis();
+    sendAcknowledgedStarts(now);
     confirmRecords(now);
     scheduler.decide(adviceDispatcher, timers.wallMillis(), now).forEach(this::execute);
     storeChanges();
@@ -505,6 +509,15 @@
     }
   }
 
+  /** Sends the starts that wait for an acknowledgement no more. */
+  private void sendAcknowledgedStarts(long now) {
+    List<String> ready =
+        startsBeforeAcknowledgement.keySet().stream()
+            .filter(e -> !scheduler.startsWaitForAcknowledgement(e, now))
+            .toList();
+    ready.forEach(e -> startsBeforeAcknowledgement.remove(e).forEach(this::sendStart));
+  }
+
   private void completeFlush() {
     if (unconfirmed.stream().allMatch(b -> b.stored)) {
       flushed.ifPresent(Promise::tryComplete);
@@ -513,7 +526,7 @@
 
   private void batchStored(Batch batch) {
     while (!unconfirmed.isEmpty() && unconfirmed.peek().stored) {
-      scheduler.endsStored(unconfirmed.remove().ends);
+      scheduler.endsStored(unconfirmed.remove().ends, timers.nowMillis());
     }
     for (Action.Start start : batch.starts) {
       if (jobs.isStored(jobOf(start))) {
@@ -558,7 +571,9 @@
       return;
     }
     if (scheduler.startsWaitForAcknowledgement(start.executor(), now)) {
-      pendingStarts.add(start);
+      startsBeforeAcknowledgement
+          .computeIfAbsent(start.executor(), e -> new LinkedHashSet<>())
+          .add(start);
       return;
     }
     if (!scheduler.mayStart(now)) {
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
@@ -526,11 +526,11 @@
   }
 
   /** Records that ends are stored, so that the executors may delete them. */
-  public void endsStored(List<ReceivedEnds> ends) {
+  public void endsStored(List<ReceivedEnds> ends, long now) {
     for (ReceivedEnds received : ends) {
       LiveExecutor executor = state.executors.get(received.executor());
       if (executor != null) {
-        executor.endsStored(received.number(), received.bootMillis());
+        executor.endsStored(received.number(), received.bootMillis(), now);
         if (!executor.hasEndsToStore()) {
           state.withEndsToStore.remove(executor);
         }
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveExecutor.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveExecutor.java
@@ -75,7 +75,7 @@
   private long lastReceivedEnd;
   private long lastStoredEnd;
   private long acknowledgedEnd;
-  private long unacknowledgedSince = NEVER;
+  private long acknowledgementDueSince = NEVER;
   private Optional<ConfirmedBoot> confirmed = Optional.empty();
   private long fastestAnswerMillis = CONFIRMED_BOOT_MILLIS;
   private String acknowledgement = "no ends acknowledged";
@@ -165,7 +165,6 @@
     lastReceivedEnd = 0;
     lastStoredEnd = 0;
     acknowledgedEnd = 0;
-    unacknowledgedSince = NEVER;
     confirmed = Optional.empty();
     renewalInFlight = Optional.empty();
     hasReported = false;
@@ -432,9 +431,6 @@
   void reported(boolean truncated, long clock, long askedAt, long now) {
     hasReported = true;
     reportTruncated = truncated;
-    if (unacknowledgedSince == NEVER && hasEndsToAcknowledge()) {
-      unacknowledgedSince = now;
-    }
     fastestAnswerMillis = Math.min(fastestAnswerMillis, now - askedAt);
     confirmed = Optional.of(ConfirmedBoot.after(confirmed, clock, askedAt));
   }
@@ -500,10 +496,14 @@
     lastReceivedEnd = Math.max(lastReceivedEnd, number);
   }
 
-  void endsStored(long number, long boot) {
-    if (boot == bootMillis) {
-      lastStoredEnd = Math.max(lastStoredEnd, number);
+  void endsStored(long number, long boot, long now) {
+    if (boot != bootMillis) {
+      return;
+    }
+    if (!isAcknowledgementDue()) {
+      acknowledgementDueSince = now;
     }
+    lastStoredEnd = Math.max(lastStoredEnd, number);
   }
 
   /** Returns the fencing token of calls to the executor. */
@@ -536,7 +536,7 @@
   void acknowledgedEnd(long number, long now) {
     if (bootMillis == renewalBootMillis && number > acknowledgedEnd) {
       acknowledgedEnd = number;
-      unacknowledgedSince = hasEndsToAcknowledge() ? now : NEVER;
+      acknowledgementDueSince = now;
     }
   }
 
@@ -545,7 +545,7 @@
    * because other starts are. The latter ends with the acknowledgement, or after a second.
    */
   boolean mustWaitForAcknowledgement(long now) {
-    long waited = now - unacknowledgedSince;
+    long waited = now - acknowledgementDueSince;
     boolean overdue =
         isAcknowledgementDue()
             && answers()
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/JobSchedulerTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/JobSchedulerTest.java
@@ -278,7 +278,7 @@
     first.forEach(this::confirm);
     end(first.get(0), 1, EndReason.DONE, first.get(1));
     assertThat(scheduler.executorsToRenew(now)).isEmpty();
-    scheduler.endsStored(changes().ends());
+    scheduler.endsStored(changes().ends(), now);
     assertThat(scheduler.executorsToRenew(now)).containsExactly("x1");
   }
 
@@ -290,7 +290,7 @@
     first.forEach(this::confirm);
     end(first.get(0), 1, EndReason.DONE, first.get(1));
     assertThat(scheduler.leaseRenewalRequest("x1", true, now).acknowledgedEnd()).isEqualTo(0);
-    scheduler.endsStored(changes().ends());
+    scheduler.endsStored(changes().ends(), now);
     assertThat(scheduler.leaseRenewalRequest("x1", true, now).acknowledgedEnd()).isEqualTo(1);
   }
 
@@ -305,7 +305,7 @@
     List<Action.Start> first = starts();
     first.forEach(this::confirm);
     end(first.get(0), 1, EndReason.DONE, first.get(1));
-    scheduler.endsStored(changes().ends());
+    scheduler.endsStored(changes().ends(), now);
     LeaseRenewalRequest toEarlierBoot = scheduler.leaseRenewalRequest("x1", true, now);
     assertThat(toEarlierBoot.acknowledgedEnd()).isEqualTo(1);
     LeaseRenewalResult laterBoot = new LeaseRenewalResult.Report(5, BOOT + 1, List.of(), List.of());
@@ -316,7 +316,7 @@
     LeaseRenewalResult withEnd =
         new LeaseRenewalResult.Report(15, BOOT + 1, List.of(), List.of(end));
     scheduler.leaseRenewalAnswered("x1", next, now + 10, withEnd, now + 20);
-    scheduler.endsStored(changes().ends());
+    scheduler.endsStored(changes().ends(), now);
     assertThat(scheduler.leaseRenewalRequest("x1", true, now + 20).acknowledgedEnd()).isEqualTo(1);
   }
 
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/RebootedExecutorFixture.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/RebootedExecutorFixture.java
@@ -134,7 +134,7 @@
   final void store() {
     Changes changes = owner.takeChanges(10, id -> true);
     changes.jobs().forEach((id, p) -> store.applyLane(0, LedgerCodec.progress(id, p)));
-    owner.endsStored(changes.ends());
+    owner.endsStored(changes.ends(), now);
   }
 
   /** Announces the present boot of the executor. */
--- a/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/RebootedExecutorTest.java
+++ b/cactusspring-jobs/src/test/java/io/cactusspring/jobs/schedule/RebootedExecutorTest.java
@@ -193,7 +193,7 @@
     endRun();
     renew();
     store();
-    owner().endsStored(List.of(new ReceivedEnds(REBOOTED, boot(), 1)));
+    owner().endsStored(List.of(new ReceivedEnds(REBOOTED, boot(), 1)), now);
     LeaseRenewalRequest unanswered = owner().leaseRenewalRequest(REBOOTED, true, now);
     assertThat(unanswered.acknowledgedEnd()).isEqualTo(1);
     LeaseRenewalResult none = new LeaseRenewalResult.Unknown("no answer");
