Tell runs of the same number on two executors apart in the soak's oracle

A run that was done and whose start is carried out once more, late, on another executor breaks TWICE if the first end is acknowledged. If the late copy ended before that acknowledgement, its end replaced the first one, and the oracle found nothing.

Change: acknowledgements name their executor, and ends are kept by executor. The other tests name the executor that their ends are on; no check has changed.

Measured: lateCopyOfARunThatEndsBeforeTheFirstEndIsAcknowledgedIsFound fails while ends are kept by task and run alone, and passes; so do SoakOracleTest, GangOracleTest, SoakExecutorTest and PlanTest. No soak was run.

--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/JobFacts.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/JobFacts.java
@@ -21,8 +21,8 @@
   private static final Set<Verdict> NOT_STORED =
       Set.of(Verdict.REJECTED, Verdict.UNKNOWN_KEY, Verdict.NOT_SENT);
 
-  /** A run of a task. */
-  record RunKey(TaskId task, int run) {}
+  /** A run of a task on one executor, where a late start may carry it out once more. */
+  record RunKey(TaskId task, int run, String executor) {}
 
   final String id;
   final String organisation;
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/Observation.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/Observation.java
@@ -65,7 +65,8 @@
       implements Observation {}
 
   /** A host acknowledges the end of a run to its executor. */
-  record Acknowledged(long at, TaskId task, int run, EndReason reason) implements Observation {}
+  record Acknowledged(long at, String executor, TaskId task, int run, EndReason reason)
+      implements Observation {}
 
   /** A host makes an executor delete an end that no answer of this boot has listed. */
   record UnreadEndDeleted(long at, String executor, TaskId task, int run) implements Observation {}
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/RunChecks.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/RunChecks.java
@@ -171,7 +171,7 @@
     job.lastEnds.put(end.task(), end.at());
     if (end.reason() == EndReason.DONE) {
       members(job, end.task()).forEach(job.done::add);
-      job.doneRuns.put(new RunKey(end.task(), end.run()), end.at());
+      job.doneRuns.put(new RunKey(end.task(), end.run(), end.executor()), end.at());
     }
   }
 
@@ -182,7 +182,7 @@
       return;
     }
     Set<TaskId> tasks = members(job, end.task()).collect(Collectors.toSet());
-    Long endedAt = job.doneRuns.get(new RunKey(end.task(), end.run()));
+    Long endedAt = job.doneRuns.get(new RunKey(end.task(), end.run(), end.executor()));
     if (endedAt != null) {
       List<Started> wrong =
           job.starts.stream().filter(s -> tasks.contains(s.task()) && s.at() > endedAt).toList();
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakExecutor.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/SoakExecutor.java
@@ -349,7 +349,8 @@
   }
 
   private void acknowledged(EndedRun end) {
-    recorder.record(at -> new Observation.Acknowledged(at, end.task(), end.run(), end.reason()));
+    recorder.record(
+        at -> new Observation.Acknowledged(at, id(), end.task(), end.run(), end.reason()));
     work.acknowledged(end);
   }
 
--- a/cactusspring-soak/src/test/java/io/cactusspring/soak/GangOracleTest.java
+++ b/cactusspring-soak/src/test/java/io/cactusspring/soak/GangOracleTest.java
@@ -34,7 +34,7 @@
 
   private static History acknowledged(History history, int run, int failing) {
     IntStream.range(0, failing)
-        .forEach(i -> history.acknowledged(task(0, i), run, EndReason.FAILED));
+        .forEach(i -> history.acknowledged("x0", task(0, i), run, EndReason.FAILED));
     return history;
   }
 
@@ -47,7 +47,7 @@
   @Test
   void gangThatIsGivenUpAfterOneFailedRunAndABrokenOneIsFound() {
     failedRun(history.accepted(GANG), 1, 1);
-    history.acknowledged(task(0, 0), 1, EndReason.FAILED);
+    history.acknowledged("x0", task(0, 0), 1, EndReason.FAILED);
     history.started("x1", task(0, 1), 2).ended("x1", task(0, 1), 2, EndReason.BROKEN);
     assertThat(history.seen(JobState.FAILED).broken()).containsExactly(Rule.FALSE_FINAL_STATE);
   }
@@ -93,9 +93,9 @@
     for (int run = 1; run <= 2; run++) {
       history.started("x0", task(0, 0), run).ended("x0", task(0, 0), run, EndReason.FAILED);
     }
-    history.acknowledged(task(0, 0), 1, EndReason.FAILED).started("x0", task(0, 0), 3);
+    history.acknowledged("x0", task(0, 0), 1, EndReason.FAILED).started("x0", task(0, 0), 3);
     assertThat(history.broken()).isEmpty();
-    history.acknowledged(task(0, 0), 2, EndReason.FAILED);
+    history.acknowledged("x0", task(0, 0), 2, EndReason.FAILED);
     assertThat(history.broken()).containsExactly(Rule.ATTEMPTS_EXCEEDED);
   }
 
@@ -104,7 +104,7 @@
     history.accepted(SMALL);
     for (int i = 0; i < 2; i++) {
       history.started("x0", task(0, i), 1).ended("x0", task(0, i), 1, EndReason.FAILED);
-      history.acknowledged(task(0, i), 1, EndReason.FAILED);
+      history.acknowledged("x0", task(0, i), 1, EndReason.FAILED);
     }
     history.started("x0", task(0, 0), 2).started("x0", task(0, 1), 2);
     assertThat(history.broken()).isEmpty();
@@ -115,7 +115,7 @@
     history.accepted(step(1, 1_000).longRunning(true).build());
     for (int run = 1; run <= 4; run++) {
       history.started("x0", task(0, 0), run).ended("x0", task(0, 0), run, EndReason.FAILED);
-      history.acknowledged(task(0, 0), run, EndReason.FAILED);
+      history.acknowledged("x0", task(0, 0), run, EndReason.FAILED);
     }
     assertThat(history.broken()).isEmpty();
   }
@@ -139,7 +139,7 @@
 
   @Test
   void startAfterAnAcknowledgedEndOfAnotherMemberIsFound() {
-    history.accepted(GANG).done("x0", task(0, 0)).acknowledged(task(0, 0), 1, EndReason.DONE);
+    history.accepted(GANG).done("x0", task(0, 0)).acknowledged("x0", task(0, 0), 1, EndReason.DONE);
     history.started("x0", task(0, 1), 2);
     assertThat(history.broken()).containsExactly(Rule.RUN_AFTER_ACKNOWLEDGED_END);
   }
--- a/cactusspring-soak/src/test/java/io/cactusspring/soak/History.java
+++ b/cactusspring-soak/src/test/java/io/cactusspring/soak/History.java
@@ -111,8 +111,8 @@
     return observe(at -> new Observation.Started(at, executor, task, run, checkpoint));
   }
 
-  History acknowledged(TaskId task, int run, EndReason reason) {
-    return observe(at -> new Observation.Acknowledged(at, task, run, reason));
+  History acknowledged(String executor, TaskId task, int run, EndReason reason) {
+    return observe(at -> new Observation.Acknowledged(at, executor, task, run, reason));
   }
 
   History ended(String executor, TaskId task, int run, EndReason reason) {
--- a/cactusspring-soak/src/test/java/io/cactusspring/soak/SoakOracleTest.java
+++ b/cactusspring-soak/src/test/java/io/cactusspring/soak/SoakOracleTest.java
@@ -40,7 +40,7 @@
         .ended("x1", task(0, 1), 1, EndReason.FAILED)
         .started("x1", task(0, 1), 2)
         .ended("x1", task(0, 1), 2, EndReason.DONE)
-        .acknowledged(task(0, 1), 2, EndReason.DONE)
+        .acknowledged("x1", task(0, 1), 2, EndReason.DONE)
         .done("x0", task(1, 0))
         .seen(JobState.COMPLETED);
     assertThat(history.brokenAtTheEnd()).isEmpty();
@@ -73,7 +73,7 @@
     history
         .accepted(SMALL)
         .done("x0", task(0, 0))
-        .acknowledged(task(0, 0), 1, EndReason.DONE)
+        .acknowledged("x0", task(0, 0), 1, EndReason.DONE)
         .started("x1", task(0, 0), 2);
     assertThat(history.broken()).containsExactly(Rule.RUN_AFTER_ACKNOWLEDGED_END);
   }
@@ -85,12 +85,24 @@
         .accepted(SMALL)
         .done("x0", task(0, 0))
         .started("x1", task(0, 0), 2)
-        .acknowledged(task(0, 0), 1, EndReason.DONE)
+        .acknowledged("x0", task(0, 0), 1, EndReason.DONE)
         .ended("x1", task(0, 0), 2, EndReason.DONE)
-        .acknowledged(task(0, 0), 2, EndReason.DONE);
+        .acknowledged("x1", task(0, 0), 2, EndReason.DONE);
     assertThat(history.violations()).containsExactly(Rule.RUN_AFTER_ACKNOWLEDGED_END);
   }
 
+  /** Guards against an oracle that takes the end of a run for that of its late copy. */
+  @Test
+  void lateCopyOfARunThatEndsBeforeTheFirstEndIsAcknowledgedIsFound() {
+    history
+        .accepted(SMALL)
+        .done("x0", task(0, 0))
+        .started("x1", task(0, 0), 1)
+        .ended("x1", task(0, 0), 1, EndReason.DONE)
+        .acknowledged("x0", task(0, 0), 1, EndReason.DONE);
+    assertThat(history.broken()).containsExactly(Rule.RUN_AFTER_ACKNOWLEDGED_END);
+  }
+
   @Test
   void runAfterAnEndThatNoHostTakesNoteOfIsNoViolation() {
     history
@@ -98,7 +110,7 @@
         .done("x0", task(0, 0))
         .started("x1", task(0, 0), 2)
         .ended("x1", task(0, 0), 2, EndReason.DONE)
-        .acknowledged(task(0, 0), 2, EndReason.DONE);
+        .acknowledged("x1", task(0, 0), 2, EndReason.DONE);
     assertThat(history.broken()).isEmpty();
   }
 
