Drop a check of late reports that can never be true

A reboot ends the wait for the renewal that is in flight, whose answer is then applied only if it is of the present boot. No behaviour changes.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
@@ -718,7 +718,7 @@
     executor.renewalAnswered(now + FAILED_RENEWAL_PAUSE_MILLIS);
     state.touch(executor);
     if (request.leaseEndMillis() > 0 && result instanceof LeaseRenewalResult.Unknown) {
-      executor.lease().unanswered(executor.isRenewalForeign(), now);
+      executor.lease().unanswered(false, now);
     }
     switch (result) {
       case LeaseRenewalResult.Report report -> {
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveExecutor.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveExecutor.java
@@ -198,11 +198,6 @@
     return announced > bootMillis && !pastBoots.contains(announced);
   }
 
-  /** Returns whether a report of a boot was sent before the present boot was known. */
-  boolean isLateReport(long boot) {
-    return pastBoots.contains(boot) && isRenewalForeign();
-  }
-
   /** Returns whether a boot was announced that is neither known as present nor as past. */
   boolean isAnnouncedBootUnknown() {
     return isCallable() && !isBootAnnounced() && !pastBoots.contains(info.bootMillis());
@@ -515,18 +510,9 @@
     return quarantine;
   }
 
-  /** Returns whether the last renewal was meant for another boot than the present one. */
-  boolean isRenewalForeign() {
-    return isOtherBoot(renewalBootMillis);
-  }
-
   /** Returns whether a run was sent to another boot than the present one, as far as is known. */
   boolean isForeign(Run run) {
-    return isOtherBoot(run.bootMillis());
-  }
-
-  private boolean isOtherBoot(long boot) {
-    return boot != 0 && boot != bootMillis;
+    return run.bootMillis() != 0 && run.bootMillis() != bootMillis;
   }
 
   /**
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ReportReconciler.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ReportReconciler.java
@@ -23,14 +23,11 @@
   }
 
   /**
-   * Applies a report, unless it comes from an earlier boot of the executor.
+   * Applies a report.
    *
    * @param askedAt when the report was requested
    */
   void reconcile(LiveExecutor executor, long askedAt, LeaseRenewalResult.Report report, long now) {
-    if (executor.isLateReport(report.bootMillis())) {
-      return;
-    }
     updateBoot(executor, report.bootMillis(), now);
     state.crashes.answered(executor, now);
     if (executor.isSilent()) {
@@ -131,7 +128,7 @@
   /** The new boot may still carry out a start that the previous one did not answer. */
   private static void markInDoubt(Run run, long now) {
     run.enter(Run.Phase.IN_DOUBT, now);
-    run.startGivenUpOrAnswered();
+    run.startSettled();
     run.resetStop();
   }
 
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Run.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/Run.java
@@ -243,7 +243,7 @@
   }
 
   /** Records that no start of the run is waited for any more. */
-  void startGivenUpOrAnswered() {
+  void startSettled() {
     startInFlight = false;
   }
 
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/StartAnswerHandler.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/StartAnswerHandler.java
@@ -17,7 +17,7 @@
 
   void handle(LiveExecutor executor, Run run, CommandResult result, long now) {
     boolean foreign = executor.isForeign(run);
-    run.startGivenUpOrAnswered();
+    run.startSettled();
     switch (result) {
       case CommandResult.Done done -> {
         executor.lease().taken(run.leaseEnd(), done.clockMillis(), now);
