Rename what a newcomer stumbles over, and reword comments

What callers saw: nothing; no behaviour changes.

Change: otherRunEnded, earliestReportAt, sendStartsAfterAcknowledgement; comments of the guard in prepareStart and of the soak's facts.

--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerController.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/control/OwnerController.java
@@ -343,7 +343,7 @@
       return;
     }
     long now = timers.nowMillis();
-    sendAcknowledgedStarts(now);
+    sendStartsAfterAcknowledgement(now);
     confirmRecords(now);
     scheduler.decide(adviceDispatcher, timers.wallMillis(), now).forEach(this::execute);
     storeChanges();
@@ -510,7 +510,7 @@
   }
 
   /** Sends the starts that wait for an acknowledgement no more. */
-  private void sendAcknowledgedStarts(long now) {
+  private void sendStartsAfterAcknowledgement(long now) {
     List<String> ready =
         startsBeforeAcknowledgement.keySet().stream()
             .filter(e -> !scheduler.startsWaitForAcknowledgement(e, now))
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/JobScheduler.java
@@ -781,7 +781,8 @@
     long leaseEnd =
         executor.lease().grant(state.zones.startLeaseMillis(zone(executor), lease, now), now);
     if (executor.isAcknowledgementInFlight()) {
-      // A boot that takes the start must not take the acknowledgement after it.
+      // Starts are held back meanwhile. If one is sent all the same, a boot that takes it must not
+      // take the acknowledgement after it.
       executor.fence().raise();
     }
     run.startSent(leaseEnd, executor.fence().token(), now);
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveExecutor.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/LiveExecutor.java
@@ -31,13 +31,15 @@
    * The last report of the present boot.
    *
    * @param clock the executor's clock when it reported, which is not faster than that of this host
-   * @param upAt a time not after the report, at which the boot was up
+   * @param earliestReportAt the earliest time at which it can have reported, on the clock of this
+   *     host
    */
-  private record ConfirmedBoot(long clock, long upAt) {
+  private record ConfirmedBoot(long clock, long earliestReportAt) {
     /** The answer may have waited to be processed: what its clock tells limits its age. */
     private static ConfirmedBoot after(Optional<ConfirmedBoot> previous, long clock, long askedAt) {
-      long upAt = previous.map(p -> p.upAt + clock - p.clock).orElse(askedAt);
-      return new ConfirmedBoot(clock, Math.max(askedAt, upAt));
+      long earliestReportAt =
+          previous.map(p -> p.earliestReportAt + clock - p.clock).orElse(askedAt);
+      return new ConfirmedBoot(clock, Math.max(askedAt, earliestReportAt));
     }
   }
 
@@ -548,7 +550,8 @@
    */
   long endToAcknowledge(long now) {
     long maxAge = CONFIRMED_BOOT_MILLIS + fastestAnswerMillis;
-    boolean mayAcknowledge = confirmed.filter(c -> now - c.upAt() <= maxAge).isPresent();
+    boolean mayAcknowledge =
+        confirmed.filter(c -> now - c.earliestReportAt() <= maxAge).isPresent();
     return isAcknowledgementDue() && mayAcknowledge && !isStartInFlight() ? lastStoredEnd : 0;
   }
 
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ReportReconciler.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/ReportReconciler.java
@@ -141,7 +141,7 @@
       run.crash(Optional.empty());
       runs.ended(executor, run, end.reason(), end.checkpoint(), now);
     } else {
-      runs.endedUnassigned(executor, new RunKey(end.task(), end.run()), end.reason(), now);
+      runs.otherRunEnded(executor, new RunKey(end.task(), end.run()), end.reason(), now);
     }
   }
 
--- a/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/RunLifecycle.java
+++ b/cactusspring-jobs/src/main/java/io/cactusspring/jobs/schedule/RunLifecycle.java
@@ -68,7 +68,7 @@
     }
     LiveTask task = state.task(run.key().task());
     if (task == null || task.run() != run) {
-      endedUnassigned(executor, run.key(), reason, now);
+      otherRunEnded(executor, run.key(), reason, now);
       return;
     }
     task.checkpoint(checkpoint);
@@ -91,7 +91,7 @@
    * carried out after the run was taken for lost. As the end is acknowledged, it counts like any
    * other: a successful one completes the task.
    */
-  void endedUnassigned(LiveExecutor executor, RunKey key, EndReason reason, long now) {
+  void otherRunEnded(LiveExecutor executor, RunKey key, EndReason reason, long now) {
     LiveTask task = state.task(key.task());
     if (task == null || task.isDone() || task.step().spec().longRunning()) {
       return;
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/JobFacts.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/JobFacts.java
@@ -32,10 +32,10 @@
   final Set<TaskId> done = new HashSet<>();
   final Set<TaskId> acknowledgedDone = new HashSet<>();
 
-  /** When runs ended done, whether a host has taken note of the ends or not. */
+  /** When runs ended done, whether the ends were acknowledged or not. */
   final Map<RunKey, Long> doneRuns = new HashMap<>();
 
-  /** Starts of tasks of which no end done had been taken note of. */
+  /** Starts of tasks none of whose ends as done had been acknowledged. */
   final List<Started> starts = new ArrayList<>();
 
   final Map<TaskId, Integer> crashes = new HashMap<>();
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/RestartSeries.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/RestartSeries.java
@@ -15,7 +15,7 @@
 final class RestartSeries {
   private static final long FIRST_MILLIS = 3_000;
 
-  /** An executor reports ends, which hosts take note of, between two of its crashes. */
+  /** Long enough for an executor to report ends, and for these to be acknowledged. */
   private static final long EXECUTOR_REST_MILLIS = 3_000;
 
   /** Requests from this time before a crash on may reach the later boot. */
--- a/cactusspring-soak/src/main/java/io/cactusspring/soak/RunChecks.java
+++ b/cactusspring-soak/src/main/java/io/cactusspring/soak/RunChecks.java
@@ -175,7 +175,7 @@
     }
   }
 
-  /** Reports the starts after an end that is taken note of now. */
+  /** Reports the starts after an end that is acknowledged now. */
   void acknowledged(Acknowledged end) {
     JobFacts job = jobs.get(end.task().job());
     if (job == null || end.reason() != EndReason.DONE) {
